--- a/magnoliacove/agent/process.py
+++ b/magnoliacove/agent/process.py
@@ -342,12 +342,12 @@
                 process.feed.drop(connection)
 
     async def _tell_load(self) -> None:
-        """Tell the entries when this instance begins to leave."""
+        """Tell the entries when this instance begins to leave, or stays."""
         told = False
         while True:
             await self.process.view.wait_changed()
             leaving = self.is_leaving()
-            if leaving and not told:
+            if leaving != told:
                 self.process.tell_connected(self._make_pong(0))
             told = leaving
 
--- a/magnoliacove/agent/runner.py
+++ b/magnoliacove/agent/runner.py
@@ -21,6 +21,7 @@
 # entry comes back on a new connection well before this if it still lives.
 _ORPHAN_GRACE = 10.0
 _SMOOTHING = 0.2
+_PATIENCE_FACTOR = 10.0
 
 
 class Neighbours(Protocol):
@@ -287,16 +288,34 @@
             if not batch:
                 continue
             started = trio.current_time()
+            inputs = [item for _, items in batch for item in items]
+            patience = self._patience(inputs)
             try:
-                outputs = await self._engine.run_steps(
-                    [item for _, items in batch for item in items]
-                )
+                with trio.fail_after(patience):
+                    outputs = await self._engine.run_steps(inputs)
+            except trio.TooSlowError:
+                # An engine that hangs keeps its connection open, so only
+                # the time tells.  The entries replace the stages at once
+                # instead of waiting until their streams look stalled.
+                self._fail(batch, f"the engine hangs for {patience:.1f} s")
+                continue
             except targets.EngineError as why:
                 self._fail(batch, str(why))
                 continue
             self._note_time(trio.current_time() - started)
             self._deliver(batch, outputs)
 
+    def _patience(self, inputs: list[targets.StepInput]) -> float:
+        """Return the seconds after which a batch counts as hanging.
+
+        A first step may hold a long prompt and is given longer.
+        """
+        base = defaults.ENGINE_TIMEOUT
+        if not self.step_seconds or any(item.step == 0 for item in inputs):
+            base *= 4
+        expected = self.step_seconds * len(inputs)
+        return max(base, _PATIENCE_FACTOR * expected)
+
     def _collect(self) -> list[tuple[Stage, list[targets.StepInput]]]:
         batch = []
         room = defaults.MAX_BATCH
--- a/magnoliacove/entry/openai.py
+++ b/magnoliacove/entry/openai.py
@@ -172,7 +172,7 @@
 
 def write_error(why: errors.RequestError) -> dict[str, Any]:
     """Return an error in the API's form, with the outcome added."""
-    invalid = why.status in (400, 404, 413, 422)
+    invalid = why.status in (400, 401, 404, 413, 422)
     return {
         "error": {
             "message": str(why),
--- a/magnoliacove/entry/pool.py
+++ b/magnoliacove/entry/pool.py
@@ -211,10 +211,11 @@
 
     def _note_down(self, peer: wire.Peer, reason: str) -> None:
         self.estimates.target(peer.name).failed_at = trio.current_time()
-        if peer.failures == 1:
-            self._process.recorder.record(
-                "target-lost", target=peer.name, why=reason
-            )
+        if peer.failures > 1:
+            return
+        self._process.recorder.record(
+            "target-lost", target=peer.name, why=reason
+        )
         self._tell(PeerChanged(peer.name, True, reason))
 
     def _note_draining(self, name: str, why: str) -> None:
@@ -264,3 +265,6 @@
         self.estimates.target(name).note_report(load)
         if load.draining:
             self._note_draining(name, "its agent said so")
+        elif not self._process.view.is_leaving(name):
+            # The operator took the drain back.
+            self._draining.discard(name)
--- a/magnoliacove/entry/streams.py
+++ b/magnoliacove/entry/streams.py
@@ -30,7 +30,7 @@
 
 __all__ = ["Stream", "StreamRequest"]
 
-_OPEN_TIMEOUT = 2.0
+_OPEN_TIMEOUT = 1.0
 _IMPORT_TIMEOUT = 10.0
 _RECONNECT_TIMEOUT = 0.5
 _RECONNECT_POLL = 0.01
@@ -225,6 +225,7 @@
             loss = await self._try_reconnect(loss)
         self._chain = await self._plan(loss)
         self.attempt += 1
+        self._drop_old_messages()
         self._send_opens()
         steps = await self._collect_opened()
         if self.attempt > 1:
@@ -264,6 +265,7 @@
         :raises magnoliacove.errors.RequestError: when no targets hold the
             layers that are needed.
         """
+        waiting = False
         while True:
             chain = self._replace(loss)
             if chain is not None:
@@ -279,6 +281,14 @@
                 )
             # Tokens were delivered already, so the stream waits for a
             # replacement until its deadline.
+            if not waiting:
+                waiting = True
+                self._recorder.record(
+                    "stream-waiting",
+                    request=self._request.name,
+                    target=",".join(sorted(loss.names)),
+                    why="no usable target holds the layers that were lost",
+                )
             with trio.move_on_after(0.2):
                 await self._pool.wait_came_up()
 
@@ -326,6 +336,20 @@
                 return chain
         return None
 
+    def _drop_old_messages(self) -> None:
+        """Drop what arrived before this attempt was sent.
+
+        A loss that lies in the inbox is part of the plan already; taken
+        again it would end the new attempt, and a target that was away for
+        long leaves enough of them to use up all attempts.
+        """
+        kept = [
+            (source, message)
+            for source, message in self._inbox
+            if isinstance(message, PeerChanged) and not message.lost
+        ]
+        self._inbox = deque(kept)
+
     def _send_opens(self) -> None:
         request = self._request
         stages = self._chain.stages
@@ -469,7 +493,11 @@
             self._pool.estimates.target(name).step_seconds()
             for name in self._chain.names
         )
-        return max(defaults.STALL_TIMEOUT, _STALL_FACTOR * expected)
+        base = defaults.STALL_TIMEOUT
+        if not self.tokens:
+            # The first step holds the whole prompt, and takes longer.
+            base *= 3
+        return max(base, _STALL_FACTOR * expected)
 
     def _check_leaving(self) -> None:
         now = trio.current_time()
--- a/magnoliacove/operators/service.py
+++ b/magnoliacove/operators/service.py
@@ -206,7 +206,7 @@
     # Parts.
 
     def _authenticate(self, ctx: Any) -> str:
-        given = ctx.request_headers().get("authorization", "")
+        given = ctx.request_headers.get("authorization", "")
         scheme, _, key = given.partition(" ")
         name = self._keys.get(configuration.hash_key(key.strip()))
         if scheme.lower() != "bearer" or name is None:
--- a/magnoliacove/standins/fleet.py
+++ b/magnoliacove/standins/fleet.py
@@ -26,6 +26,7 @@
 from magnoliacove import wire
 from magnoliacove.process import Identity
 from magnoliacove.standins import engine
+from magnoliacove.standins import network
 from magnoliacove.standins import object_api
 from magnoliacove.standins import plain
 
@@ -51,6 +52,9 @@
 class Fleet:
     """The parts of an embedded fleet.
 
+    With ``links`` the processes talk through memory, without sockets, so
+    the fleet also runs under trio's mock clock.
+
     :param layers: of the model.
     :param cuts: where the ranges of the model's targets begin and end.
     :param replicas: targets for each range, and plain targets.
@@ -67,7 +71,7 @@
     plains: dict[str, plain.StandInPlain] = field(default_factory=dict)
     agents: dict[str, Running] = field(default_factory=dict)
     entries: dict[str, Running] = field(default_factory=dict)
-    networks: dict[str, wire.Network] = field(default_factory=dict)
+    links: network.Links | None = None
     chooser: Callable[[], routing.ChainChooser] = routing.ExpectedDelay
 
     def list_objects(self) -> list[configuration.ConfigurationObject]:
@@ -174,8 +178,10 @@
         ]
         return sorted(found, key=lambda event: event.clock)
 
-    def _network(self, name: str) -> wire.Network:
-        return self.networks.get(name) or wire.Network()
+    def _network(self, name: str) -> Any:
+        if self.links is not None:
+            return network.MemoryNetwork(name, self.links)
+        return wire.Network()
 
     def _find_engine(self, name: str) -> targets.Engine | None:
         if name in self.list_plain():
@@ -191,6 +197,8 @@
             return None
         if name not in self.plains:
             self.plains[name] = plain.StandInPlain(name)
+        if self.links is not None:
+            return plain.DirectPlainTarget(self.plains[name])
         url = await self.nursery.start(
             web.run_server,
             plain.make_app(self.plains[name]),
--- a/magnoliacove/standins/plain.py
+++ b/magnoliacove/standins/plain.py
@@ -1,10 +1,15 @@
 """A stand-in plain service that counts what it ran."""
 
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+import contextlib
 from dataclasses import dataclass
 import json
 
 import trio
 
+from magnoliacove import errors
+from magnoliacove import targets
 from magnoliacove import web
 
 __all__ = ["PlainFaults", "StandInPlain", "make_app"]
@@ -47,6 +52,40 @@
         return web.Response(200, json.dumps(body).encode())
 
 
+class DirectPlainTarget:
+    """Calls a stand-in plain service without HTTP."""
+
+    def __init__(self, service: StandInPlain) -> None:
+        self._service = service
+
+    @contextlib.asynccontextmanager
+    async def call(
+        self,
+        method: str,
+        path: str,
+        headers: Sequence[tuple[bytes, bytes]],
+        body: bytes,
+        timeout: float,
+    ) -> AsyncIterator[targets.PlainAnswer]:
+        """Pass a request on."""
+        response = await self._service.run(
+            web.Request(method, path, {}, body, {})
+        )
+        if self._service.faults.lost_answers:
+            self._service.faults.lost_answers -= 1
+            raise errors.RequestError(
+                "target_failed",
+                "the answer is lost on purpose",
+                status=502,
+                outcome=errors.Outcome.MAY_HAVE_RUN,
+            )
+
+        async def give() -> AsyncIterator[bytes]:
+            yield response.body
+
+        yield targets.PlainAnswer(response.status, (), give())
+
+
 def make_app(service: StandInPlain) -> web.App:
     """Return an ASGI application around the service.
 
