Run requests with an idempotency key at most once, models too

Cause: a key was tied to the process that ran it, so a draft from a model had no guarantee, and a fleet set up a moment ago refused every key, since an agent could not tell a new service from one whose past it had missed.

Change: a keeper beside every agent owns keys by rendezvous hashing over the configured targets; it runs a key that it does not remember only when it was there before the service, when the key was minted after it started, or when the former owner says that it never saw it. Entries claim a key for a model's request and run it to its end when the caller hangs up.

Before: no guarantee for models; first keys after setting up answered 409.

While a key's owner is away its tries are refused as not run; nobody takes the ownership over without an operator.

--- a/magnoliacove/agent/keys.py
+++ b/magnoliacove/agent/keys.py
@@ -9,24 +9,22 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from collections.abc import Iterable
 from dataclasses import dataclass
 import enum
-import hashlib
 import re
+from typing import Any
 import uuid
 
 import trio
 
 from magnoliacove import defaults
-from magnoliacove.wire import messages
+from magnoliacove.routing import choose_owner
 
 __all__ = [
     "KeyTable",
     "KeyUse",
     "Ownership",
     "Verdict",
-    "choose_owner",
     "read_mint_time",
 ]
 
@@ -35,19 +33,6 @@
 _ULID_TIME_LENGTH = 10
 
 
-def choose_owner(key: str, targets: Iterable[str]) -> str:
-    """Return the target that owns a key, by rendezvous hashing.
-
-    :returns: "" when there are no targets.
-    """
-
-    def score(target: str) -> bytes:
-        data = f"{target}\0{key}".encode()
-        return hashlib.blake2b(data, digest_size=8).digest()
-
-    return max(targets, key=score, default="")
-
-
 def read_mint_time(key: str) -> float | None:
     """Return when a time-ordered key was minted, or None for another key.
 
@@ -70,8 +55,6 @@
     """What is to be done with a key."""
 
     RUN = "run"
-    REPLAY = "replay"
-    JOIN = "join"
     ASK = "ask"
     MAY_HAVE_RUN = "may_have_run"
     TOO_EARLY = "too_early"
@@ -81,15 +64,15 @@
 class KeyUse:
     """One key that this agent ran.
 
-    :param answer: the recorded answer; None while it runs and when it
-        was too large or never came.
+    :param record: what the request led to; None while it runs and when
+        it was too large or never came.
     """
 
     key: str
     at: float
     done: trio.Event
     digest: bytes
-    answer: tuple[messages.Answer, ...] | None = None
+    record: Any = None
     size: int = 0
 
 
@@ -137,17 +120,18 @@
             del self._uses[use.key]
         use.done.set()
 
-    def finish(
-        self, use: KeyUse, answer: tuple[messages.Answer, ...] | None
-    ) -> None:
-        """Record the answer to a key's request, if there is room."""
-        size = sum(len(part.body) for part in answer or ())
+    def finish(self, use: KeyUse, record: Any, size: int) -> None:
+        """Record what a key's request led to, if there is room.
+
+        :param record: the answer, or None when it is not known.
+        :param size: of the record, in bytes.
+        """
         fits = (
             size <= defaults.MAX_RECORDED_ANSWER
             and self._recorded_bytes + size <= defaults.MAX_RECORDED_BYTES
         )
-        if answer is not None and fits:
-            use.answer = answer
+        if record is not None and fits:
+            use.record = record
             use.size = size
             self._recorded_bytes += size
         use.done.set()
@@ -200,18 +184,15 @@
         """The present owners."""
         return self._periods[-1].targets if self._periods else frozenset()
 
-    def note_targets(self, targets: frozenset[str], *, first: bool) -> None:
+    def note_targets(self, targets: frozenset[str], *, pristine: bool) -> None:
         """Note the service's targets whenever the configuration changes.
 
-        :param first: whether this is the first configuration that this
-            agent saw.
+        :param pristine: whether the service came into being after this
+            agent had started, so that nobody owned its keys earlier.
         """
+        self._pristine = pristine
         if self._periods and targets == self.targets:
             return
-        if not self._periods:
-            # An agent that watched from before the service had any target
-            # knows that nobody owned its keys earlier.
-            self._pristine = not first or not targets
         now = self._read_clock()
         self._periods.append(_Period(targets, now))
         while (
--- a/magnoliacove/agent/process.py
+++ b/magnoliacove/agent/process.py
@@ -16,6 +16,7 @@
 from magnoliacove import targets
 from magnoliacove import wire
 from magnoliacove.agent.calls import CallRunner
+from magnoliacove.agent.keeper import KeyKeeper
 from magnoliacove.agent.neighbours import NeighbourLinks
 from magnoliacove.agent.orders import OrderGate
 from magnoliacove.agent.runner import StageRunner
@@ -47,6 +48,7 @@
     seeds: Sequence[wire.Address] = ()
     meters: socket.socket | None = None
     clock: Clock | None = None
+    key_window: float = defaults.KEY_WINDOW
 
 
 class Agent:
@@ -73,14 +75,16 @@
                 name, parts.engine, self.links, recorder, self.is_leaving
             )
             self.orders = OrderGate(name, parts.engine, parts.api, recorder)
+        self.keeper = KeyKeeper(
+            name,
+            self.links,
+            self.process.view,
+            recorder,
+            window=parts.key_window,
+        )
         if parts.plain is not None:
             self.calls = CallRunner(
-                name,
-                parts.plain,
-                self.links,
-                self.process.view,
-                recorder,
-                self.is_leaving,
+                name, parts.plain, self.keeper, recorder, self.is_leaving
             )
         self._nursery: trio.Nursery | None = None
 
@@ -168,6 +172,7 @@
         self.process.recorder.record(
             "entry-connection-lost", target=connection.name, why=reason
         )
+        self.keeper.note_entry_lost(connection)
         if self.stages is not None:
             self.stages.note_entry_lost(connection)
 
@@ -196,8 +201,11 @@
             case messages.FetchCache():
                 start(self._export, connection, message)
             case messages.Vouch():
-                if self.calls is not None:
-                    start(self.calls.vouch, connection, message)
+                start(self.keeper.vouch, connection, message)
+            case messages.Claim():
+                start(self.keeper.claim, connection, message)
+            case messages.ClaimDone():
+                self.keeper.finish_claim(message)
             case messages.Order():
                 start(self._order, connection, message)
             case _:
@@ -369,11 +377,12 @@
             "step_seconds": load.step_micros / 1e6,
             "leaving": float(load.draining),
             "store_reachable": float(self.process.store.reachable),
+            "keys_held": self.keeper.held,
+            "keys_refused": self.keeper.refused_unknown,
         }
         if self.stages is not None:
             gauges["steps_run"] = self.stages.steps_run
             gauges["steps_dropped"] = self.stages.steps_dropped
         if self.calls is not None:
             gauges["calls_run"] = self.calls.runs
-            gauges["keys_refused"] = self.calls.refused_unknown
         return gauges
--- a/magnoliacove/configuration/document.py
+++ b/magnoliacove/configuration/document.py
@@ -116,10 +116,11 @@
 
 @dataclass(frozen=True)
 class Held:
-    """An object and the version in which it last changed."""
+    """An object and the versions in which it came and last changed."""
 
     item: objects.ConfigurationObject
     version: int
+    created: int
 
 
 @dataclass(frozen=True)
@@ -197,8 +198,10 @@
             if isinstance(operation, Removal):
                 held.pop((operation.kind, operation.name), None)
                 continue
-            item = operation.item
-            held[(item.kind, item.name)] = Held(item, change.version)
+            key = (operation.kind, operation.name)
+            known = held.get(key)
+            created = known.created if known else change.version
+            held[key] = Held(operation.item, change.version, created)
         ids = (*self.change_ids, (change.change_id, change.version))
         digest = hashlib.sha256(change.to_bytes()).hexdigest()[:16]
         return Document(
@@ -281,7 +284,7 @@
     def to_bytes(self) -> bytes:
         """Return the whole document, compressed."""
         items = [
-            [kind, objects.to_values(found.item), found.version]
+            [kind, objects.to_values(found.item), found.version, found.created]
             for (kind, _), found in self.held.items()
         ]
         data = {
@@ -301,9 +304,9 @@
         try:
             values = json.loads(zlib.decompress(data))
             held = {}
-            for kind, plain, version in values["items"]:
+            for kind, plain, version, created in values["items"]:
                 item = objects.make_object(kind, plain)
-                held[(kind, item.name)] = Held(item, version)
+                held[(kind, item.name)] = Held(item, version, created)
             ids = tuple((name, at) for name, at in values["change_ids"])
             return cls(
                 values["version"],
--- a/magnoliacove/directory/store.py
+++ b/magnoliacove/directory/store.py
@@ -69,6 +69,8 @@
         """
         known = self._view.document if self._view.version else None
         document = await self._journal.load(known)
+        if self._view.first_stored is None:
+            self._view.first_stored = document.version
         self._view.adopt_document(document, _SOURCE)
         listing = await self._api.list_records(instances_prefix)
         self._adopt_records(listing.records)
--- a/magnoliacove/directory/view.py
+++ b/magnoliacove/directory/view.py
@@ -24,6 +24,9 @@
     def __init__(self, recorder: Recorder) -> None:
         self.document = configuration.Document()
         self.forked = False
+        # The version that the store held when this process first read it;
+        # what is newer came into being under this process's eyes.
+        self.first_stored: int | None = None
         self.changes_kept: list[configuration.Change] = []
         self._recorder = recorder
         self._entries: dict[tuple[str, str], instances.Entry] = {}
--- a/magnoliacove/entry/callers.py
+++ b/magnoliacove/entry/callers.py
@@ -22,6 +22,7 @@
 from magnoliacove.directory import View
 from magnoliacove.entry import openai
 from magnoliacove.entry.calls import PlainCall
+from magnoliacove.entry.claims import KeyClaim
 from magnoliacove.entry.pool import TargetPool
 from magnoliacove.entry.streams import Stream
 from magnoliacove.entry.streams import StreamRequest
@@ -57,6 +58,7 @@
     send: Callable[[Mapping[str, Any]], Awaitable[None]]
     name: bytes
     started: bool = False
+    gone: bool = False
 
     @property
     def headers(self) -> dict[bytes, bytes]:
@@ -66,6 +68,8 @@
         self, status: int, headers: list[tuple[bytes, bytes]]
     ) -> None:
         self.started = True
+        if self.gone:
+            return
         await self.send(
             {
                 "type": "http.response.start",
@@ -78,6 +82,8 @@
         )
 
     async def write(self, body: bytes, *, more: bool) -> None:
+        if self.gone:
+            return
         await self.send(
             {"type": "http.response.body", "body": body, "more_body": more}
         )
@@ -124,6 +130,9 @@
         is_leaving: Callable[[], bool],
     ) -> None:
         self.in_progress = 0
+        self.start_soon: Callable[..., object] = (
+            trio.lowlevel.spawn_system_task
+        )
         self.budget = limits.RetryBudget()
         self._view = view
         self._pool = pool
@@ -271,7 +280,8 @@
         *,
         chat: bool,
     ) -> None:
-        request = openai.read_request(await exchange.read_body(), chat=chat)
+        body = await exchange.read_body()
+        request = openai.read_request(body, chat=chat)
         service = self._find_service(account, request.model, "model")
         writer = openai.AnswerWriter(request, exchange.name.hex())
         texts: list[bytes] = []
@@ -290,8 +300,8 @@
             await exchange.write(part, more=True)
 
         async def run() -> None:
-            await self._run_model(
-                exchange.name, account, service, request, emit
+            await self._run_keyed(
+                exchange, account, service, request, body, emit
             )
 
         try:
@@ -321,6 +331,106 @@
         data = json.dumps(openai.write_error(why)).encode()
         await exchange.write(b"data: " + data + b"\n\n", more=False)
 
+    async def _run_keyed(
+        self,
+        exchange: _Exchange,
+        account: configuration.ClientAccount,
+        service: configuration.Service,
+        request: openai.ModelRequest,
+        body: bytes,
+        emit: Callable[[bytes, bool], Awaitable[None]],
+    ) -> None:
+        """Run a model's request, once for its idempotency key.
+
+        Only a service that says so takes part: most requests to models
+        may run again, and a claim costs a message to the key's owner.
+        """
+        key = _read_key(exchange)
+        path = exchange.scope["path"]
+        if not key or service.is_idempotent("POST", path):
+            await self._run_model(
+                exchange.name, account, service, request, emit
+            )
+            return
+        claim = KeyClaim(
+            messages.Claim(
+                exchange.name,
+                service.name,
+                account.name,
+                key,
+                hashlib.blake2b(body, digest_size=16).digest(),
+                int(service.deadline * 1000),
+                self._view.version,
+            ),
+            self._view,
+            self._pool,
+        )
+        record = await claim.take()
+        if record is not None:
+            for text, end in json.loads(record):
+                await emit(text.encode(), end)
+            return
+
+        async def run() -> None:
+            await self._run_claimed(
+                exchange, account, service, request, claim, emit
+            )
+
+        await self._run_detached(run)
+
+    async def _run_detached(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run to the end even when the caller hangs up.
+
+        The caller's next try with the same key must find the answer: the
+        request may not run again.
+        """
+        done = trio.Event()
+        failures: list[errors.RequestError] = []
+
+        async def run_and_tell() -> None:
+            self.in_progress += 1
+            try:
+                await run()
+            except errors.RequestError as why:
+                failures.append(why)
+            finally:
+                self.in_progress -= 1
+                done.set()
+
+        self.start_soon(run_and_tell)
+        await done.wait()
+        if failures:
+            raise failures[0]
+
+    async def _run_claimed(
+        self,
+        exchange: _Exchange,
+        account: configuration.ClientAccount,
+        service: configuration.Service,
+        request: openai.ModelRequest,
+        claim: KeyClaim,
+        emit: Callable[[bytes, bool], Awaitable[None]],
+    ) -> None:
+        texts: list[tuple[str, bool]] = []
+        outcome = errors.Outcome.MAY_HAVE_RUN
+
+        async def note(text: bytes, end: bool) -> None:
+            texts.append((text.decode("utf-8", "replace"), end))
+            await emit(text, end)
+
+        record = b""
+        try:
+            await self._run_model(
+                exchange.name, account, service, request, note
+            )
+            record = json.dumps(texts).encode()
+            outcome = errors.Outcome.RAN
+        except errors.RequestError as why:
+            outcome = why.outcome
+            raise
+        finally:
+            claim.finish(outcome, record)
+
     async def _run_model(
         self,
         name: bytes,
@@ -559,14 +669,12 @@
     exchange: _Exchange, run: Callable[[], Awaitable[None]]
 ) -> None:
     """Run until done, or until the caller hangs up."""
-    gone = False
     failure: errors.RequestError | None = None
 
     async def watch(scope: trio.CancelScope) -> None:
-        nonlocal gone
         while (await exchange.receive())["type"] != "http.disconnect":
             continue
-        gone = True
+        exchange.gone = True
         scope.cancel()
 
     async with trio.open_nursery() as nursery:
@@ -578,7 +686,7 @@
         nursery.cancel_scope.cancel()
     if failure is not None:
         raise failure
-    if gone:
+    if exchange.gone:
         raise errors.RequestError("gone", "the caller hung up")
 
 
--- a/magnoliacove/entry/calls.py
+++ b/magnoliacove/entry/calls.py
@@ -7,13 +7,13 @@
 
 import trio
 
-from magnoliacove import configuration
 from magnoliacove import defaults
 from magnoliacove import errors
 from magnoliacove import limits
-from magnoliacove.agent.keys import choose_owner
 from magnoliacove.directory import Backoff
 from magnoliacove.directory import View
+from magnoliacove.entry.claims import find_owner
+from magnoliacove.entry.claims import read_refusal
 from magnoliacove.entry.pool import PeerChanged
 from magnoliacove.entry.pool import TargetPool
 from magnoliacove.timeline import Recorder
@@ -157,7 +157,7 @@
     def _choose_target(self) -> str:
         call = self._call
         if call.key and not call.idempotent:
-            return self._choose_owner()
+            return find_owner(self._view, self._pool, call.service, call.key)
         names = self._pool.list_plain(call.service)
         fresh = [name for name in names if name not in self._tried] or names
         if not fresh:
@@ -175,25 +175,6 @@
 
         return min(fresh, key=cost)
 
-    def _choose_owner(self) -> str:
-        owners = [
-            target.name
-            for target in self._view.document.list_items(configuration.Target)
-            if target.service == self._call.service
-            and target.state == "active"
-        ]
-        owner = choose_owner(self._call.key, owners)
-        if self._pool.find(owner) is None:
-            # Another target could not know whether the key ran at its
-            # owner, so nobody else may run it.
-            raise errors.RequestError(
-                "owner_unreachable",
-                "the target that owns this idempotency key cannot be "
-                "reached; this try did not run. Repeat it with the same key",
-                retry_after=2.0,
-            )
-        return owner
-
     async def _take_answer(self, send: Send) -> None:
         with trio.move_on_at(self._deadline) as scope:
             while True:
@@ -205,7 +186,7 @@
                 if source != self._target:
                     continue
                 if isinstance(message, messages.Refused):
-                    raise _read_refusal(message)
+                    raise read_refusal(message)
                 if isinstance(message, messages.Answer):
                     self._began = True
                     await send(message)
@@ -241,13 +222,3 @@
             self._arrived = trio.Event()
             await self._arrived.wait()
         return self._inbox.popleft()
-
-
-def _read_refusal(message: messages.Refused) -> errors.RequestError:
-    return errors.RequestError(
-        message.code,
-        message.reason,
-        status=message.status,
-        outcome=errors.Outcome(message.outcome),
-        retry_after=message.retry_after / 1000 or None,
-    )
--- a/magnoliacove/entry/pool.py
+++ b/magnoliacove/entry/pool.py
@@ -249,6 +249,8 @@
                 self._pass_on(message.stream, name, message)
             case messages.Refused() | messages.StageLost():
                 self._pass_on(message.stream, name, message)
+            case messages.Claimed():
+                self._pass_on(message.request, name, message)
             case messages.Pong():
                 self._note_load(name, message.load)
             case messages.Instances():
--- a/magnoliacove/entry/process.py
+++ b/magnoliacove/entry/process.py
@@ -95,6 +95,7 @@
                 process.describe(),
             )
             nursery.start_soon(self.distribution.run)
+            self.app.start_soon = nursery.start_soon
             self.callers_url = await nursery.start(
                 self._serve_http, self.app, parts.callers
             )
--- a/magnoliacove/routing/__init__.py
+++ b/magnoliacove/routing/__init__.py
@@ -12,6 +12,7 @@
 from magnoliacove.routing.chains import list_segments
 from magnoliacove.routing.estimates import Estimates
 from magnoliacove.routing.estimates import TargetEstimate
+from magnoliacove.routing.owners import choose_owner
 
 __all__ = [
     "Chain",
@@ -25,5 +26,6 @@
     "StageOption",
     "TargetEstimate",
     "TwoChoices",
+    "choose_owner",
     "list_segments",
 ]
--- a/magnoliacove/standins/fleet.py
+++ b/magnoliacove/standins/fleet.py
@@ -36,6 +36,8 @@
 OPERATOR_KEY = "operator-key"
 MODEL = "catalog-llm"
 PLAIN = "bid-desk"
+# Where the clocks of a fleet in memory begin, in seconds since the epoch.
+_START = 1_800_000_000.0
 _LOCAL = wire.Address("127.0.0.1", 0)
 
 
@@ -72,8 +74,13 @@
     agents: dict[str, Running] = field(default_factory=dict)
     entries: dict[str, Running] = field(default_factory=dict)
     links: network.Links | None = None
+    clock_offsets: dict[str, float] = field(default_factory=dict)
     chooser: Callable[[], routing.ChainChooser] = routing.ExpectedDelay
 
+    def read_time(self) -> float:
+        """Return the time of a fleet in memory, since the epoch."""
+        return _START + trio.current_time()
+
     def list_objects(self) -> list[configuration.ConfigurationObject]:
         """Return a configuration that names the whole fleet."""
         found: list[configuration.ConfigurationObject] = [
@@ -133,6 +140,7 @@
                 self._network(name),
                 self._find_engine(name),
                 await self._start_plain(name),
+                clock=self.make_clock(name),
             )
         )
         self.agents[name] = await self._start(made)
@@ -149,11 +157,19 @@
                 web.bind_socket("127.0.0.1", 0),
                 {configuration.hash_key(OPERATOR_KEY): "ann"},
                 chooser=self.chooser(),
+                clock=self.make_clock(name),
             )
         )
         self.entries[name] = await self._start(made)
         return self.entries[name]
 
+    def make_clock(self, name: str) -> timeline.Clock | None:
+        """Return a process's clock; off by what ``clock_offsets`` says."""
+        offset = self.clock_offsets.get(name, 0.0)
+        if self.links is None:
+            return None
+        return timeline.Clock(lambda: _START + trio.current_time() + offset)
+
     def kill(self, running: Running) -> None:
         """End a process without any farewell."""
         running.scope.cancel()
--- a/magnoliacove/wire/messages.py
+++ b/magnoliacove/wire/messages.py
@@ -323,6 +323,37 @@
     seen: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Takes an idempotency key at its owner, for a model's request."""
+
+    request: bytes
+    service: str
+    account: str
+    key: str
+    digest: bytes
+    deadline: int
+    configuration_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Claimed:
+    """Says that a key is taken, or gives the answer it led to before."""
+
+    request: bytes
+    replayed: bool = False
+    record: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimDone:
+    """Says what became of the request that a key was taken for."""
+
+    request: bytes
+    ran: bool
+    record: bytes = b""
+
+
 Message: TypeAlias = (
     Hello
     | Ping
@@ -351,6 +382,9 @@
     | Goodbye
     | Vouch
     | Vouched
+    | Claim
+    | Claimed
+    | ClaimDone
 )
 
 # Messages that the schema holds as one plain value or one list.
@@ -382,6 +416,9 @@
     OrderResult,
     Vouch,
     Vouched,
+    Claim,
+    Claimed,
+    ClaimDone,
 )
 _NESTED: dict[str, type] = {"load": Load, "headers": Header}
 
--- a/magnoliacove/wire/schema.capnp
+++ b/magnoliacove/wire/schema.capnp
@@ -35,6 +35,9 @@
     goodbye @25 :Text;
     vouch @26 :Vouch;
     vouched @27 :Vouched;
+    claim @28 :Claim;
+    claimed @29 :Claimed;
+    claimDone @30 :ClaimDone;
   }
 }
 
@@ -216,3 +219,26 @@
   request @0 :Data;
   seen @1 :Bool;
 }
+
+# Takes an idempotency key at its owner before a model's request runs.
+struct Claim {
+  request @0 :Data;
+  service @1 :Text;
+  account @2 :Text;
+  key @3 :Text;
+  digest @4 :Data;           # Of the request, to tell a key used twice.
+  deadline @5 :UInt32;
+  configurationVersion @6 :UInt64;
+}
+
+struct Claimed {
+  request @0 :Data;
+  replayed @1 :Bool;         # The request ran; the record is its answer.
+  record @2 :Data;
+}
+
+struct ClaimDone {
+  request @0 :Data;
+  ran @1 :Bool;              # False only when it surely did not run.
+  record @2 :Data;
+}
--- /dev/null
+++ b/tests/entry/test_keys.py
@@ -0,0 +1,334 @@
+"""Requests that may not be repeated run at most once, whatever happens."""
+
+import json
+import random
+import uuid
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+import trio
+import trio.testing
+
+from magnoliacove import configuration
+from magnoliacove.routing import choose_owner
+from magnoliacove.standins import fleet as fleets
+from tests import fakes
+
+_BIDS = "/services/bid-desk/bids"
+
+
+def mint(at, rng=random):
+    """Return a UUID of version 7 minted at a time."""
+    milliseconds = int(at * 1000)
+    value = milliseconds << 80 | rng.getrandbits(80)
+    value = value & ~(0xF << 76) | 0x7 << 76
+    value = value & ~(0x3 << 62) | 0x2 << 62
+    return str(uuid.UUID(int=value))
+
+
+async def _bid(fleet, key, entry="entry-0", body=b"bid"):
+    headers = {"idempotency-key": key} if key else {}
+    return await fakes.ask(fleet, "POST", _BIDS, body, headers, entry)
+
+
+def _count_runs(fleet):
+    return sum(len(service.runs) for service in fleet.plains.values())
+
+
+def _find_owner(fleet, key):
+    return choose_owner(key, fleet.list_plain())
+
+
+def _check_unknown(answer):
+    assert answer.status == 409
+    assert answer.json["error"]["outcome"] == "may_have_run"
+
+
+async def test_second_try_gets_the_first_answer(autojump_clock):
+    async with fakes.open_memory_fleet(entries=2) as fleet:
+        key = mint(fleet.read_time())
+        first = await _bid(fleet, key)
+        second = await _bid(fleet, key, "entry-1")
+        assert _count_runs(fleet) == 1
+    assert first.status == second.status == 200
+    assert first.body == second.body
+    assert second.headers["idempotency-replayed"] == "true"
+
+
+async def test_tries_at_the_same_time(autojump_clock):
+    """Two tries cross: the second waits for the first one's answer."""
+    async with fakes.open_memory_fleet(entries=2) as fleet:
+        for service in fleet.plains.values():
+            service.faults.delay = 1.0
+        key = mint(fleet.read_time())
+        answers = []
+
+        async def bid(entry):
+            answers.append(await _bid(fleet, key, entry))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(bid, "entry-0")
+            nursery.start_soon(bid, "entry-1")
+        assert _count_runs(fleet) == 1
+    assert answers[0].body == answers[1].body
+
+
+async def test_entry_dies_after_dispatch(autojump_clock):
+    """The caller's connection breaks; the next try finds the answer.
+
+    The entry dies while the bid runs.  The agent lets it run on and
+    records the answer, which the same key finds through another entry.
+    """
+    async with fakes.open_memory_fleet(entries=2) as fleet:
+        for service in fleet.plains.values():
+            service.faults.delay = 1.0
+        key = mint(fleet.read_time())
+        with trio.move_on_after(0.5):
+            await _bid(fleet, key)
+        fleet.kill(fleet.entries["entry-0"])
+        second = await _bid(fleet, key, "entry-1")
+        assert _count_runs(fleet) == 1
+    assert second.status == 200
+
+
+async def test_target_gives_no_answer(autojump_clock):
+    """The bid ran and its answer was lost: no try may run it again."""
+    async with fakes.open_memory_fleet() as fleet:
+        key = mint(fleet.read_time())
+        owner = fleet.plains[_find_owner(fleet, key)]
+        owner.faults.lost_answers = 1
+        first = await _bid(fleet, key)
+        second = await _bid(fleet, key)
+        assert _count_runs(fleet) == 1
+    assert first.status == 502
+    assert first.json["error"]["outcome"] == "may_have_run"
+    _check_unknown(second)
+
+
+async def test_owner_restarts_between_tries(autojump_clock):
+    """The agent that knew the key is replaced by an empty one.
+
+    It cannot know what its predecessor ran, so a key minted before its
+    start is answered "may have run"; one minted after its start runs.
+    """
+    async with fakes.open_memory_fleet() as fleet:
+        key = mint(fleet.read_time())
+        owner = _find_owner(fleet, key)
+        await _bid(fleet, key)
+        fleet.kill(fleet.agents[owner])
+        await trio.sleep(1)
+        await fleet.start_agent(owner)
+        await trio.sleep(20)
+        _check_unknown(await _bid(fleet, key))
+        later = mint(fleet.read_time())
+        assert (await _bid(fleet, later)).status == 200
+        assert _count_runs(fleet) == 2
+
+
+async def test_owner_is_away(autojump_clock):
+    """The owner cannot be reached: the try truly did not run."""
+    async with fakes.open_memory_fleet() as fleet:
+        key = mint(fleet.read_time())
+        fleet.kill(fleet.agents[_find_owner(fleet, key)])
+        await trio.sleep(0.5)
+        answer = await _bid(fleet, key)
+        unkeyed = await _bid(fleet, "")
+        assert _count_runs(fleet) == 1
+    assert answer.json["error"]["outcome"] == "not_run"
+    assert "retry-after" in answer.headers
+    assert unkeyed.status == 200
+
+
+async def test_owner_freezes_after_dispatch(autojump_clock):
+    """Silence is no proof: the caller is told that the bid may have run."""
+    async with fakes.open_memory_fleet() as fleet:
+        for service in fleet.plains.values():
+            service.faults.delay = 1.0
+        key = mint(fleet.read_time())
+        owner = _find_owner(fleet, key)
+        answers = []
+
+        async def bid():
+            answers.append(await _bid(fleet, key))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(bid)
+            await trio.sleep(0.5)
+            fleet.links.isolate(owner)
+        assert _count_runs(fleet) == 1
+    assert answers[0].json["error"]["outcome"] == "may_have_run"
+
+
+async def _change_target(fleet, name, state):
+    target = configuration.Target(name, fleets.PLAIN, "gent-a", state=state)
+    await fleet.configure(configuration.Put(target))
+    await trio.sleep(1)
+
+
+async def test_ownership_moves(autojump_clock):
+    """An operator's drain gives a key another owner, who asks the former.
+
+    The former owner saw the first key, so it is not run again; it never
+    saw the second, so that one runs, once.
+    """
+    async with fakes.open_memory_fleet(replicas=3) as fleet:
+        used = mint(fleet.read_time())
+        owner = _find_owner(fleet, used)
+        fresh = next(
+            key
+            for key in (mint(fleet.read_time()) for _ in range(99))
+            if _find_owner(fleet, key) == owner
+        )
+        await _bid(fleet, used)
+        await _change_target(fleet, owner, "draining")
+        _check_unknown(await _bid(fleet, used))
+        assert (await _bid(fleet, fresh)).status == 200
+        assert (await _bid(fleet, fresh)).status == 200
+        await _change_target(fleet, owner, "active")
+        assert _count_runs(fleet) == 2
+
+
+async def test_key_from_the_future(autojump_clock):
+    async with fakes.open_memory_fleet() as fleet:
+        answer = await _bid(fleet, mint(fleet.read_time() + 60))
+        assert _count_runs(fleet) == 0
+    assert answer.status == 400
+    assert answer.json["error"]["outcome"] == "not_run"
+
+
+async def test_key_reused_for_another_request(autojump_clock):
+    async with fakes.open_memory_fleet() as fleet:
+        key = mint(fleet.read_time())
+        await _bid(fleet, key)
+        answer = await _bid(fleet, key, body=b"another bid")
+        assert _count_runs(fleet) == 1
+    assert answer.status == 422
+
+
+async def _draft(fleet, key, entry="entry-0", on_part=None):
+    body = {"model": fleets.MODEL, "prompt": "lot", "max_tokens": 9}
+    return await fakes.ask(
+        fleet,
+        "POST",
+        "/v1/completions",
+        json.dumps(body).encode(),
+        {"idempotency-key": key},
+        entry,
+        on_part,
+    )
+
+
+async def _forbid_repeats(fleet):
+    service = configuration.Service(
+        fleets.MODEL, "model", 8, non_idempotent=("POST /v1/",)
+    )
+    await fleet.configure(configuration.Put(service))
+    await trio.sleep(1)
+
+
+async def test_draft_of_a_model_arrives_once(autojump_clock):
+    """A translation draft with a key is generated once.
+
+    The caller hangs up while it is generated; the run goes on, and the
+    same key finds the whole text through another entry.
+    """
+    async with fakes.open_memory_fleet(entries=2) as fleet:
+        await _forbid_repeats(fleet)
+        key = mint(fleet.read_time())
+        with trio.move_on_after(0.02):
+            await _draft(fleet, key)
+        again = await _draft(fleet, key, "entry-1")
+        steps = sum(len(e.steps_run) for e in fleet.engines.values())
+    assert again.json["choices"][0]["text"] == fakes.expect("lot", 9)
+    assert steps == 2 * 9
+
+
+async def test_entry_dies_with_a_draft(autojump_clock):
+    """The owner of the key cannot know how far the dead entry came."""
+    async with fakes.open_memory_fleet(entries=2) as fleet:
+        await _forbid_repeats(fleet)
+        key = mint(fleet.read_time())
+        with trio.move_on_after(0.02):
+            await _draft(fleet, key)
+        fleet.kill(fleet.entries["entry-0"])
+        _check_unknown(await _draft(fleet, key, "entry-1"))
+
+
+_ACTIONS = st.lists(
+    st.sampled_from(
+        ["bid 0", "bid 1", "restart", "drain", "undo", "lose", "wait"]
+    ),
+    min_size=3,
+    max_size=10,
+)
+
+
+async def _act(fleet, action, key, drained):
+    """Carry out one action on the key's present owner."""
+    active = [name for name in fleet.list_plain() if name not in drained]
+    owner = choose_owner(key, active)
+    if action == "restart":
+        fleet.kill(fleet.agents[owner])
+        await trio.sleep(0.5)
+        await fleet.start_agent(owner)
+        await trio.sleep(0.5)
+    elif action == "drain" and len(active) > 1:
+        drained.append(owner)
+        await _change_target(fleet, owner, "draining")
+    elif action == "undo" and drained:
+        await _change_target(fleet, drained.pop(0), "active")
+    elif action == "lose":
+        fleet.plains[owner].faults.lost_answers = 1
+    elif action == "wait":
+        await trio.sleep(7)
+
+
+@given(_ACTIONS, st.sampled_from([-4.0, 0.0, 4.0]), st.randoms())
+def test_any_order_of_tries_and_faults(actions, offset, rng):
+    """No key runs twice, and "not run" is true, in any order of events.
+
+    One key is tried through two entries while its owner restarts empty,
+    drains move the ownership, answers are lost and one clock is off.
+    """
+
+    async def main():
+        async with fakes.open_memory_fleet(
+            entries=2, replicas=3, clock_offsets={"desk-1": offset}
+        ) as fleet:
+            key = mint(fleet.read_time(), rng)
+            answers, drained = [], []
+            for action in actions:
+                if action.startswith("bid"):
+                    entry = f"entry-{action[-1]}"
+                    answers.append(await _bid(fleet, key, entry))
+                else:
+                    await _act(fleet, action, key, drained)
+            runs = _count_runs(fleet)
+        assert runs <= 1
+        outcomes = {
+            "ran" if a.status == 200 else a.json["error"]["outcome"]
+            for a in answers
+        }
+        if "ran" in outcomes:
+            assert runs == 1
+        if outcomes == {"not_run"}:
+            assert runs == 0
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(main, clock=clock)
+
+
+@pytest.mark.parametrize("replicas", [1, 2, 5])
+def test_every_key_has_one_owner(replicas):
+    targets = [f"t{n}" for n in range(replicas)]
+    rng = random.Random(1)
+    for _ in range(100):
+        key = mint(rng.random() * 1e9, rng)
+        owner = choose_owner(key, targets)
+        rest = [t for t in targets if t != owner]
+        assert owner in targets
+        for other in rest:
+            # Another target's leaving does not move the key.
+            kept = [t for t in targets if t != other]
+            assert choose_owner(key, kept) == owner
