--- a/magnoliacove/entry/calls.py
+++ b/magnoliacove/entry/calls.py
@@ -170,8 +170,9 @@
 
         def cost(name: str) -> tuple[float, float]:
             estimate = self._pool.estimates.target(name)
-            running = estimate.expected_running
-            return estimate.penalty(), (running + 1) * estimate.step_seconds()
+            waiting = estimate.expected_running + 1
+            penalty = estimate.penalty(trio.current_time())
+            return penalty, waiting * estimate.step_seconds()
 
         return min(fresh, key=cost)
 
--- a/magnoliacove/limits/admission.py
+++ b/magnoliacove/limits/admission.py
@@ -21,15 +21,21 @@
 
 _SMOOTHING = 0.1
 _FIRST_HOLD = 1.0
+_SHED_EVERY = 0.25
 
 
 @dataclass(eq=False)
 class _Waiter:
-    """One request in the queue of its account."""
+    """One request in the queue of its account.
+
+    :param deadline: by trio's clock; it must be admitted before.
+    :param decided: set when it is admitted or refused.
+    """
 
     priority: int
-    cost: float
-    admitted: trio.Event = field(default_factory=trio.Event)
+    deadline: float
+    decided: trio.Event = field(default_factory=trio.Event)
+    admitted: bool = False
 
 
 @dataclass(eq=False)
@@ -60,6 +66,8 @@
         self._virtual_time = 0.0
         self._hold_seconds = _FIRST_HOLD
         self._order = itertools.count()
+        self._shed_at = 0.0
+        self._holds = 0
 
     @contextlib.asynccontextmanager
     async def admit(
@@ -80,8 +88,7 @@
         try:
             yield
         finally:
-            held = trio.current_time() - started
-            self._hold_seconds += _SMOOTHING * (held - self._hold_seconds)
+            self._note_hold(trio.current_time() - started)
             self.running -= 1
             self.fill()
 
@@ -91,10 +98,21 @@
         while self.waiting and self.running < room:
             queue = self._pick_queue()
             _, _, waiter = heapq.heappop(queue.waiting)
-            self._charge(queue, waiter.cost)
+            self._charge(queue)
             self.waiting -= 1
             self.running += 1
-            waiter.admitted.set()
+            waiter.admitted = True
+            waiter.decided.set()
+        now = trio.current_time()
+        if self.waiting and now - self._shed_at >= _SHED_EVERY:
+            self._shed_at = now
+            self._shed(room)
+
+    def _note_hold(self, seconds: float) -> None:
+        """Learn how long requests take; the first ones teach the most."""
+        self._holds += 1
+        rate = max(_SMOOTHING, 1 / self._holds)
+        self._hold_seconds += rate * (seconds - self._hold_seconds)
 
     async def _enter(
         self, account: str, weight: float, priority: int, patience: float
@@ -103,39 +121,59 @@
         queue.weight = weight
         room = self._read_room()
         if not self.waiting and self.running < room:
-            self._charge(queue, 1.0)
+            self._charge(queue)
             self.running += 1
             return
-        expected = self._expect_wait(queue, priority, room)
-        if (
-            expected > patience
-            or len(queue.waiting) >= defaults.QUEUED_PER_ACCOUNT
-        ):
+        ahead = sum(1 for item in queue.waiting if -item[0] >= priority)
+        expected = self._expect_wait(queue, ahead, room)
+        full = len(queue.waiting) >= defaults.QUEUED_PER_ACCOUNT
+        if expected >= patience or full:
             self._refuse(expected)
         if not queue.waiting:
             queue.virtual_time = max(queue.virtual_time, self._virtual_time)
-        waiter = _Waiter(priority, 1.0)
+        waiter = _Waiter(priority, trio.current_time() + patience)
         heapq.heappush(queue.waiting, (-priority, next(self._order), waiter))
         self.waiting += 1
         try:
             with trio.move_on_after(patience):
-                await waiter.admitted.wait()
+                await waiter.decided.wait()
         except trio.Cancelled:
             self._leave(queue, waiter)
             raise
-        if not waiter.admitted.is_set():
+        if not waiter.admitted:
             self._leave(queue, waiter)
             self._refuse(self._hold_seconds)
 
     def _leave(self, queue: _AccountQueue, waiter: _Waiter) -> None:
-        if waiter.admitted.is_set():
+        if waiter.admitted:
             self.running -= 1
             self.fill()
             return
+        if waiter.decided.is_set():
+            return
         queue.waiting = [item for item in queue.waiting if item[2] != waiter]
         heapq.heapify(queue.waiting)
         self.waiting -= 1
 
+    def _shed(self, room: int) -> None:
+        """Refuse what will not get its turn in time, as soon as that shows.
+
+        Requests may turn out longer than was expected when one joined the
+        queue.  Holding it until its deadline would only cost the caller
+        the time in which to try elsewhere.
+        """
+        now = trio.current_time()
+        for queue in self._queues.values():
+            kept: list[tuple[int, int, _Waiter]] = []
+            for item in sorted(queue.waiting, key=lambda item: item[:2]):
+                expected = self._expect_wait(queue, len(kept), room)
+                if now + expected <= item[2].deadline:
+                    kept.append(item)
+                    continue
+                self.waiting -= 1
+                item[2].decided.set()
+            queue.waiting = kept
+
     def _refuse(self, expected: float) -> None:
         self.refused += 1
         raise errors.RequestError(
@@ -146,12 +184,14 @@
         )
 
     def _expect_wait(
-        self, queue: _AccountQueue, priority: int, room: int
+        self, queue: _AccountQueue, ahead: int, room: int
     ) -> float:
-        """Return the seconds that a new request would wait."""
+        """Return the seconds until the turn of a request in a queue.
+
+        :param ahead: how many of the same account go before it.
+        """
         if room <= 0:
             return self._hold_seconds
-        ahead = sum(1 for item in queue.waiting if -item[0] >= priority)
         active = [q for q in self._queues.values() if q.waiting or q is queue]
         share = queue.weight / sum(q.weight for q in active)
         return (ahead + 1) * self._hold_seconds / (room * share)
@@ -163,10 +203,10 @@
             key=lambda queue: (queue.waiting[0][0], queue.virtual_time),
         )
 
-    def _charge(self, queue: _AccountQueue, cost: float) -> None:
+    def _charge(self, queue: _AccountQueue) -> None:
         start = max(queue.virtual_time, self._virtual_time)
         self._virtual_time = start
-        queue.virtual_time = start + cost / queue.weight
+        queue.virtual_time = start + 1.0 / queue.weight
 
 
 class RateLimit:
--- a/magnoliacove/routing/chains.py
+++ b/magnoliacove/routing/chains.py
@@ -155,7 +155,8 @@
 
 def _stage_cost(option: StageOption, estimates: Estimates) -> float:
     estimate = estimates.target(option.target)
-    return estimate.marginal_seconds() + estimate.penalty()
+    penalty = estimate.penalty(estimates.read_time())
+    return estimate.marginal_seconds() + penalty
 
 
 # Baselines.  They fix the cuts first and choose each stage by itself.
--- a/magnoliacove/routing/estimates.py
+++ b/magnoliacove/routing/estimates.py
@@ -6,6 +6,7 @@
 what a chain took beyond its engines' steps.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import trio
@@ -37,7 +38,6 @@
     own_at_report: int = 0
     draining: bool = False
     failed_at: float = -1e9
-    reported_at: float = -1e9
     _weight: float = 0.0
     _sum_n: float = 0.0
     _sum_nn: float = 0.0
@@ -72,7 +72,6 @@
         self.running = load.running
         self.own_at_report = self.own
         self.draining = load.draining
-        self.reported_at = trio.current_time()
         if load.step_micros:
             self._learn(load.running, load.step_micros / 1e6)
 
@@ -86,10 +85,9 @@
         fixed, slope = self.line
         return fixed + slope * (2 * self.expected_running + 1)
 
-    def penalty(self) -> float:
+    def penalty(self, now: float) -> float:
         """Return seconds that a failure not long ago adds."""
-        age = trio.current_time() - self.failed_at
-        return max(0.0, _FAILURE_PENALTY - age)
+        return max(0.0, _FAILURE_PENALTY - (now - self.failed_at))
 
     def _learn(self, n: float, seconds: float) -> None:
         self._weight = self._weight * _FORGET + 1.0
@@ -103,10 +101,16 @@
     """The estimates of one entry.
 
     :param entry: the entry's name, one end of the first and last link.
+    :param read_time: returns seconds.
     """
 
-    def __init__(self, entry: str) -> None:
+    def __init__(
+        self,
+        entry: str,
+        read_time: Callable[[], float] = trio.current_time,
+    ) -> None:
         self.entry = entry
+        self.read_time = read_time
         self._targets: dict[str, TargetEstimate] = {}
         self._links: dict[tuple[str, str], float] = {}
 
--- a/magnoliacove/standins/fleet.py
+++ b/magnoliacove/standins/fleet.py
@@ -74,6 +74,7 @@
     agents: dict[str, Running] = field(default_factory=dict)
     entries: dict[str, Running] = field(default_factory=dict)
     links: network.Links | None = None
+    seeds: tuple[wire.Address, ...] = ()
     clock_offsets: dict[str, float] = field(default_factory=dict)
     chooser: Callable[[], routing.ChainChooser] = routing.ExpectedDelay
 
@@ -140,6 +141,7 @@
                 self._network(name),
                 self._find_engine(name),
                 await self._start_plain(name),
+                seeds=self.seeds,
                 clock=self.make_clock(name),
             )
         )
@@ -157,6 +159,7 @@
                 web.bind_socket("127.0.0.1", 0),
                 {configuration.hash_key(OPERATOR_KEY): "ann"},
                 chooser=self.chooser(),
+                seeds=self.seeds,
                 clock=self.make_clock(name),
             )
         )
--- /dev/null
+++ b/tests/timeline/test_timeline.py
@@ -0,0 +1,102 @@
+"""The time line orders effects after causes and explains a request."""
+
+import json
+
+from click.testing import CliRunner
+from hypothesis import given
+from hypothesis import strategies as st
+import trio
+
+from magnoliacove import timeline
+from magnoliacove.commands import timeline as command
+from magnoliacove.standins import fleet as fleets
+from magnoliacove.timeline import gather
+from magnoliacove.timeline import render
+from tests import fakes
+
+_OFFSETS = st.lists(st.integers(-30, 30), min_size=2, max_size=4)
+_SENDS = st.lists(st.tuples(st.integers(0, 3), st.integers(0, 3)), max_size=30)
+
+
+@given(_OFFSETS, _SENDS)
+def test_effects_come_after_causes(offsets, sends):
+    """Clocks differ by up to a minute; messages carry readings."""
+    now = [1.8e9]
+    clocks = [
+        timeline.Clock(lambda offset=offset: now[0] + offset)
+        for offset in offsets
+    ]
+    for one, other in sends:
+        source = clocks[one % len(clocks)]
+        sink = clocks[other % len(clocks)]
+        sent = source.now()
+        sink.observe(sent)
+        assert sink.now() > sent
+        now[0] += 0.001
+
+
+def test_clock_that_is_years_off_is_not_followed():
+    clock = timeline.Clock(lambda: 1.8e9)
+    clock.observe(timeline.make_reading(int(3e12)))
+    assert clock.seconds() < 1.8e9 + 1
+
+
+def test_ring_is_bounded_and_logs_are_read():
+    recorder = timeline.Recorder("p", kept=10)
+    for number in range(25):
+        recorder.record("thing", request=f"{number:02d}")
+    kept = recorder.list_events()
+    assert [e.request for e in kept] == [f"{n}" for n in range(15, 25)]
+    lines = [e.to_json() for e in kept] + ["no json", '{"other": 1}', "{"]
+    assert gather.read_log(lines) == kept
+    assert gather.merge_events([kept, kept]) == kept
+
+
+async def test_recovery_is_explained(autojump_clock):
+    """At 3 a.m.: who was lost, what took over, on which version, cost."""
+    async with fakes.open_memory_fleet() as fleet:
+
+        async def on_token(count):
+            if count == 5:
+                lost = fakes.find_used(fleet, 0)
+                fleet.kill(fleet.agents[lost])
+
+        await fakes.stream(fleet, "lot", 20, on_token)
+        events = fleet.list_events()
+    name = next(e.request for e in events if e.kind == "request-arrived")
+    text = render.explain_request(events, name[:20])
+    assert "configuration version 1" in text
+    assert "lost llm-0-" in text
+    assert "attempt 2" in text
+    assert "1 recoveries" in text
+    page = render.render_html(events, "<x>")
+    assert "<script" not in page and "http" not in page
+    assert "&lt;x&gt;" in page
+
+
+async def test_command_gathers_from_processes():
+    async with fleets.open_fleet() as fleet:
+        caller = fleets.Caller(fleet.entries["entry-0"].made.callers_url)
+        await caller.complete("lot", 4)
+        processes = [*fleet.entries.values(), *fleet.agents.values()]
+        flags = []
+        for running in processes:
+            flags += ["--process", str(running.address)]
+
+        def run(*more):
+            return CliRunner().invoke(command._command, [*flags, *more])
+
+        found = await trio.to_thread.run_sync(run, "--json")
+        events = [json.loads(x) for x in found.stdout.splitlines()]
+        name = next(
+            e["request"] for e in events if e["kind"] == "request-arrived"
+        )
+        explained = await trio.to_thread.run_sync(
+            run, "--explain", "--request", name
+        )
+        target = await trio.to_thread.run_sync(run, "--target", "llm-0-0")
+    clocks = [event["clock"] for event in events]
+    assert clocks == sorted(clocks)
+    assert {e["process"] for e in events} == {*fleet.entries, *fleet.agents}
+    assert "answered in full" in explained.stdout
+    assert "llm-0-0" in target.stdout
--- /dev/null
+++ b/tests/wire/test_connection.py
@@ -0,0 +1,208 @@
+"""Connections between our processes, with peers that misbehave."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+import trio
+import trio.testing
+
+from magnoliacove import defaults
+from magnoliacove import errors
+from magnoliacove import timeline
+from magnoliacove import wire
+from magnoliacove.standins import network
+from magnoliacove.wire import messages
+
+
+def _hello(name, version=1):
+    return lambda: messages.Hello(version, name, 1, "agent", "dc", 0, "x")
+
+
+def _connect(stream, name="near"):
+    return wire.Connection(stream, timeline.Clock(), _hello(name))
+
+
+async def _ignore(connection, message):
+    return None
+
+
+def _frame(data):
+    return len(data).to_bytes(4, "big") + data
+
+
+_GOOD = _frame(messages.encode(_hello("far")(), 1))
+_BAD_PEERS = {
+    "no frame": (b"GET / HTTP/1.1\r\n\r\n", errors.ProtocolError),
+    "a giant": ((2**31).to_bytes(4, "big"), errors.ProtocolError),
+    "no capnp": (_frame(b"\x00\x00\x00\x00\xff\xff\xff\xff"), errors.Error),
+    "no hello": (
+        _frame(messages.encode(messages.Ping(1), 1)),
+        errors.ProtocolError,
+    ),
+    "another version": (
+        _frame(messages.encode(_hello("far", 9)(), 1)),
+        errors.ProtocolError,
+    ),
+    "half a frame": (_GOOD[:-3], errors.PeerError),
+    "garbage later": (_GOOD + _frame(b"garbage!"), errors.ProtocolError),
+    "nothing": (b"", errors.PeerError),
+}
+
+
+@pytest.mark.parametrize("case", _BAD_PEERS)
+async def test_bad_peer_ends_only_its_connection(case, autojump_clock):
+    sent, expected = _BAD_PEERS[case]
+    near, far = trio.testing.memory_stream_pair()
+    if sent:
+        await far.send_all(sent)
+    await far.send_eof()
+    connection = _connect(near)
+    with pytest.raises(expected):
+        await connection.run(_ignore)
+    assert connection.closed
+    with pytest.raises(errors.PeerError):
+        connection.post(messages.Ping(1))
+
+
+async def test_silent_peer_is_noticed(autojump_clock):
+    """The peer says hello and then nothing; nothing fails by itself."""
+    near, far = trio.testing.memory_stream_pair()
+    await far.send_all(_GOOD)
+    began = trio.current_time()
+    with pytest.raises(errors.PeerError, match="silent"):
+        await _connect(near).run(_ignore)
+    assert trio.current_time() - began <= defaults.SILENCE_TIMEOUT + 1
+
+
+async def test_peer_that_takes_nothing_is_closed(autojump_clock):
+    """Messages queue for a peer that reads nothing.
+
+    Without a bound they would use up the memory and end every other
+    stream of the process; only this peer's connection is closed.
+    """
+    connection = _connect(trio.testing.memory_stream_pair()[0])
+    with pytest.raises(errors.PeerError, match="too slowly"):
+        for _ in range(defaults.MAX_QUEUED_FRAMES + 1):
+            connection.post(messages.Ping(1))
+    assert connection.closed
+
+
+async def test_send_waits_while_the_queue_is_half_full(autojump_clock):
+    connection = _connect(trio.testing.memory_stream_pair()[0])
+    sent = 0
+    with trio.move_on_after(1):
+        while True:
+            await connection.send(messages.Ping(1))
+            await trio.lowlevel.checkpoint()
+            sent += 1
+    assert sent == defaults.MAX_QUEUED_FRAMES // 2
+
+
+async def test_dead_connection_is_told_from_dead_peer(autojump_clock):
+    """An open connection loses everything while new ones work.
+
+    The dialling end notices the silence, opens a new connection at once
+    and tells its owner that the peer is up again.
+    """
+    links = network.Links()
+    near = network.MemoryNetwork("near", links)
+    far = network.MemoryNetwork("far", links)
+    recorder = timeline.Recorder("near")
+    ups = []
+
+    async def serve(stream):
+        await wire.serve_connection(
+            stream,
+            timeline.Recorder("far"),
+            _hello("far"),
+            _ignore,
+            messages.Pong,
+        )
+
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(
+            far.listen, wire.Address("127.0.0.1", 0), serve
+        )
+        peer = wire.Peer(
+            "far",
+            address,
+            near,
+            recorder,
+            _hello("near"),
+            _ignore,
+            came_up=lambda p: ups.append(trio.current_time()),
+        )
+        nursery.start_soon(peer.run)
+        await peer.wait_up()
+        links.silence_open("near", "far")
+        await trio.sleep(4)
+        assert peer.up
+        nursery.cancel_scope.cancel()
+    assert len(ups) == 2
+    lost = [e for e in recorder.list_events() if e.kind == "connection-lost"]
+    assert "silent" in lost[0].why
+
+
+_BYTES = st.binary(max_size=40)
+_TEXT = st.text(
+    st.characters(codec="utf-8", exclude_characters="\0"), max_size=20
+)
+_UINT = st.integers(0, 2**32 - 1)
+_STEP = st.builds(messages.Step, _BYTES, _UINT, _UINT, _BYTES)
+_TOKEN = st.builds(messages.Token, _BYTES, _UINT, _UINT, _BYTES, st.booleans())
+_LOAD = st.builds(messages.Load, _UINT, _UINT, _UINT, st.booleans())
+_HEADER = st.builds(messages.Header, _BYTES, _BYTES)
+_MESSAGES = st.one_of(
+    st.builds(messages.Steps, st.tuples(_STEP, _STEP)),
+    st.builds(messages.Tokens, st.tuples(_TOKEN)),
+    st.builds(messages.StageOpened, _BYTES, _UINT, _UINT, _LOAD),
+    st.builds(messages.Refused, _BYTES, _UINT, _TEXT, _TEXT, _TEXT, _UINT),
+    st.builds(messages.Events, st.tuples(_TEXT, _TEXT)),
+    st.builds(messages.Changes, st.tuples(_BYTES)),
+    st.builds(
+        messages.Answer, _BYTES, st.integers(0, 999), st.tuples(_HEADER)
+    ),
+    st.builds(
+        messages.Cache,
+        _BYTES,
+        _UINT,
+        _UINT,
+        _BYTES,
+        st.tuples(_BYTES, _BYTES),
+        st.booleans(),
+    ),
+)
+
+
+@given(_MESSAGES, st.integers(0, 2**64 - 1))
+def test_messages_survive_the_wire(message, clock):
+    assert messages.decode(messages.encode(message, clock)) == (message, clock)
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_a_frame_or_a_typed_error(data):
+    try:
+        messages.decode(data)
+    except errors.ProtocolError as why:
+        assert "same release" in str(why)
+
+
+@given(st.lists(_MESSAGES, max_size=12))
+def test_gathering_keeps_order(batch):
+    """Steps and tokens are joined only with their neighbours."""
+
+    def flatten(found):
+        items = []
+        for message in found:
+            if isinstance(message, messages.Steps | messages.Tokens):
+                items.extend(message.items)
+            else:
+                items.append(message)
+        return items
+
+    gathered = wire.connection._gather(batch)
+    assert flatten(gathered) == flatten(batch)
+    kinds = [type(m) for m in gathered]
+    joinable = (messages.Steps, messages.Tokens)
+    pairs = zip(kinds, kinds[1:], strict=False)
+    assert all(a != b or a not in joinable for a, b in pairs)
