Report how long a step stays at an engine, waiting included

Change: agents report the time from a step's arrival to its output, scaled to all layers held; six targets are weighed for each range.

--- a/magnoliacove/agent/process.py
+++ b/magnoliacove/agent/process.py
@@ -72,7 +72,12 @@
         self.stages = self.calls = self.orders = None
         if parts.engine is not None:
             self.stages = StageRunner(
-                name, parts.engine, self.links, recorder, self.is_leaving
+                name,
+                parts.engine,
+                self.links,
+                recorder,
+                self.is_leaving,
+                count_layers=self._count_layers,
             )
             self.orders = OrderGate(name, parts.engine, parts.api, recorder)
         self.keeper = KeyKeeper(
@@ -94,6 +99,12 @@
         runner = self.stages or self.calls
         return runner.load if runner else messages.Load()
 
+    def _count_layers(self) -> int:
+        target = self.process.view.document.find(
+            configuration.Target, self.process.identity.name
+        )
+        return target.end_layer - target.first_layer if target else 0
+
     def is_leaving(self) -> bool:
         """Return whether this instance is to get no new work."""
         return self.process.leaving or self.process.view.is_leaving(
--- a/magnoliacove/agent/runner.py
+++ b/magnoliacove/agent/runner.py
@@ -20,7 +20,7 @@
 # How long a stage is kept after its entry's connection was lost.  The
 # entry comes back on a new connection well before this if it still lives.
 _ORPHAN_GRACE = 10.0
-_SMOOTHING = 0.2
+_SMOOTHING = 0.05
 _PATIENCE_FACTOR = 10.0
 
 
@@ -44,6 +44,7 @@
 
     :param name: this agent's name.
     :param is_leaving: whether new streams are to be refused.
+    :param count_layers: returns how many layers the engine holds.
     """
 
     def __init__(
@@ -54,10 +55,12 @@
         recorder: Recorder,
         is_leaving: Callable[[], bool],
         *,
+        count_layers: Callable[[], int] = lambda: 0,
         most_streams: int = defaults.STREAMS_PER_ENGINE,
     ) -> None:
         self.stages: dict[bytes, Stage] = {}
-        self.step_seconds = 0.0
+        self.batch_seconds = 0.0
+        self.stay_seconds = 0.0
         self.steps_dropped = 0
         self.steps_run = 0
         self._name = name
@@ -65,6 +68,7 @@
         self._neighbours = neighbours
         self._recorder = recorder
         self._is_leaving = is_leaving
+        self._count_layers = count_layers
         self._most_streams = most_streams
         self._ready: dict[Stage, None] = {}
         self._work = trio.Event()
@@ -76,7 +80,7 @@
         return messages.Load(
             len(self.stages),
             len(self._ready),
-            math.ceil(self.step_seconds * 1e6),
+            math.ceil(self.stay_seconds * 1e6),
             self._is_leaving(),
         )
 
@@ -302,7 +306,8 @@
             except targets.EngineError as why:
                 self._fail(batch, str(why))
                 continue
-            self._note_time(trio.current_time() - started)
+            took = trio.current_time() - started
+            self.batch_seconds = _smooth(self.batch_seconds, took, 0.2)
             self._deliver(batch, outputs)
 
     def _patience(self, inputs: list[targets.StepInput]) -> float:
@@ -311,9 +316,9 @@
         A first step may hold a long prompt and is given longer.
         """
         base = defaults.ENGINE_TIMEOUT
-        if not self.step_seconds or any(item.step == 0 for item in inputs):
+        if not self.batch_seconds or any(item.step == 0 for item in inputs):
             base *= 4
-        expected = self.step_seconds * len(inputs)
+        expected = self.batch_seconds * len(inputs)
         return max(base, _PATIENCE_FACTOR * expected)
 
     def _collect(self) -> list[tuple[Stage, list[targets.StepInput]]]:
@@ -330,10 +335,18 @@
                 room -= len(inputs)
         return batch
 
-    def _note_time(self, seconds: float) -> None:
-        if not self.step_seconds:
-            self.step_seconds = seconds
-        self.step_seconds += _SMOOTHING * (seconds - self.step_seconds)
+    def _note_stay(self, stage: Stage) -> None:
+        """Learn how long a step stays here, waiting included.
+
+        The time of a batch alone would hide the wait before a full
+        engine: it does not grow beyond the largest batch, and entries
+        would go on sending.  It is scaled to all layers held here.
+        """
+        opened = stage.opened
+        layers = opened.end_layer - opened.first_layer
+        share = layers / max(layers, self._count_layers())
+        stay = (trio.current_time() - stage.accepted_at) / share
+        self.stay_seconds = _smooth(self.stay_seconds, stay, _SMOOTHING)
 
     def _deliver(
         self,
@@ -353,7 +366,9 @@
             stage.keep(kept)
             if kept.step >= stage.send_from:
                 self._send(stage, kept)
-        for stage, _ in batch:
+        for stage, inputs in batch:
+            if len(inputs) == 1 and not stage.closed:
+                self._note_stay(stage)
             stage.finish_inputs()
             if stage.inbox and not stage.closed:
                 self._ready[stage] = None
@@ -454,6 +469,10 @@
             return
 
 
+def _smooth(before: float, seconds: float, rate: float) -> float:
+    return before + rate * (seconds - before) if before else seconds
+
+
 def _keep_output(output: targets.StepOutput) -> Output:
     if output.token is None:
         return Output(output.step, output.payload)
--- a/magnoliacove/agent/stages.py
+++ b/magnoliacove/agent/stages.py
@@ -38,6 +38,7 @@
         attempt that opened the stage, so a stage that is opened anew never
         meets the KV cache of an earlier one.
     :param next_step: the first step that the engine has not applied.
+    :param accepted_at: when the newest step arrived, by trio's clock.
     :param send_from: outputs before this step are not wanted downstream.
     """
 
@@ -51,6 +52,7 @@
     send_from: int = 0
     running: int = 0
     closed: bool = False
+    accepted_at: float = 0.0
     orphaned_at: float | None = None
     inbox: deque[messages.Step] = field(default_factory=deque)
     outputs: deque[Output] = field(default_factory=deque)
@@ -77,6 +79,7 @@
         if step.step != self.expected:
             return False
         self.inbox.append(step)
+        self.accepted_at = trio.current_time()
         return True
 
     def take_inputs(self, most: int) -> list[targets.StepInput]:
--- a/magnoliacove/routing/chains.py
+++ b/magnoliacove/routing/chains.py
@@ -93,7 +93,7 @@
     """
 
     def __init__(
-        self, sample: int = 3, rng: random.Random | None = None
+        self, sample: int = 6, rng: random.Random | None = None
     ) -> None:
         self._sample = sample
         self._rng = rng or random.Random()
--- a/measure/routing.py
+++ b/measure/routing.py
@@ -23,11 +23,11 @@
 
 _LAYERS = 32
 _BATCH = 16
-_TOKENS = 40
+_TOKENS = 20
 _REPORT_LAG = 1.0
 _FAST_LINK = 0.0005
 _SLOW_LINK = 0.05
-_SMOOTHING = 0.2
+_SMOOTHING = 0.05
 
 
 @dataclass(eq=False)
@@ -55,10 +55,16 @@
         return _BATCH / (self.fixed + self.slope * _BATCH)
 
     async def step(self, share: float) -> None:
+        began = trio.current_time()
         done = trio.Event()
         self.queue.append((share, done))
         self.arrived.set()
         await done.wait()
+        # As an agent does: from a step's arrival to its output.
+        seconds = (trio.current_time() - began) / share
+        if not self.step_seconds:
+            self.step_seconds = seconds
+        self.step_seconds += _SMOOTHING * (seconds - self.step_seconds)
 
     async def run(self) -> None:
         while True:
@@ -71,9 +77,6 @@
             share = work / len(batch)
             seconds = self.fixed * share + self.slope * work
             await trio.sleep(seconds)
-            if not self.step_seconds:
-                self.step_seconds = seconds
-            self.step_seconds += _SMOOTHING * (seconds - self.step_seconds)
             for _, done in batch:
                 done.set()
 
@@ -264,9 +267,10 @@
 
 
 @click.command()
-@click.option("--seconds", default=24.0, show_default=True)
-@click.option("--streams", default=160, show_default=True)
-def main(seconds: float, streams: int) -> None:
+@click.option("--seconds", default=30.0, show_default=True)
+@click.option("--streams", default=480, show_default=True)
+@click.option("--only", default="", help="Measure one chooser only.")
+def main(seconds: float, streams: int, only: str) -> None:
     """Measure every chooser and print the table."""
 
     async def bound_of() -> float:
@@ -283,6 +287,8 @@
     }
     rows = []
     for name, make in choosers.items():
+        if only not in ("", name):
+            continue
         full = _run(make, streams=streams, rate=0.0, seconds=seconds)
         part = _run(
             make, streams=0, rate=0.8 * bound / _TOKENS, seconds=seconds
