Recover from engines that hang and links that stay silent

Cause: a table of faults under load showed gaps of 3.0 s beside an engine that hangs (streams waited behind the hung batches, and new ones were sent there again) and 2.6 s at a silent link (each new stream dialled it anew); an agent's restart refused 313 of 2,119 bids whose keys were new. The property test then found a key that ran twice: with a clock 4 s behind, a restarted agent took its own start for earlier than the key.

Ruled out: the failure detector (seen after 1.5 s and 2.0 s in all rows).

Change: an agent whose engine hangs gives up all its stages, refuses new ones until the engine answers a probe, then lets one stream try. A link that failed is avoided for 30 s.

--- a/magnoliacove/agent/keeper.py
+++ b/magnoliacove/agent/keeper.py
@@ -74,7 +74,7 @@
         self._window = window
         self._table = keys.KeyTable(window=window)
         self._ownerships: dict[str, keys.Ownership] = {}
-        self._started = recorder.clock.seconds()
+        self._contact: float | None = None
         self._claims: dict[bytes, tuple[wire.Connection, keys.KeyUse]] = {}
         view.listen(self._note_configuration)
         self._note_configuration()
@@ -84,6 +84,23 @@
         """How many keys are remembered."""
         return len(self._table)
 
+    def note_contact(self) -> None:
+        """Note that an entry connected; only the first time counts.
+
+        From then on keys may arrive.  The time is not read before, since
+        the entry's hello moves our clock forward if it is behind: a start
+        that looks too early would let a key that this agent's predecessor
+        ran pass as newer, and run again.
+        """
+        if self._contact is None:
+            self._contact = self._recorder.clock.seconds()
+
+    def read_contact(self) -> float:
+        """Return when the first entry connected, or now before that."""
+        if self._contact is None:
+            return self._recorder.clock.seconds()
+        return self._contact
+
     # Taking keys.
 
     async def take(self, request: KeyRequest) -> keys.KeyUse:
@@ -162,14 +179,8 @@
     async def _require_unused(
         self, request: KeyRequest, ownership: keys.Ownership
     ) -> None:
+        await self._await_mint_time(request, ownership)
         verdict, former = ownership.judge(request.key)
-        if verdict is keys.Verdict.TOO_EARLY:
-            raise errors.RequestError(
-                "key_from_future",
-                "the idempotency key was minted by a clock that is ahead "
-                "of ours; set the clock right and mint a new key",
-                status=400,
-            )
         if verdict is keys.Verdict.MAY_HAVE_RUN:
             self._raise_unknown(
                 request,
@@ -178,6 +189,27 @@
         for target in former:
             await self._ask(request, target)
 
+    async def _await_mint_time(
+        self, request: KeyRequest, ownership: keys.Ownership
+    ) -> None:
+        """Wait until the time at which a key says that it was minted.
+
+        A caller's clock may be ahead of ours.  Run at once, its key would
+        count as newer than a change of owner that is still to come, and
+        the next owner would run it again.
+        """
+        lead = ownership.lead(request.key)
+        if lead > defaults.KEY_MOST_AHEAD:
+            raise errors.RequestError(
+                "key_from_future",
+                f"the idempotency key was minted by a clock {lead:.0f} s "
+                "ahead of ours; set the clock right and mint a new key",
+                status=400,
+            )
+        while lead > 0:
+            await trio.sleep(lead)
+            lead = ownership.lead(request.key)
+
     async def _ask(self, request: KeyRequest, target: str) -> None:
         question = messages.Vouch(
             request.request,
@@ -301,7 +333,7 @@
             if name not in self._ownerships:
                 self._ownerships[name] = keys.Ownership(
                     self._name,
-                    self._started,
+                    self.read_contact,
                     self._recorder.clock.seconds,
                     window=self._window,
                 )
--- a/magnoliacove/agent/keys.py
+++ b/magnoliacove/agent/keys.py
@@ -57,7 +57,6 @@
     RUN = "run"
     ASK = "ask"
     MAY_HAVE_RUN = "may_have_run"
-    TOO_EARLY = "too_early"
 
 
 @dataclass(eq=False)
@@ -158,21 +157,22 @@
     """Who owned the keys of one service, as this agent saw it.
 
     :param own: this agent's target.
-    :param started: when this agent began to watch, as wall-clock seconds.
+    :param read_started: returns when this agent could first take keys, in
+        seconds of its clock.
     :param read_clock: returns wall-clock seconds that never go back.
     """
 
     def __init__(
         self,
         own: str,
-        started: float,
+        read_started: Callable[[], float],
         read_clock: Callable[[], float],
         *,
         window: float = defaults.KEY_WINDOW,
         skew: float = defaults.KEY_CLOCK_SKEW,
     ) -> None:
         self._own = own
-        self._started = started
+        self._read_started = read_started
         self._read_clock = read_clock
         self._window = window
         self._skew = skew
@@ -205,6 +205,11 @@
         """Return whether this agent owns a key now."""
         return choose_owner(key, self.targets) == self._own
 
+    def lead(self, key: str) -> float:
+        """Return how many seconds a key was minted ahead of our clock."""
+        minted = read_mint_time(key)
+        return max(0.0, minted - self._read_clock()) if minted else 0.0
+
     def judge(self, key: str) -> tuple[Verdict, tuple[str, ...]]:
         """Return what to do with an owned key that is not remembered.
 
@@ -213,14 +218,10 @@
         """
         now = self._read_clock()
         minted = read_mint_time(key)
-        if minted is not None and minted > now + self._skew:
-            # A key from the future would count as newer than a change of
-            # owner that is still to come, and could then run twice.
-            return Verdict.TOO_EARLY, ()
         earliest = now - self._window
         if minted is not None:
             earliest = max(earliest, minted - self._skew)
-        if self._started > earliest and not self._pristine:
+        if self._read_started() > earliest and not self._pristine:
             return Verdict.MAY_HAVE_RUN, ()
         former = self._list_former(key, earliest)
         return (Verdict.ASK, former) if former else (Verdict.RUN, ())
--- a/magnoliacove/agent/neighbours.py
+++ b/magnoliacove/agent/neighbours.py
@@ -16,6 +16,7 @@
 
 _T = TypeVar("_T")
 _FETCH_TIMEOUT = 10.0
+_KNOWN_DOWN = 0.1
 
 
 class NeighbourLinks:
@@ -54,7 +55,11 @@
         peer = self._peers.get(address)
         if peer is None:
             peer = self._start_peer(name, address)
-        with trio.move_on_after(defaults.CONNECT_TIMEOUT):
+        # A neighbour that could not be reached a moment ago is being
+        # dialled already; waiting for it would delay each new stream.
+        known_down = peer.failures > 0
+        limit = _KNOWN_DOWN if known_down else defaults.CONNECT_TIMEOUT
+        with trio.move_on_after(limit):
             await peer.wait_up()
         return peer.up
 
--- a/magnoliacove/agent/process.py
+++ b/magnoliacove/agent/process.py
@@ -173,12 +173,21 @@
         self, *, task_status: trio.TaskStatus[wire.Address]
     ) -> None:
         await self.process.listen(
-            self._handle, self._make_pong, self._gone, task_status=task_status
+            self._handle,
+            self._make_pong,
+            self._gone,
+            self._note_ready,
+            task_status=task_status,
         )
 
     def _make_pong(self, sequence: int) -> messages.Pong:
         return messages.Pong(sequence, self.process.view.version, self.load)
 
+    def _note_ready(self, connection: wire.Connection) -> None:
+        remote = connection.remote
+        if remote is not None and remote.role == "entry":
+            self.keeper.note_contact()
+
     def _gone(self, connection: wire.Connection, reason: str) -> None:
         self.process.recorder.record(
             "entry-connection-lost", target=connection.name, why=reason
--- a/magnoliacove/agent/runner.py
+++ b/magnoliacove/agent/runner.py
@@ -22,6 +22,8 @@
 _ORPHAN_GRACE = 10.0
 _SMOOTHING = 0.05
 _PATIENCE_FACTOR = 10.0
+_SUSPENSION_FIRST = 2.0
+_SUSPENSION_MOST = 30.0
 
 
 class Neighbours(Protocol):
@@ -62,6 +64,14 @@
         self.batch_seconds = 0.0
         self.stay_seconds = 0.0
         self.steps_dropped = 0
+        # New streams would meet the same end at an engine that has just
+        # failed or hung, each after its own time-out.
+        # After a pause and a call that the engine answers, one stream may
+        # try; its first output ends the suspicion.
+        self._suspect = False
+        self._suspended = False
+        self._suspicion = trio.Event()
+        self._batches: set[trio.CancelScope] = set()
         self.steps_run = 0
         self._name = name
         self._engine = engine
@@ -90,6 +100,7 @@
             for _ in range(defaults.CONCURRENT_BATCHES):
                 nursery.start_soon(self._run_batches)
             nursery.start_soon(self._drop_orphans)
+            nursery.start_soon(self._probe_engine)
 
     # Opening and closing.
 
@@ -109,6 +120,9 @@
         if self._is_leaving():
             self._refuse(entry, request, "draining", "this instance leaves;")
             return
+        if self._suspect and (self._suspended or self.stages):
+            self._refuse(entry, request, "engine_failing", "the engine fails;")
+            return
         if len(self.stages) >= self._most_streams:
             self._refuse(entry, request, "overloaded", "the engine is full;")
             return
@@ -294,18 +308,29 @@
             started = trio.current_time()
             inputs = [item for _, items in batch for item in items]
             patience = self._patience(inputs)
-            try:
-                with trio.fail_after(patience):
+            outputs: tuple[targets.StepOutput, ...] = ()
+            with trio.move_on_after(patience) as scope:
+                self._batches.add(scope)
+                try:
                     outputs = await self._engine.run_steps(inputs)
-            except trio.TooSlowError:
+                except targets.EngineError as why:
+                    self._fail(batch, str(why))
+                    continue
+                finally:
+                    self._batches.discard(scope)
+            if scope.cancelled_caught:
                 # An engine that hangs keeps its connection open, so only
                 # the time tells.  The entries replace the stages at once
-                # instead of waiting until their streams look stalled.
-                self._fail(batch, f"the engine hangs for {patience:.1f} s")
-                continue
-            except targets.EngineError as why:
-                self._fail(batch, str(why))
+                # instead of waiting until their streams look stalled, and
+                # what else was sent to the engine hangs with it.
+                reason = f"the engine hangs for {patience:.1f} s"
+                self._fail(batch, reason)
+                for other in self._batches:
+                    other.cancel()
+                for stage in tuple(self.stages.values()):
+                    self._lose(stage, reason)
                 continue
+            self._suspect = False
             took = trio.current_time() - started
             self.batch_seconds = _smooth(self.batch_seconds, took, 0.2)
             self._deliver(batch, outputs)
@@ -405,6 +430,8 @@
     ) -> None:
         # Whether the engine applied the steps is not known, so its caches
         # cannot be trusted: another step might run a layer twice.
+        self._suspect = self._suspended = True
+        self._suspicion.set()
         self._recorder.record("engine-failed", target=self._name, why=reason)
         for stage, _ in batch:
             stage.finish_inputs()
@@ -446,6 +473,25 @@
             # asks for what it missed.
             self.note_entry_lost(connection)
 
+    async def _probe_engine(self) -> None:
+        """Ask an engine that failed whether it answers again."""
+        pause = _SUSPENSION_FIRST
+        while True:
+            if not self._suspect:
+                pause = _SUSPENSION_FIRST
+            if not self._suspended:
+                self._suspicion = trio.Event()
+                await self._suspicion.wait()
+            await trio.sleep(pause)
+            pause = min(pause * 2, _SUSPENSION_MOST)
+            with trio.move_on_after(defaults.ENGINE_TIMEOUT):
+                try:
+                    await self._engine.read_load()
+                except targets.EngineError:
+                    continue
+                self._suspended = False
+                self._recorder.record("engine-answers", target=self._name)
+
     async def _drop_orphans(self) -> None:
         while True:
             await trio.sleep(1.0)
--- a/magnoliacove/entry/pool.py
+++ b/magnoliacove/entry/pool.py
@@ -256,6 +256,8 @@
                 self._note_load(name, message.load)
                 self._pass_on(message.stream, name, message)
             case messages.Refused() | messages.StageLost():
+                if _is_failure(message, name):
+                    self.estimates.target(name).failed_at = trio.current_time()
                 self._pass_on(message.stream, name, message)
             case messages.Claimed():
                 self._pass_on(message.request, name, message)
@@ -278,3 +280,12 @@
         elif not self._process.view.is_leaving(name):
             # The operator took the drain back.
             self._draining.discard(name)
+
+
+def _is_failure(
+    message: messages.Refused | messages.StageLost, source: str
+) -> bool:
+    """Return whether an agent says that its own engine fails."""
+    if isinstance(message, messages.Refused):
+        return message.code == "engine_failing"
+    return message.name == source
--- a/magnoliacove/entry/process.py
+++ b/magnoliacove/entry/process.py
@@ -149,7 +149,11 @@
         self, *, task_status: trio.TaskStatus[wire.Address]
     ) -> None:
         await self.process.listen(
-            _ignore, self._make_pong, _forget, task_status=task_status
+            _ignore,
+            self._make_pong,
+            lambda connection, reason: None,
+            lambda connection: None,
+            task_status=task_status,
         )
 
     def _make_pong(self, sequence: int) -> messages.Pong:
@@ -179,7 +183,3 @@
 
 async def _ignore(_: wire.Connection, message: messages.Message) -> None:
     return None
-
-
-def _forget(connection: wire.Connection, reason: str) -> None:
-    return None
--- a/magnoliacove/process.py
+++ b/magnoliacove/process.py
@@ -87,6 +87,7 @@
         handle: wire.connection.Handler,
         make_pong: Callable[[int], messages.Pong],
         gone: Callable[[wire.Connection, str], None],
+        ready: Callable[[wire.Connection], None],
         *,
         task_status: trio.TaskStatus[wire.Address],
     ) -> None:
@@ -110,7 +111,13 @@
 
         async def serve(stream: trio.abc.Stream) -> None:
             await wire.serve_connection(
-                stream, self.recorder, self.make_hello, take, make_pong, drop
+                stream,
+                self.recorder,
+                self.make_hello,
+                take,
+                make_pong,
+                drop,
+                ready,
             )
 
         async with trio.open_nursery() as nursery:
--- a/magnoliacove/routing/estimates.py
+++ b/magnoliacove/routing/estimates.py
@@ -22,6 +22,7 @@
 # that it is tried; one report corrects it.
 _START_SLOPE = 0.0005
 _FAILURE_PENALTY = 5.0
+_LINK_PENALTY = 30.0
 
 
 @dataclass
@@ -113,6 +114,7 @@
         self.read_time = read_time
         self._targets: dict[str, TargetEstimate] = {}
         self._links: dict[tuple[str, str], float] = {}
+        self._failed_links: dict[tuple[str, str], float] = {}
 
     def target(self, name: str) -> TargetEstimate:
         """Return what is known of a target."""
@@ -123,13 +125,16 @@
 
     def link_seconds(self, source: str, sink: str) -> float:
         """Return the delay of a link, 0 for one never used."""
-        return self._links.get((source, sink), 0.0)
+        delay = self._links.get((source, sink), 0.0)
+        failed_at = self._failed_links.get((source, sink))
+        if failed_at is None:
+            return delay
+        age = self.read_time() - failed_at
+        return delay + max(0.0, _LINK_PENALTY - age)
 
     def note_link_failure(self, source: str, sink: str) -> None:
         """Keep streams off a link that broke while both ends live."""
-        self._links[(source, sink)] = max(
-            1.0, self._links.get((source, sink), 0.0)
-        )
+        self._failed_links[(source, sink)] = self.read_time()
 
     def note_token(self, names: tuple[str, ...], seconds: float) -> None:
         """Learn from the time that one token took through a chain.
@@ -155,3 +160,4 @@
         for link in list(self._links):
             if not {*link} <= names | {self.entry}:
                 del self._links[link]
+                self._failed_links.pop(link, None)
--- a/magnoliacove/standins/fleet.py
+++ b/magnoliacove/standins/fleet.py
@@ -9,10 +9,8 @@
 import contextlib
 from dataclasses import dataclass
 from dataclasses import field
-import json
 from typing import Any
 
-import httpcore
 import trio
 
 from magnoliacove import agent
@@ -29,12 +27,22 @@
 from magnoliacove.standins import network
 from magnoliacove.standins import object_api
 from magnoliacove.standins import plain
+from magnoliacove.standins.callers import API_KEY
+from magnoliacove.standins.callers import MODEL
+from magnoliacove.standins.callers import Caller
+
+__all__ = [
+    "API_KEY",
+    "MODEL",
+    "OPERATOR_KEY",
+    "PLAIN",
+    "Caller",
+    "Fleet",
+    "Running",
+    "open_fleet",
+]
 
-__all__ = ["API_KEY", "OPERATOR_KEY", "Fleet", "Running", "open_fleet"]
-
-API_KEY = "demonstration-key"
 OPERATOR_KEY = "operator-key"
-MODEL = "catalog-llm"
 PLAIN = "bid-desk"
 # Where the clocks of a fleet in memory begin, in seconds since the epoch.
 _START = 1_800_000_000.0
@@ -253,76 +261,3 @@
         await fleet.wait_ready(version)
         yield fleet
         nursery.cancel_scope.cancel()
-
-
-class Caller:
-    """A caller of one entry, over HTTP.
-
-    :param url: the entry's URL for callers.
-    """
-
-    def __init__(self, url: str, key: str = API_KEY) -> None:
-        self._url = url
-        self._key = key
-        self._pool = httpcore.AsyncConnectionPool(max_connections=1000)
-
-    async def request(
-        self,
-        method: str,
-        path: str,
-        body: bytes = b"",
-        headers: dict[str, str] | None = None,
-    ) -> httpcore.Response:
-        """Send one request and return its whole answer."""
-        merged = {
-            "authorization": f"Bearer {self._key}",
-            "content-type": "application/json",
-            **(headers or {}),
-        }
-        sent: list[tuple[str, str]] = list(merged.items())
-        return await self._pool.request(
-            method,
-            self._url + path,
-            headers=sent,
-            content=body or None,
-        )
-
-    async def complete(self, prompt: str, tokens: int) -> str:
-        """Ask the model for a whole answer."""
-        body = {"model": MODEL, "prompt": prompt, "max_tokens": tokens}
-        response = await self.request(
-            "POST", "/v1/completions", json.dumps(body).encode()
-        )
-        data = json.loads(response.content)
-        if response.status != 200:
-            raise RuntimeError(f"{response.status}: {data}")
-        return data["choices"][0]["text"]
-
-    async def stream(self, prompt: str, tokens: int) -> AsyncIterator[str]:
-        """Ask the model for an answer and give its tokens as they come."""
-        body = {
-            "model": MODEL,
-            "prompt": prompt,
-            "max_tokens": tokens,
-            "stream": True,
-        }
-        async with self._pool.stream(
-            "POST",
-            self._url + "/v1/completions",
-            headers={"authorization": f"Bearer {self._key}"},
-            content=json.dumps(body).encode(),
-        ) as response:
-            buffer = b""
-            async for chunk in response.aiter_stream():
-                buffer += chunk
-                *events, buffer = buffer.split(b"\n\n")
-                for event in events:
-                    data = event.removeprefix(b"data: ")
-                    if data == b"[DONE]":
-                        return
-                    parsed = json.loads(data)
-                    if "error" in parsed:
-                        raise RuntimeError(str(parsed["error"]))
-                    text = parsed["choices"][0]["text"]
-                    if text:
-                        yield text
--- a/magnoliacove/wire/peer.py
+++ b/magnoliacove/wire/peer.py
@@ -129,8 +129,13 @@
     handle: Handler,
     make_pong: Callable[[int], messages.Pong],
     gone: Callable[[Connection, str], None] = _do_nothing,
+    ready: Callable[[Connection], None] = _do_nothing,
 ) -> None:
-    """Serve one connection that a peer dialled, until it ends."""
+    """Serve one connection that a peer dialled, until it ends.
+
+    :param ready: called when both ends have said hello.
+    :param gone: called with the reason when it has ended.
+    """
     connection = Connection(
         stream,
         recorder.clock,
@@ -142,7 +147,7 @@
         make_pong=make_pong,
     )
     try:
-        await connection.run(handle)
+        await connection.run(handle, ready)
     except errors.ProtocolError as why:
         recorder.record("protocol-error", target=connection.name, why=str(why))
         gone(connection, str(why))
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -197,6 +197,17 @@
     assert answer.json["error"]["outcome"] == "not_run"
 
 
+async def test_key_a_little_from_the_future(autojump_clock):
+    """A caller's clock is a second ahead: the bid waits for it and runs."""
+    async with fakes.open_memory_fleet() as fleet:
+        began = trio.current_time()
+        answer = await _bid(fleet, mint(fleet.read_time() + 1))
+        waited = trio.current_time() - began
+        assert _count_runs(fleet) == 1
+    assert answer.status == 200
+    assert 0.9 < waited < 1.5
+
+
 async def test_key_reused_for_another_request(autojump_clock):
     async with fakes.open_memory_fleet() as fleet:
         key = mint(fleet.read_time())
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,8 +3,7 @@
 import contextlib
 import json
 
-import trio
-
+from magnoliacove.standins import callers
 from magnoliacove.standins import engine
 from magnoliacove.standins import fleet as fleets
 from magnoliacove.standins import network
@@ -17,90 +16,24 @@
         yield fleet
 
 
-class Answer:
-    """What an ASGI application answered."""
-
-    def __init__(self):
-        self.status = 0
-        self.headers = {}
-        self.body = b""
-        self.parts = []
-
-    @property
-    def json(self):
-        return json.loads(self.body)
-
-
 async def ask(
     fleet, method, path, body=b"", headers=None, entry="entry-0", on_part=None
 ):
     """Send one request to an entry's application and return the answer."""
     app = fleet.entries[entry].made.app
-    answer = Answer()
-    given = {"authorization": f"Bearer {fleets.API_KEY}", **(headers or {})}
-    sent = False
-
-    async def receive():
-        nonlocal sent
-        if sent:
-            await trio.sleep_forever()
-        sent = True
-        return {"type": "http.request", "body": body, "more_body": False}
-
-    async def send(message):
-        await trio.lowlevel.checkpoint()
-        if message["type"] == "http.response.start":
-            answer.status = message["status"]
-            answer.headers = {
-                k.decode(): v.decode() for k, v in message["headers"]
-            }
-            return
-        answer.body += message["body"]
-        if message["body"]:
-            answer.parts.append(message["body"])
-            if on_part is not None:
-                await on_part(len(answer.parts))
-
-    path, _, query = path.partition("?")
-    scope = {
-        "type": "http",
-        "method": method,
-        "path": path,
-        "query_string": query.encode(),
-        "headers": [
-            (k.lower().encode(), v.encode()) for k, v in given.items()
-        ],
-    }
-    await app(scope, receive, send)
-    return answer
+    return await callers.ask(app, method, path, body, headers, on_part)
 
 
 async def stream(fleet, prompt, tokens, on_token=None, entry="entry-0"):
     """Stream an answer; return its text, or the error that ended it."""
-    body = {
-        "model": fleets.MODEL,
-        "prompt": prompt,
-        "max_tokens": tokens,
-        "stream": True,
-    }
+    body = callers.make_body(prompt, tokens, stream=True)
     answer = await ask(
-        fleet,
-        "POST",
-        "/v1/completions",
-        json.dumps(body).encode(),
-        entry=entry,
-        on_part=on_token,
+        fleet, "POST", "/v1/completions", body, None, entry, on_token
     )
-    text = ""
-    for event in answer.body.split(b"\n\n"):
-        data = event.removeprefix(b"data: ")
-        if not data or data == b"[DONE]":
-            continue
-        parsed = json.loads(data)
-        if "error" in parsed:
-            return parsed["error"]
-        text += parsed["choices"][0]["text"]
-    return text
+    try:
+        return "".join(callers.read_events(answer.body.split(b"\n\n")))
+    except RuntimeError as why:
+        return json.loads(str(why))
 
 
 def expect(prompt, tokens, layers=8):
