Measure control against size, and read the store in fewer calls

Cause: the slopes of control were not known. Measuring them showed 23 calls to the object API for a change and agents that stayed on old news for ever when all entries they knew were gone.

--- a/magnoliacove/agent/process.py
+++ b/magnoliacove/agent/process.py
@@ -314,26 +314,27 @@
         process = self.process
         backoff = directory.Backoff()
         while True:
+            followed = False
             for address in await self._list_upstreams():
-                was = trio.current_time()
-                await self._subscribe(address)
-                if trio.current_time() - was > defaults.FEED_SILENCE:
-                    backoff.reset()
+                followed = await self._subscribe(address)
+                if followed:
+                    break
+            if followed:
+                backoff.reset()
+                continue
             process.recorder.record(
                 "feed-lost", why="no entry hands news on; trying again"
             )
+            # The entries known here may all be gone, and their successors
+            # and the newest configuration stand in the store.
+            await self._refresh()
             await backoff.pause()
 
     async def _list_upstreams(self) -> list[wire.Address]:
         process = self.process
         entries = process.view.list_instances("entry")
         if not entries:
-            own = f"{directory.PREFIX}entry/"
-            try:
-                await process.store.refresh(own)
-                process.store.note_reachable(True)
-            except errors.PlatformError as why:
-                process.store.note_reachable(False, str(why))
+            await self._refresh()
             entries = process.view.list_instances("entry")
         random.shuffle(entries)
         near = process.identity.data_centre
@@ -341,8 +342,18 @@
         found = [entry.parsed_address for entry in entries]
         return [*found, *self._parts.seeds]
 
-    async def _subscribe(self, address: wire.Address) -> None:
+    async def _refresh(self) -> None:
         process = self.process
+        try:
+            await process.store.refresh(f"{directory.PREFIX}entry/")
+            process.store.note_reachable(True)
+        except errors.PlatformError as why:
+            process.store.note_reachable(False, str(why))
+
+    async def _subscribe(self, address: wire.Address) -> bool:
+        """Stay subscribed to an entry; return whether it ever answered."""
+        process = self.process
+        began = False
         connection: wire.Connection | None = None
 
         async def take(
@@ -351,6 +362,8 @@
             process.feed.handle(source, message)
 
         def begin(ready: wire.Connection) -> None:
+            nonlocal began
+            began = True
             ready.post(
                 directory.make_subscribe(process.view, process.identity.name)
             )
@@ -371,6 +384,7 @@
         finally:
             if connection is not None:
                 process.feed.drop(connection)
+        return began
 
     async def _tell_load(self) -> None:
         """Tell the entries when this instance begins to leave, or stays."""
--- a/magnoliacove/configuration/journal.py
+++ b/magnoliacove/configuration/journal.py
@@ -59,16 +59,32 @@
         :raises magnoliacove.errors.PlatformError: when the platform does
             not answer.
         """
-        document = known or Document()
-        if known is None or await self._is_behind(known):
-            checkpoint = await self._read_checkpoint()
-            if checkpoint.version > document.version:
-                document = checkpoint
+        if known is None:
+            return await self._load_whole()
+        document = known
         while True:
             change = await self._read_change(document.version + 1)
-            if change is None:
+            if change is not None:
+                document = document.apply(change)
+                continue
+            checkpoint = await self._read_checkpoint()
+            if checkpoint.version <= document.version:
                 return document
-            document = document.apply(change)
+            # The changes in between were compacted away.
+            document = checkpoint
+
+    async def _load_whole(self) -> Document:
+        """Return the newest document with two calls.
+
+        Of the changes after the checkpoint none is missing: a compaction
+        deletes only those before the checkpoint that it replaces.
+        """
+        document = await self._read_checkpoint()
+        listing = await self._api.list_records(_CHANGE)
+        for record in sorted(listing.records, key=lambda r: r.name):
+            if record.name > _change_name(document.version):
+                document = document.apply(Change.from_bytes(record.value))
+        return document
 
     async def commit(
         self,
@@ -153,15 +169,6 @@
             f"version {change.version} was taken long ago"
         )
 
-    async def _is_behind(self, known: Document) -> bool:
-        if known.version == 0:
-            return True
-        change = await self._read_change(known.version + 1)
-        if change is not None:
-            return False
-        checkpoint = await self._read_checkpoint()
-        return checkpoint.version > known.version
-
     async def _read_change(self, version: int) -> Change | None:
         record = await self._api.get(_change_name(version))
         return Change.from_bytes(record.value) if record else None
--- a/magnoliacove/wire/connection.py
+++ b/magnoliacove/wire/connection.py
@@ -22,6 +22,7 @@
 
 _LENGTH = 4
 _READ_SIZE = 65536
+_IDLE_CHECK = 1.0
 _ANSWER_TIMEOUT = defaults.SILENCE_TIMEOUT - defaults.PING_AFTER
 _LOSSES = (
     errors.PeerError,
@@ -274,7 +275,7 @@
                 self._sequence += 1
                 self._pinged_at = trio.current_time()
                 self.post(messages.Ping(self._sequence))
-            await trio.sleep(defaults.PING_AFTER / 2)
+            await trio.sleep(min(pace / 2, _IDLE_CHECK))
 
     def _read_pace(self) -> float:
         """Return the seconds of quiet after which a heartbeat is sent.
