--- a/magnoliacove/agent/neighbours.py
+++ b/magnoliacove/agent/neighbours.py
@@ -4,6 +4,7 @@
 from typing import TypeVar
 
 import trio
+import trio.lowlevel
 
 from magnoliacove import defaults
 from magnoliacove import errors
@@ -17,6 +18,7 @@
 _T = TypeVar("_T")
 _FETCH_TIMEOUT = 10.0
 _KNOWN_DOWN = 0.1
+_VERIFY_TIMEOUT = 0.4
 
 
 class NeighbourLinks:
@@ -50,11 +52,23 @@
             task_status.started()
             await trio.sleep_forever()
 
-    async def connect(self, name: str, address: str) -> bool:
-        """Open a connection if there is none; return whether it is up."""
+    async def connect(
+        self, name: str, address: str, *, verify: bool = False
+    ) -> bool:
+        """Open a connection if there is none; return whether it is up.
+
+        :param verify: whether an open connection is asked for a sign of
+            life first: a stream that stalled may have lost its steps on a
+            connection that is silent and not yet found to be.
+        """
         peer = self._peers.get(address)
         if peer is None:
             peer = self._start_peer(name, address)
+        elif verify and peer.connection is not None:
+            connection = peer.connection
+            if not await connection.check(_VERIFY_TIMEOUT):
+                connection.close()
+                await trio.lowlevel.checkpoint()
         # A neighbour that could not be reached a moment ago is being
         # dialled already; waiting for it would delay each new stream.
         known_down = peer.failures > 0
@@ -109,12 +123,17 @@
             self._hello,
             _ignore,
             went_down=self._note_down,
-            read_idle_pace=lambda: defaults.ACCEPTED_PACE / 2,
+            read_pace=self._read_pace,
         )
         self._peers[address] = peer
         self._nursery.start_soon(peer.run)
         return peer
 
+    def _read_pace(self, active: bool) -> float:
+        """Return the seconds between heartbeats on a quiet connection."""
+        size = len(self._peers) * defaults.HEARTBEAT_BYTES
+        return size / defaults.CONTROL_BUDGET * (1 if active else 4)
+
     def _note_down(self, peer: wire.Peer, reason: str) -> None:
         self._went_down(peer.name, reason)
         if peer.failures > 3:
--- a/magnoliacove/agent/process.py
+++ b/magnoliacove/agent/process.py
@@ -238,7 +238,7 @@
             self._refuse(connection, request, "no_engine", "no model engine")
             return
         if request.next_address and not await self.links.connect(
-            request.next_name, request.next_address
+            request.next_name, request.next_address, verify=request.resume
         ):
             self._refuse(
                 connection,
@@ -374,7 +374,7 @@
                 stream,
                 process.recorder.clock,
                 process.make_hello,
-                read_idle_pace=lambda: defaults.FEED_PACE,
+                read_pace=lambda _: defaults.FEED_PACE,
             )
             await connection.run(take, begin)
         except errors.Error as why:
--- a/magnoliacove/defaults.py
+++ b/magnoliacove/defaults.py
@@ -11,6 +11,10 @@
 PING_AFTER = 0.7
 SILENCE_TIMEOUT = 2.0
 ACTIVE_FOR = 5.0
+# What a heartbeat and its answer take with the headers of TCP and IP, and
+# what all of a process's heartbeats may take in a second.
+HEARTBEAT_BYTES = 290
+CONTROL_BUDGET = 6000
 ACCEPTED_PACE = 30.0
 FEED_PACE = 4.0
 RECONNECT_FIRST = 0.05
--- a/magnoliacove/entry/distribution.py
+++ b/magnoliacove/entry/distribution.py
@@ -148,7 +148,7 @@
                 stream,
                 process.recorder.clock,
                 process.make_hello,
-                read_idle_pace=lambda: defaults.FEED_PACE,
+                read_pace=lambda _: defaults.FEED_PACE,
             )
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._check_holder, connection)
--- a/magnoliacove/entry/pool.py
+++ b/magnoliacove/entry/pool.py
@@ -7,6 +7,7 @@
 import trio
 
 from magnoliacove import configuration
+from magnoliacove import defaults
 from magnoliacove import errors
 from magnoliacove import routing
 from magnoliacove import wire
@@ -20,10 +21,6 @@
 # planned for, whose heartbeats alone exceed the control budget.
 _PEERS_PER_RANGE = 12
 _CHECK_EVERY = 0.25
-# What a heartbeat and its answer take with the headers of TCP and IP, and
-# what heartbeats on idle connections may take of 7 KB a second.
-_HEARTBEAT_BYTES = 290
-_HEARTBEAT_BUDGET = 4000
 
 
 @dataclass(frozen=True)
@@ -66,6 +63,7 @@
         self._peers_per_range = peers_per_range
         self._peers: dict[str, wire.Peer] = {}
         self._draining: set[str] = set()
+        self._active = 0
         self._options: dict[str, list[routing.StageOption]] = {}
         self._nursery: trio.Nursery | None = None
         self._came_up = trio.Event()
@@ -87,6 +85,9 @@
             while True:
                 await trio.sleep(_CHECK_EVERY)
                 now = trio.current_time()
+                self._active = sum(
+                    self.estimates.target(name).own > 0 for name in self._peers
+                )
                 for receiver in tuple(self.receivers.values()):
                     receiver.check(now)
 
@@ -208,15 +209,21 @@
                 self._handle,
                 came_up=self._note_up,
                 went_down=self._note_down,
-                read_idle_pace=self._read_idle_pace,
+                read_pace=self._read_pace,
             )
             self._peers[name] = peer
             self._nursery.start_soon(peer.run)
         self.estimates.forget(set(wanted))
 
-    def _read_idle_pace(self) -> float:
-        """Return the seconds between heartbeats on an idle connection."""
-        return len(self._peers) * _HEARTBEAT_BYTES / _HEARTBEAT_BUDGET
+    def _read_pace(self, active: bool) -> float:
+        """Return the seconds between heartbeats on a quiet connection.
+
+        Connections with work and those without share the budget.  Where a
+        large fleet slows heartbeats down, a stream notices by its own
+        stall that something in its chain is silent.
+        """
+        count = self._active if active else len(self._peers)
+        return count * 2 * defaults.HEARTBEAT_BYTES / defaults.CONTROL_BUDGET
 
     def _in_use(self, name: str) -> bool:
         return any(r.uses(name) for r in self.receivers.values())
--- a/magnoliacove/wire/connection.py
+++ b/magnoliacove/wire/connection.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 from typing import Any
 
 import trio
@@ -22,6 +23,7 @@
 
 _LENGTH = 4
 _READ_SIZE = 65536
+_CHECK_STEP = 0.01
 _IDLE_CHECK = 1.0
 _ANSWER_TIMEOUT = defaults.SILENCE_TIMEOUT - defaults.PING_AFTER
 _LOSSES = (
@@ -38,8 +40,8 @@
     :param stream: a connected trio stream, encrypted or not.
     :param clock: the process's clock, carried on each frame.
     :param hello: what this end says first.
-    :param read_idle_pace: returns the seconds between heartbeats while
-        nothing else is sent.
+    :param read_pace: returns the seconds between heartbeats, told whether
+        something was sent lately.
     """
 
     def __init__(
@@ -48,7 +50,7 @@
         clock: Clock,
         hello: Callable[[], messages.Hello],
         *,
-        read_idle_pace: Callable[[], float] = lambda: defaults.PING_AFTER,
+        read_pace: Callable[[bool], float] = lambda _: defaults.PING_AFTER,
         make_pong: Callable[[int], messages.Pong] | None = None,
     ) -> None:
         self.remote: messages.Hello | None = None
@@ -59,7 +61,7 @@
         self._stream = stream
         self._clock = clock
         self._hello = hello
-        self._read_idle_pace = read_idle_pace
+        self._choose_pace = read_pace
         self._posted = trio.current_time()
         self._make_pong = make_pong or (lambda n: messages.Pong(n))
         self._queue: deque[messages.Message] = deque()
@@ -284,10 +286,24 @@
         waits for it, and is watched closely.  The many that are idle at a
         large fleet would use up the budget for control at that pace.
         """
-        idle = trio.current_time() - self._posted
-        if idle < defaults.ACTIVE_FOR:
-            return defaults.PING_AFTER
-        return max(defaults.PING_AFTER, self._read_idle_pace())
+        active = trio.current_time() - self._posted < defaults.ACTIVE_FOR
+        return max(defaults.PING_AFTER, self._choose_pace(active))
+
+    async def check(self, timeout: float) -> bool:
+        """Send a heartbeat now; return whether anything comes back.
+
+        :param timeout: seconds to wait.
+        """
+        asked, before = trio.current_time(), self.bytes_received
+        with contextlib.suppress(errors.PeerError):
+            self._sequence += 1
+            self._pinged_at = asked
+            self.post(messages.Ping(self._sequence))
+            while trio.current_time() < asked + timeout:
+                if self.bytes_received > before:
+                    return True
+                await trio.sleep(_CHECK_STEP)
+        return self.bytes_received > before
 
 
 def _find_first(group: BaseExceptionGroup[Any]) -> BaseException:
--- a/magnoliacove/wire/peer.py
+++ b/magnoliacove/wire/peer.py
@@ -46,7 +46,7 @@
         *,
         came_up: Callable[["Peer"], None] = _do_nothing,
         went_down: Callable[["Peer", str], None] = _do_nothing,
-        read_idle_pace: Callable[[], float] = lambda: defaults.PING_AFTER,
+        read_pace: Callable[[bool], float] = lambda _: defaults.PING_AFTER,
     ) -> None:
         self.name = name
         self.address = address
@@ -58,7 +58,7 @@
         self._handle = handle
         self._came_up = came_up
         self._went_down = went_down
-        self._read_idle_pace = read_idle_pace
+        self._read_pace = read_pace
         self._ready = trio.Event()
         self._scope = trio.CancelScope()
 
@@ -107,7 +107,7 @@
                 stream,
                 self._recorder.clock,
                 self._hello,
-                read_idle_pace=self._read_idle_pace,
+                read_pace=self._read_pace,
             )
             await connection.run(self._handle, self._adopt)
         except errors.Error as why:
@@ -148,7 +148,7 @@
         recorder.clock,
         hello,
         # The dialling end sends heartbeats well before this.
-        read_idle_pace=lambda: defaults.ACCEPTED_PACE,
+        read_pace=lambda _: defaults.ACCEPTED_PACE,
         make_pong=make_pong,
     )
     try:
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -168,7 +168,7 @@
     :param idle: whether heartbeats are paced by an entry's budget for idle
         connections instead of one each 0.7 s.
     """
-    pace = count * 290 / 4000 if idle else 0.7
+    pace = count * 290 / 3000 if idle else 0.7
     network, recorder = wire.Network(), timeline.Recorder("near")
     far = timeline.Recorder("far")
 
@@ -196,7 +196,7 @@
                 recorder,
                 hello,
                 ignore,
-                read_idle_pace=lambda: pace,
+                read_pace=lambda _: pace,
             )
             for n in range(count)
         ]
