Keep one subscription and one reading of common settings

Cause: agents and distribution each held the same subscription, and three programs read the same settings with the same lines.

Change: Process.subscribe, settings.read_identity and read_network serve both.

--- a/magnoliacove/agent/process.py
+++ b/magnoliacove/agent/process.py
@@ -316,7 +316,7 @@
         while True:
             followed = False
             for address in await self._list_upstreams():
-                followed = await self._subscribe(address)
+                followed = await process.subscribe(address)
                 if followed:
                     break
             if followed:
@@ -350,42 +350,6 @@
         except errors.PlatformError as why:
             process.store.note_reachable(False, str(why))
 
-    async def _subscribe(self, address: wire.Address) -> bool:
-        """Stay subscribed to an entry; return whether it ever answered."""
-        process = self.process
-        began = False
-        connection: wire.Connection | None = None
-
-        async def take(
-            source: wire.Connection, message: messages.Message
-        ) -> None:
-            process.feed.handle(source, message)
-
-        def begin(ready: wire.Connection) -> None:
-            nonlocal began
-            began = True
-            ready.post(
-                directory.make_subscribe(process.view, process.identity.name)
-            )
-
-        try:
-            stream = await process.network.connect(address)
-            connection = wire.Connection(
-                stream,
-                process.recorder.clock,
-                process.make_hello,
-                read_pace=lambda _: defaults.FEED_PACE,
-            )
-            await connection.run(take, begin)
-        except errors.Error as why:
-            process.recorder.record(
-                "feed-broke", target=str(address), why=str(why)
-            )
-        finally:
-            if connection is not None:
-                process.feed.drop(connection)
-        return began
-
     async def _tell_load(self) -> None:
         """Tell the entries when this instance begins to leave, or stays."""
         told = False
--- a/magnoliacove/commands/agent.py
+++ b/magnoliacove/commands/agent.py
@@ -11,7 +11,6 @@
 from magnoliacove import settings
 from magnoliacove import targets
 from magnoliacove.commands import running
-from magnoliacove.process import Identity
 
 
 @click.command()
@@ -47,27 +46,14 @@
 
 def make_agent(options: dict[str, Any]) -> agent.Agent:
     """Put an agent together from checked settings."""
-    secure = options["tls_certificate"] is not None
-    for name in ("listen", "metrics"):
-        settings.require_loopback(f"--{name}", options[name], secure)
-    identity = Identity(
-        options["name"],
-        "agent",
-        options["data_centre"],
-        options["listen"],
-        options["advertise"],
-    )
+    identity = settings.read_identity(options, "agent")
     url, model = options["target_url"], options["target_form"] == "model"
     metrics = options["metrics"]
     return agent.Agent(
         agent.AgentParts(
             identity,
             platform.HttpObjectApi(options["object_api"]),
-            settings.make_network(
-                options["tls_certificate"],
-                options["tls_key"],
-                options["tls_authority"],
-            ),
+            settings.read_network(options),
             targets.HttpEngine(url) if model else None,
             None if model else targets.HttpPlainTarget(url),
             options["seeds"],
--- a/magnoliacove/commands/entry.py
+++ b/magnoliacove/commands/entry.py
@@ -13,7 +13,6 @@
 from magnoliacove import settings
 from magnoliacove import web
 from magnoliacove.commands import running
-from magnoliacove.process import Identity
 
 _ADDRESS = settings.AddressType()
 
@@ -71,29 +70,16 @@
 
 def make_entry(options: dict[str, Any]) -> entry.Entry:
     """Put an entry together from checked settings."""
-    secure = options["tls_certificate"] is not None
-    for name in ("listen", "callers", "operators", "metrics"):
-        settings.require_loopback(f"--{name}", options[name], secure)
-    identity = Identity(
-        options["name"],
-        "entry",
-        options["data_centre"],
-        options["listen"],
-        options["advertise"],
-    )
+    identity = settings.read_identity(options, "entry")
     tls = None
-    if secure:
+    if options["tls_certificate"] is not None:
         tls = web.ServerTls(options["tls_certificate"], options["tls_key"])
     metrics = options["metrics"]
     return entry.Entry(
         entry.EntryParts(
             identity,
             platform.HttpObjectApi(options["object_api"]),
-            settings.make_network(
-                options["tls_certificate"],
-                options["tls_key"],
-                options["tls_authority"],
-            ),
+            settings.read_network(options),
             settings.bind("--callers", options["callers"]),
             settings.bind("--operators", options["operators"]),
             _read_keys(options["operator_keys"]),
--- a/magnoliacove/commands/timeline.py
+++ b/magnoliacove/commands/timeline.py
@@ -62,11 +62,7 @@
 async def _run(options: dict[str, Any]) -> None:
     if options["explain"] and not options["request"]:
         raise errors.UserError("--explain needs --request NAME")
-    network = settings.make_network(
-        options["tls_certificate"],
-        options["tls_key"],
-        options["tls_authority"],
-    )
+    network = settings.read_network(options)
     addresses = await _find_processes(options)
     query = messages.EventsQuery(
         options["request"], options["target"], options["follow"]
--- a/magnoliacove/entry/distribution.py
+++ b/magnoliacove/entry/distribution.py
@@ -17,7 +17,6 @@
 from magnoliacove import errors
 from magnoliacove import wire
 from magnoliacove.process import Process
-from magnoliacove.wire import messages
 
 __all__ = ["Distribution"]
 
@@ -123,49 +122,9 @@
         return True
 
     async def _subscribe(self, address: wire.Address) -> bool:
-        """Stay subscribed to a peer; return whether it ever answered."""
-        process = self._process
-        began = False
-        connection: wire.Connection | None = None
-
-        async def take(
-            source: wire.Connection, message: messages.Message
-        ) -> None:
-            process.feed.handle(source, message)
-
-        def begin(ready: wire.Connection) -> None:
-            nonlocal began
-            began = True
-            process.recorder.record("feed-open", target=ready.name)
-            ready.post(
-                directory.make_subscribe(process.view, process.identity.name)
-            )
-            process.feed.attach(ready)
-
-        try:
-            stream = await process.network.connect(address)
-            connection = wire.Connection(
-                stream,
-                process.recorder.clock,
-                process.make_hello,
-                read_pace=lambda _: defaults.FEED_PACE,
-            )
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._check_holder, connection)
-                try:
-                    await connection.run(take, begin)
-                finally:
-                    nursery.cancel_scope.cancel()
-        except* errors.Error as group:
-            process.recorder.record(
-                "feed-broke",
-                target=connection.name if connection else str(address),
-                why=str(group.exceptions[0]),
-            )
-        finally:
-            if connection is not None:
-                process.feed.drop(connection)
-        return began
+        return await self._process.subscribe(
+            address, mutual=True, watch=self._check_holder
+        )
 
     async def _check_holder(self, connection: wire.Connection) -> None:
         """Leave a peer that does not hold the role any longer.
--- a/magnoliacove/process.py
+++ b/magnoliacove/process.py
@@ -1,11 +1,13 @@
 """What every process of ours has: a name, a clock, a view, a listener."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
 import time
 
 import trio
 
+from magnoliacove import defaults
 from magnoliacove import directory
 from magnoliacove import errors
 from magnoliacove import platform
@@ -129,6 +131,61 @@
                 self.address = address
             task_status.started(address)
 
+    async def subscribe(
+        self,
+        address: wire.Address,
+        *,
+        mutual: bool = False,
+        watch: Callable[[wire.Connection], Awaitable[None]] | None = None,
+    ) -> bool:
+        """Stay subscribed to a peer; return whether it ever answered.
+
+        :param mutual: whether news goes up the connection as well.
+        :param watch: runs beside the connection and may close it.
+        """
+        began = False
+        connection: wire.Connection | None = None
+
+        async def take(
+            source: wire.Connection, message: messages.Message
+        ) -> None:
+            self.feed.handle(source, message)
+
+        def begin(ready: wire.Connection) -> None:
+            nonlocal began
+            began = True
+            self.recorder.record("feed-open", target=ready.name)
+            own = self.identity.name
+            ready.post(directory.make_subscribe(self.view, own))
+            if mutual:
+                self.feed.attach(ready)
+
+        try:
+            stream = await self.network.connect(address)
+            connection = wire.Connection(
+                stream,
+                self.recorder.clock,
+                self.make_hello,
+                read_pace=lambda _: defaults.FEED_PACE,
+            )
+            async with trio.open_nursery() as nursery:
+                if watch is not None:
+                    nursery.start_soon(watch, connection)
+                try:
+                    await connection.run(take, begin)
+                finally:
+                    nursery.cancel_scope.cancel()
+        except* errors.Error as group:
+            self.recorder.record(
+                "feed-broke",
+                target=connection.name if connection else str(address),
+                why=str(group.exceptions[0]),
+            )
+        finally:
+            if connection is not None:
+                self.feed.drop(connection)
+        return began
+
     def tell_connected(self, message: messages.Message) -> None:
         """Send a message to everybody who has dialled this process."""
         for connection in tuple(self._connections):
--- a/magnoliacove/settings.py
+++ b/magnoliacove/settings.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import functools
 import socket
 from typing import Any
@@ -14,6 +15,7 @@
 from magnoliacove import errors
 from magnoliacove import web
 from magnoliacove import wire
+from magnoliacove.process import Identity
 
 __all__ = [
     "PREFIX",
@@ -21,6 +23,8 @@
     "bind",
     "make_network",
     "process_options",
+    "read_identity",
+    "read_network",
     "require_loopback",
     "tls_options",
 ]
@@ -150,6 +154,33 @@
     return wire.Network(wire.TlsFiles(certificate, key, authority))
 
 
+def read_identity(options: Mapping[str, Any], role: str) -> Identity:
+    """Return who the process is, from checked options.
+
+    :raises magnoliacove.errors.UserError: when it would listen in the open
+        without TLS.
+    """
+    secure = options["tls_certificate"] is not None
+    for name in ("listen", "callers", "operators", "metrics"):
+        require_loopback(f"--{name}", options.get(name), secure)
+    return Identity(
+        options["name"],
+        role,
+        options["data_centre"],
+        options["listen"],
+        options["advertise"],
+    )
+
+
+def read_network(options: Mapping[str, Any]) -> wire.Network:
+    """Return how the process reaches others, from checked options."""
+    return make_network(
+        options["tls_certificate"],
+        options["tls_key"],
+        options["tls_authority"],
+    )
+
+
 def require_loopback(
     flag: str, address: wire.Address | None, secure: bool
 ) -> None:
