Take one request's exchange out of the callers' application

Cause: entry/callers.py had grown to 698 lines and three places answered the server's start and stop messages with the same lines.

Change: entry/exchange.py; web.serve_lifespan serves all. Behaviour is unchanged.

--- a/magnoliacove/entry/callers.py
+++ b/magnoliacove/entry/callers.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Mapping
-from dataclasses import dataclass
 import hashlib
 import json
 import math
@@ -19,10 +17,14 @@
 from magnoliacove import errors
 from magnoliacove import limits
 from magnoliacove import routing
+from magnoliacove import web
 from magnoliacove.directory import View
 from magnoliacove.entry import openai
 from magnoliacove.entry.calls import PlainCall
 from magnoliacove.entry.claims import KeyClaim
+from magnoliacove.entry.exchange import Exchange
+from magnoliacove.entry.exchange import read_key
+from magnoliacove.entry.exchange import run_while_connected
 from magnoliacove.entry.pool import TargetPool
 from magnoliacove.entry.streams import Stream
 from magnoliacove.entry.streams import StreamRequest
@@ -32,12 +34,10 @@
 
 __all__ = ["CallersApp", "make_request_name"]
 
-_JSON = (b"content-type", b"application/json")
 _EVENT_STREAM = (b"content-type", b"text/event-stream; charset=utf-8")
 _SERVICES = "/services/"
 _PIPELINES = "/pipelines/"
 _DROPPED_HEADERS = frozenset([b"authorization", b"idempotency-key"])
-_MAX_KEY = 255
 
 
 def make_request_name() -> bytes:
@@ -49,72 +49,6 @@
     return milliseconds.to_bytes(6, "big") + os.urandom(9) + b"\0"
 
 
-@dataclass
-class _Exchange:
-    """One request of a caller, and what was answered so far."""
-
-    scope: Mapping[str, Any]
-    receive: Callable[[], Awaitable[Mapping[str, Any]]]
-    send: Callable[[Mapping[str, Any]], Awaitable[None]]
-    name: bytes
-    started: bool = False
-    gone: bool = False
-
-    @property
-    def headers(self) -> dict[bytes, bytes]:
-        return dict(self.scope["headers"])
-
-    async def start(
-        self, status: int, headers: list[tuple[bytes, bytes]]
-    ) -> None:
-        self.started = True
-        if self.gone:
-            return
-        await self.send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": [
-                    *headers,
-                    (b"x-request-id", self.name.hex().encode()),
-                ],
-            }
-        )
-
-    async def write(self, body: bytes, *, more: bool) -> None:
-        if self.gone:
-            return
-        await self.send(
-            {"type": "http.response.body", "body": body, "more_body": more}
-        )
-
-    async def answer(
-        self,
-        status: int,
-        body: bytes,
-        headers: tuple[tuple[bytes, bytes], ...] = (),
-    ) -> None:
-        length = (b"content-length", str(len(body)).encode())
-        await self.start(status, [_JSON, length, *headers])
-        await self.write(body, more=False)
-
-    async def read_body(self) -> bytes:
-        body = bytearray()
-        while True:
-            message = await self.receive()
-            if message["type"] == "http.disconnect":
-                raise errors.RequestError("gone", "the caller hung up")
-            body += message.get("body", b"")
-            if len(body) > defaults.MAX_REQUEST_BODY:
-                raise errors.RequestError(
-                    "too_large",
-                    f"the body is over {defaults.MAX_REQUEST_BODY} bytes",
-                    status=413,
-                )
-            if not message.get("more_body"):
-                return bytes(body)
-
-
 class CallersApp:
     """Answers callers: models, plain services and pipelines."""
 
@@ -148,11 +82,11 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
         if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
+            await web.serve_lifespan(receive, send)
             return
         if scope["type"] != "http":
             return
-        exchange = _Exchange(scope, receive, send, make_request_name())
+        exchange = Exchange(scope, receive, send, make_request_name())
         self.in_progress += 1
         began = trio.current_time()
         try:
@@ -168,7 +102,7 @@
             "request_duration_seconds", trio.current_time() - began
         )
 
-    async def _serve(self, exchange: _Exchange) -> None:
+    async def _serve(self, exchange: Exchange) -> None:
         path, method = exchange.scope["path"], exchange.scope["method"]
         if path == "/healthz":
             await exchange.answer(200, b'{"alive": true}')
@@ -194,13 +128,13 @@
                 status=404,
             )
 
-    async def _answer_ready(self, exchange: _Exchange) -> None:
+    async def _answer_ready(self, exchange: Exchange) -> None:
         ready = self._view.version > 0 and not self._is_leaving()
         body = json.dumps({"ready": ready}).encode()
         await exchange.answer(200 if ready else 503, body)
 
     async def _answer_error(
-        self, exchange: _Exchange, why: errors.RequestError
+        self, exchange: Exchange, why: errors.RequestError
     ) -> None:
         self._recorder.record(
             "request-failed",
@@ -224,9 +158,7 @@
 
     # Accounts.
 
-    def _authenticate(
-        self, exchange: _Exchange
-    ) -> configuration.ClientAccount:
+    def _authenticate(self, exchange: Exchange) -> configuration.ClientAccount:
         if self._keys_version != self._view.version:
             accounts = self._view.document.list_items(
                 configuration.ClientAccount
@@ -260,7 +192,7 @@
         return service
 
     async def _answer_models(
-        self, exchange: _Exchange, account: configuration.ClientAccount
+        self, exchange: Exchange, account: configuration.ClientAccount
     ) -> None:
         data = [
             {"id": s.name, "object": "model", "owned_by": "operator"}
@@ -275,7 +207,7 @@
 
     async def _serve_model(
         self,
-        exchange: _Exchange,
+        exchange: Exchange,
         account: configuration.ClientAccount,
         *,
         chat: bool,
@@ -305,7 +237,7 @@
             )
 
         try:
-            await _run_while_connected(exchange, run)
+            await run_while_connected(exchange, run)
         except errors.RequestError as why:
             if not exchange.started or why.code == "gone":
                 raise
@@ -319,7 +251,7 @@
             await exchange.answer(200, writer.write_whole(texts, reason))
 
     async def _end_stream(
-        self, exchange: _Exchange, why: errors.RequestError
+        self, exchange: Exchange, why: errors.RequestError
     ) -> None:
         """End a stream with an error that stock clients raise."""
         self._recorder.record(
@@ -333,7 +265,7 @@
 
     async def _run_keyed(
         self,
-        exchange: _Exchange,
+        exchange: Exchange,
         account: configuration.ClientAccount,
         service: configuration.Service,
         request: openai.ModelRequest,
@@ -345,7 +277,7 @@
         Only a service that says so takes part: most requests to models
         may run again, and a claim costs a message to the key's owner.
         """
-        key = _read_key(exchange)
+        key = read_key(exchange)
         path = exchange.scope["path"]
         if not key or service.is_idempotent("POST", path):
             await self._run_model(
@@ -404,7 +336,7 @@
 
     async def _run_claimed(
         self,
-        exchange: _Exchange,
+        exchange: Exchange,
         account: configuration.ClientAccount,
         service: configuration.Service,
         request: openai.ModelRequest,
@@ -513,7 +445,7 @@
     # Plain services.
 
     async def _serve_plain(
-        self, exchange: _Exchange, account: configuration.ClientAccount
+        self, exchange: Exchange, account: configuration.ClientAccount
     ) -> None:
         rest = exchange.scope["path"].removeprefix(_SERVICES)
         name, _, path = rest.partition("/")
@@ -535,11 +467,11 @@
                 exchange, account, service, full_path, body, send
             )
 
-        await _run_while_connected(exchange, run)
+        await run_while_connected(exchange, run)
 
     async def _run_plain(
         self,
-        exchange: _Exchange,
+        exchange: Exchange,
         account: configuration.ClientAccount,
         service: configuration.Service,
         path: str,
@@ -565,7 +497,7 @@
             body,
             0,
             service.is_idempotent(method, path),
-            _read_key(exchange),
+            read_key(exchange),
             service.priority,
             self._view.version,
         )
@@ -589,7 +521,7 @@
     # Pipelines.
 
     async def _serve_pipeline(
-        self, exchange: _Exchange, account: configuration.ClientAccount
+        self, exchange: Exchange, account: configuration.ClientAccount
     ) -> None:
         """Run a pipeline's services in turn, each on the one's before."""
         name = exchange.scope["path"].removeprefix(_PIPELINES)
@@ -609,13 +541,13 @@
                     part, exchange, account, step, value
                 )
 
-        await _run_while_connected(exchange, run)
+        await run_while_connected(exchange, run)
         await exchange.answer(200, value)
 
     async def _run_step(
         self,
         name: bytes,
-        exchange: _Exchange,
+        exchange: Exchange,
         account: configuration.ClientAccount,
         step: str,
         value: bytes,
@@ -647,52 +579,6 @@
                 )
             parts.append(part.body)
 
-        inner = _Exchange(
-            exchange.scope, exchange.receive, exchange.send, name
-        )
+        inner = Exchange(exchange.scope, exchange.receive, exchange.send, name)
         await self._run_plain(inner, account, service, "/", value, send)
         return b"".join(parts)
-
-
-def _read_key(exchange: _Exchange) -> str:
-    key = exchange.headers.get(b"idempotency-key", b"")
-    if len(key) > _MAX_KEY or not key.isascii():
-        raise errors.RequestError(
-            "invalid_request",
-            f"an idempotency key has at most {_MAX_KEY} ASCII letters",
-            status=400,
-        )
-    return key.decode()
-
-
-async def _run_while_connected(
-    exchange: _Exchange, run: Callable[[], Awaitable[None]]
-) -> None:
-    """Run until done, or until the caller hangs up."""
-    failure: errors.RequestError | None = None
-
-    async def watch(scope: trio.CancelScope) -> None:
-        while (await exchange.receive())["type"] != "http.disconnect":
-            continue
-        exchange.gone = True
-        scope.cancel()
-
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(watch, nursery.cancel_scope)
-        try:
-            await run()
-        except errors.RequestError as why:
-            failure = why
-        nursery.cancel_scope.cancel()
-    if failure is not None:
-        raise failure
-    if exchange.gone:
-        raise errors.RequestError("gone", "the caller hung up")
-
-
-async def _serve_lifespan(receive: Any, send: Any) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
--- /dev/null
+++ b/magnoliacove/entry/exchange.py
@@ -0,0 +1,137 @@
+"""One request of a caller over ASGI, and what was answered so far."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+
+from magnoliacove import defaults
+from magnoliacove import errors
+
+__all__ = ["Exchange", "read_key", "run_while_connected"]
+
+_JSON = (b"content-type", b"application/json")
+_MAX_KEY = 255
+
+
+@dataclass
+class Exchange:
+    """One request of a caller, and what was answered so far.
+
+    :param name: the request's name, 16 bytes.
+    :param started: whether the status is out.
+    :param gone: whether the caller has hung up; nothing is sent then.
+    """
+
+    scope: Mapping[str, Any]
+    receive: Callable[[], Awaitable[Mapping[str, Any]]]
+    send: Callable[[Mapping[str, Any]], Awaitable[None]]
+    name: bytes
+    started: bool = False
+    gone: bool = False
+
+    @property
+    def headers(self) -> dict[bytes, bytes]:
+        """The request's headers, names in lower case."""
+        return dict(self.scope["headers"])
+
+    async def start(
+        self, status: int, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Send the status and the headers."""
+        self.started = True
+        if self.gone:
+            return
+        await self.send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [
+                    *headers,
+                    (b"x-request-id", self.name.hex().encode()),
+                ],
+            }
+        )
+
+    async def write(self, body: bytes, *, more: bool) -> None:
+        """Send a part of the body."""
+        if self.gone:
+            return
+        await self.send(
+            {"type": "http.response.body", "body": body, "more_body": more}
+        )
+
+    async def answer(
+        self,
+        status: int,
+        body: bytes,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> None:
+        """Send a whole JSON answer."""
+        length = (b"content-length", str(len(body)).encode())
+        await self.start(status, [_JSON, length, *headers])
+        await self.write(body, more=False)
+
+    async def read_body(self) -> bytes:
+        """Return the request's body.
+
+        :raises magnoliacove.errors.RequestError: when it is too large or
+            the caller hangs up.
+        """
+        body = bytearray()
+        while True:
+            message = await self.receive()
+            if message["type"] == "http.disconnect":
+                raise errors.RequestError("gone", "the caller hung up")
+            body += message.get("body", b"")
+            if len(body) > defaults.MAX_REQUEST_BODY:
+                raise errors.RequestError(
+                    "too_large",
+                    f"the body is over {defaults.MAX_REQUEST_BODY} bytes",
+                    status=413,
+                )
+            if not message.get("more_body"):
+                return bytes(body)
+
+
+def read_key(exchange: Exchange) -> str:
+    """Return the request's idempotency key, or "".
+
+    :raises magnoliacove.errors.RequestError: when it is no proper key.
+    """
+    key = exchange.headers.get(b"idempotency-key", b"")
+    if len(key) > _MAX_KEY or not key.isascii():
+        raise errors.RequestError(
+            "invalid_request",
+            f"an idempotency key has at most {_MAX_KEY} ASCII letters",
+            status=400,
+        )
+    return key.decode()
+
+
+async def run_while_connected(
+    exchange: Exchange, run: Callable[[], Awaitable[None]]
+) -> None:
+    """Run until done, or until the caller hangs up."""
+    failure: errors.RequestError | None = None
+
+    async def watch(scope: trio.CancelScope) -> None:
+        while (await exchange.receive())["type"] != "http.disconnect":
+            continue
+        exchange.gone = True
+        scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch, nursery.cancel_scope)
+        try:
+            await run()
+        except errors.RequestError as why:
+            failure = why
+        nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+    if exchange.gone:
+        raise errors.RequestError("gone", "the caller hung up")
--- a/magnoliacove/operators/service.py
+++ b/magnoliacove/operators/service.py
@@ -16,6 +16,7 @@
 from magnoliacove import defaults
 from magnoliacove import directory
 from magnoliacove import errors
+from magnoliacove import web
 from magnoliacove import wire
 from magnoliacove.agent.orders import ORDERS_LEASE
 from magnoliacove.operators import conversion
@@ -57,11 +58,8 @@
     async def app(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request as an ASGI application."""
         if scope["type"] == "lifespan":
-            while True:
-                message = await receive()
-                await send({"type": f"{message['type']}.complete"})
-                if message["type"] == "lifespan.shutdown":
-                    return
+            await web.serve_lifespan(receive, send)
+            return
         await self._connect(scope, receive, send)
 
     # The calls.
--- a/magnoliacove/web.py
+++ b/magnoliacove/web.py
@@ -23,6 +23,7 @@
     "bind_socket",
     "make_app",
     "run_server",
+    "serve_lifespan",
 ]
 
 App = Callable[[Any, Any, Any], Awaitable[None]]
@@ -65,7 +66,7 @@
 
     async def app(scope: Any, receive: Any, send: Any) -> None:
         if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
+            await serve_lifespan(receive, send)
             return
         request = Request(
             scope["method"],
@@ -91,7 +92,8 @@
     return app
 
 
-async def _serve_lifespan(receive: Any, send: Any) -> None:
+async def serve_lifespan(receive: Any, send: Any) -> None:
+    """Answer the server's start and stop messages."""
     while True:
         message = await receive()
         await send({"type": f"{message['type']}.complete"})
