--- a/magnoliacove/web.py
+++ b/magnoliacove/web.py
@@ -71,7 +71,7 @@
         request = Request(
             scope["method"],
             unquote(scope["path"]),
-            dict(parse_qsl(scope["query_string"].decode())),
+            dict(parse_qsl(scope["query_string"].decode(), True)),
             await read_body(receive),
             {k.decode(): v.decode("latin-1") for k, v in scope["headers"]},
         )
