Check an account's services before a pipeline runs

Cause: a test of pipelines, which had none, showed that an account limited to one service reached another one through a pipeline: only direct requests were checked.

Change: all steps are looked up for the account before any runs.

Before: the test fails (the second service answered). After: 6 tests of pipelines and the path pass.

--- a/magnoliacove/entry/callers.py
+++ b/magnoliacove/entry/callers.py
@@ -530,33 +530,38 @@
             raise errors.RequestError(
                 "not_found", f"there is no pipeline {name!r}", status=404
             )
+        # All are looked up before any runs: an account that may not use a
+        # later step must not have the earlier ones run for nothing.
+        services = [self._find_step(account, step) for step in pipeline.steps]
         value = await exchange.read_body()
 
         async def run() -> None:
             nonlocal value
-            for index, step in enumerate(pipeline.steps):
+            for index, service in enumerate(services):
                 # Each step is a request of its own on the time line.
                 part = exchange.name[:-2] + bytes([index + 1, 0])
                 value = await self._run_step(
-                    part, exchange, account, step, value
+                    part, exchange, account, service, value
                 )
 
         await run_while_connected(exchange, run)
         await exchange.answer(200, value)
 
+    def _find_step(
+        self, account: configuration.ClientAccount, step: str
+    ) -> configuration.Service:
+        service = self._view.document.find(configuration.Service, step)
+        form = service.form if service is not None else "plain"
+        return self._find_service(account, step, form)
+
     async def _run_step(
         self,
         name: bytes,
         exchange: Exchange,
         account: configuration.ClientAccount,
-        step: str,
+        service: configuration.Service,
         value: bytes,
     ) -> bytes:
-        service = self._view.document.find(configuration.Service, step)
-        if service is None:
-            raise errors.RequestError(
-                "not_found", f"there is no service {step!r}", status=404
-            )
         parts: list[bytes] = []
         if service.form == "model":
 
@@ -564,7 +569,7 @@
                 parts.append(text)
 
             request = openai.ModelRequest(
-                step, value, defaults.MAX_TOKENS, False, False, False
+                service.name, value, defaults.MAX_TOKENS, False, False, False
             )
             await self._run_model(name, account, service, request, emit)
             return b"".join(parts)
@@ -573,7 +578,7 @@
             if part.status >= 400:
                 raise errors.RequestError(
                     "step_failed",
-                    f"step {step} answered {part.status}",
+                    f"step {service.name} answered {part.status}",
                     status=502,
                     outcome=errors.Outcome.RAN,
                 )
