--- a/magnoliacove/directory/feed.py
+++ b/magnoliacove/directory/feed.py
@@ -5,8 +5,6 @@
 down still becomes known through the peer it subscribes to.
 """
 
-import trio
-
 from magnoliacove import configuration
 from magnoliacove import errors
 from magnoliacove import wire
@@ -38,7 +36,6 @@
         self._view = view
         self._subscribers: dict[wire.Connection, int] = {}
         self._sent: dict[wire.Connection, dict[tuple[str, str], object]] = {}
-        self.heard_from: dict[wire.Connection, float] = {}
         view.listen(self._push)
 
     @property
@@ -52,7 +49,6 @@
         """Take a message of the feed; return whether it was one."""
         if not isinstance(message, _FEED_MESSAGES):
             return False
-        self.heard_from[connection] = trio.current_time()
         if isinstance(message, messages.Subscribe):
             self._subscribers[connection] = message.configuration_version
             self._sent[connection] = {}
@@ -80,7 +76,6 @@
         """Forget a connection that ended."""
         self._subscribers.pop(connection, None)
         self._sent.pop(connection, None)
-        self.heard_from.pop(connection, None)
 
     def _take_changes(
         self, connection: wire.Connection, message: messages.Changes
--- a/magnoliacove/directory/view.py
+++ b/magnoliacove/directory/view.py
@@ -155,11 +155,6 @@
             self._tell()
         return news
 
-    def forget(self, name: str) -> None:
-        """Drop an instance that has been gone for long."""
-        self._entries.pop((instances.Instance.kind, name), None)
-        self._tell()
-
     def _put_in_force(
         self, document: configuration.Document, source: str
     ) -> None:
--- a/magnoliacove/process.py
+++ b/magnoliacove/process.py
@@ -62,7 +62,7 @@
     def make_hello(self) -> messages.Hello:
         """Return what this process says first on a connection."""
         return messages.Hello(
-            1,
+            defaults.PROTOCOL_VERSION,
             self.identity.name,
             self.incarnation,
             self.identity.role,
--- a/magnoliacove/wire/connection.py
+++ b/magnoliacove/wire/connection.py
@@ -54,7 +54,6 @@
         make_pong: Callable[[int], messages.Pong] | None = None,
     ) -> None:
         self.remote: messages.Hello | None = None
-        self.round_trip = 0.0
         self.bytes_sent = 0
         self.bytes_received = 0
         self.frames_sent = 0
@@ -70,7 +69,6 @@
         self._room.set()
         self._heard = trio.current_time()
         self._sequence = 0
-        self._pinged_at = 0.0
         self._closed = False
         self._scope: trio.CancelScope | None = None
         self._buffer = bytearray()
@@ -201,16 +199,8 @@
             if isinstance(message, messages.Ping):
                 self.post(self._make_pong(message.sequence))
                 continue
-            if self._answers_ping(message):
-                self.round_trip = trio.current_time() - self._pinged_at
             await handle(self, message)
 
-    def _answers_ping(self, message: messages.Message) -> bool:
-        return (
-            isinstance(message, messages.Pong)
-            and message.sequence == self._sequence
-        )
-
     async def _read_message(self) -> messages.Message:
         size = int.from_bytes(await self._read_exactly(_LENGTH), "big")
         if size > defaults.MAX_FRAME:
@@ -275,7 +265,6 @@
                 )
             if quiet >= pace:
                 self._sequence += 1
-                self._pinged_at = trio.current_time()
                 self.post(messages.Ping(self._sequence))
             await trio.sleep(min(pace / 2, _IDLE_CHECK))
 
@@ -297,7 +286,6 @@
         asked, before = trio.current_time(), self.bytes_received
         with contextlib.suppress(errors.PeerError):
             self._sequence += 1
-            self._pinged_at = asked
             self.post(messages.Ping(self._sequence))
             while trio.current_time() < asked + timeout:
                 if self.bytes_received > before:
--- a/measure/bare_server.py
+++ b/measure/bare_server.py
@@ -15,11 +15,8 @@
 
 async def _app(scope, receive, send):  # type: ignore[no-untyped-def]
     if scope["type"] == "lifespan":
-        while True:
-            message = await receive()
-            await send({"type": f"{message['type']}.complete"})
-            if message["type"] == "lifespan.shutdown":
-                return
+        await web.serve_lifespan(receive, send)
+        return
     body = json.loads(await web.read_body(receive))
     headers = [(b"content-type", b"text/event-stream")]
     await send(
