--- /dev/null
+++ b/magnoliacove/directory/holdings.py
@@ -0,0 +1,77 @@
+"""Which layers each engine holds, from its entry and from its reports.
+
+The list of targets is late: an engine writes its entry only now and then.
+Whoever places layers asks the engines themselves and passes on what they
+say, so what was reported lately goes before what is listed.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+
+from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.targets import ListedTarget
+
+__all__ = ["Holding", "Holdings"]
+
+# A report older than this, in seconds, may miss an order or a restart.
+# It spans three rounds of reports, so that one lost heartbeat matters not.
+_FRESH = 1.8
+
+
+@dataclass(frozen=True)
+class Holding:
+    """What an engine holds and how fast it is.
+
+    :param layers: what it serves, or None.
+    :param loading: whether it is taking other layers.
+    :param slowness: 1 for usual speed, more when it is slow.
+    """
+
+    layers: LayerRange | None
+    loading: bool = False
+    slowness: float = 1.0
+
+
+class Holdings:
+    """The holdings of all engines, as far as this process knows."""
+
+    def __init__(
+        self, read_time: Callable[[], float] = trio.current_time
+    ) -> None:
+        self._read_time = read_time
+        self._reported: dict[str, tuple[float, Holding]] = {}
+
+    def note(self, target: str, holding: Holding, age: float = 0.0) -> bool:
+        """Take a report; return whether it changed anything.
+
+        :param age: seconds since the report was made.
+        """
+        at = self._read_time() - age
+        known = self._reported.get(target)
+        if known is not None and known[0] > at:
+            return False
+        self._reported[target] = (at, holding)
+        return known is None or known[1] != holding
+
+    def read(self, target: ListedTarget) -> Holding:
+        """Return what an engine holds now."""
+        known = self._reported.get(target.name)
+        if known is None or self._read_time() - known[0] > _FRESH:
+            return Holding(target.layers)
+        return known[1]
+
+    def list_fresh(self) -> list[tuple[str, float, Holding]]:
+        """Return targets, ages of reports and what they hold."""
+        now = self._read_time()
+        return [
+            (target, now - at, holding)
+            for target, (at, holding) in self._reported.items()
+            if now - at <= _FRESH
+        ]
+
+    def forget(self, known: set[str]) -> None:
+        """Drop what is known of targets that no longer exist."""
+        for target in set(self._reported) - known:
+            del self._reported[target]
--- a/magnoliacove/directory/leases.py
+++ b/magnoliacove/directory/leases.py
@@ -1,9 +1,9 @@
 """Leases in the platform's object API, with fencing numbers.
 
-A lease is one object that holds its holder and a fencing number, which
-grows each time the lease is taken.  No two clocks are compared: the holder
-counts from before it asked, an observer from when it first saw the present
-version.
+A lease is one object that holds its holder, a fencing number, which grows
+each time the lease is taken, and a count of renewals.  No two clocks are
+compared: the holder counts from before it asked, an observer from when it
+first saw the present version.
 """
 
 from dataclasses import dataclass
@@ -53,6 +53,7 @@
         self._owner = owner
         self._duration = duration
         self._version = 0
+        self._renewals = 0
         self._valid_until = 0.0
         self._observed: _Observed | None = None
 
@@ -76,13 +77,19 @@
         :raises magnoliacove.errors.PlatformError: when the platform does
             not answer.
         """
-        if self.held:
+        if self.held and self._version:
             return await self._write(self._version, self.fence)
-        self._drop("it lapsed")
+        if not self.held:
+            self._drop("it lapsed")
         record = await self._api.get(f"leases/{self.name}")
         now = trio.current_time()
         version = record.version if record else 0
         holder, fence = read_lease(record)
+        if self.fence and (holder, fence) == (self._owner, self.fence):
+            # The answer to a renewal was lost although it took effect.
+            # Nobody else wrote since, so the lease is still ours.
+            return await self._write(version, fence)
+        self._drop("another process took it")
         if self._observed is None or self._observed.version != version:
             self._observed = _Observed(version, holder, now)
         free = holder in ("", self._owner)
@@ -94,7 +101,7 @@
         """Give the lease up, so that another can take it at once."""
         if not self.held:
             return
-        value = _write_lease("", self.fence)
+        value = _write_lease("", self.fence, 0)
         self.fence = 0
         try:
             await self._api.put(f"leases/{self.name}", value, self._version)
@@ -104,12 +111,20 @@
 
     async def _write(self, version: int, fence: int) -> bool:
         asked = trio.current_time()
-        value = _write_lease(self._owner, fence)
+        # The store takes a write that changes nothing for no write at all,
+        # so without the count an observer would see no renewal.
+        self._renewals += 1
+        value = _write_lease(self._owner, fence, self._renewals)
+        known, self._version = self._version, 0
         try:
             written = await self._api.put(
                 f"leases/{self.name}", value, version
             )
         except platform.VersionConflictError:
+            if known and self.held:
+                # It may be our own write whose answer was lost; the next
+                # try reads the object and tells.
+                return True
             self._drop("another process took it")
             return False
         self._version = written
@@ -134,5 +149,6 @@
     return values["holder"], values["fence"]
 
 
-def _write_lease(holder: str, fence: int) -> bytes:
-    return json.dumps({"holder": holder, "fence": fence}).encode()
+def _write_lease(holder: str, fence: int, renewals: int) -> bytes:
+    values = {"holder": holder, "fence": fence, "renewals": renewals}
+    return json.dumps(values).encode()
--- /dev/null
+++ b/magnoliacove/gateway/callers.py
@@ -0,0 +1,322 @@
+"""Callers' connections: reading requests, writing answers.
+
+The server that the other interface runs on closes a connection without
+telling whether a request on it was already taken, and shows a caller's
+leaving only between two reads of a body.  Both matter here, so the parser
+beneath it, h11, is used directly.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from http import HTTPStatus
+import socket
+
+import h11
+import trio
+
+from magnoliacove.configuration.routes import CallerLimits
+
+__all__ = ["CallerConnection", "Exchange", "Request"]
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+_READ_SIZE = 65536
+# Bytes of further requests that are kept while one is answered.
+_MOST_AHEAD = 65536
+# How long a caller may leave an answer unread before it is given up.
+_WRITE_TIMEOUT = 10.0
+# How long the end of a refused request is read, so that closing does not
+# reset the connection before the refusal has been read.
+_LINGER = 1.0
+_UNSENT_TIMEOUT_MS = 5000
+_CONTINUE = 100
+
+
+@dataclass(frozen=True)
+class Request:
+    """One request of a caller, read whole.
+
+    :param target: the path and the query, as sent.
+    :param headers: names in lower case.
+    :param arrived: by trio's clock, when its first line was in.
+    """
+
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    arrived: float
+
+    @property
+    def host(self) -> str:
+        """The host that the caller named, without a port."""
+        value = dict(self.headers).get(b"host", b"").decode("latin-1")
+        return value.rpartition(":")[0] if ":" in value else value
+
+    @property
+    def path(self) -> str:
+        """The path without its query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+class Exchange:
+    """One request and its answer.
+
+    :param request: the request.
+    :param started: whether the status is out.
+    """
+
+    def __init__(
+        self,
+        request: Request,
+        parser: h11.Connection,
+        send: Callable[[bytes], Awaitable[None]],
+        must_close: Callable[[], bool],
+    ) -> None:
+        self.request = request
+        self.started = False
+        self._parser = parser
+        self._send = send
+        self._must_close = must_close
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the status and the headers."""
+        self.started = True
+        await self._send(self._write_head(status, headers))
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._send(self._parser.send(h11.Data(data=data)) or b"")
+
+    async def end(self) -> None:
+        """Send the end of the body, which says that it is whole."""
+        await self._send(self._parser.send(h11.EndOfMessage()) or b"")
+
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer at once."""
+        self.started = True
+        kept = [(n, v) for n, v in headers if n != b"content-length"]
+        length = (b"content-length", b"%d" % len(body))
+        parts = [self._write_head(status, [*kept, length])]
+        if body and self.request.method != b"HEAD":
+            parts.append(self._parser.send(h11.Data(data=body)) or b"")
+        parts.append(self._parser.send(h11.EndOfMessage()) or b"")
+        await self._send(b"".join(parts))
+
+    def _write_head(self, status: int, headers: Headers) -> bytes:
+        extra = [(b"connection", b"close")] if self._must_close() else []
+        response = h11.Response(
+            status_code=status,
+            headers=[*headers, *extra],
+            reason=_find_reason(status),
+        )
+        return self._parser.send(response) or b""
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class CallerConnection:
+    """Serves one caller's connection, request after request.
+
+    :param read_limits: returns the limits that are in force.
+    :param handle: answers one request; cancelled when the caller leaves.
+    :param is_leaving: whether this process is about to stop.
+    """
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        read_limits: Callable[[], CallerLimits],
+        handle: Handler,
+        is_leaving: Callable[[], bool],
+    ) -> None:
+        self.busy = False
+        self._stream = stream
+        self._read_limits = read_limits
+        self._handle = handle
+        self._is_leaving = is_leaving
+        self._parser = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=read_limits().header_bytes,
+        )
+        self._scope = trio.CancelScope()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being read or answered."""
+        if not self.busy:
+            self._scope.cancel()
+
+    async def run(self) -> None:
+        """Serve until the caller or this process closes."""
+        self._stream.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNSENT_TIMEOUT_MS
+        )
+        try:
+            with self._scope:
+                while await self._serve_one():
+                    continue
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The caller is gone; there is nobody left to tell.
+            pass
+        finally:
+            with trio.CancelScope(shield=True, deadline=0):
+                await trio.aclose_forcefully(self._stream)
+
+    async def _serve_one(self) -> bool:
+        """Serve one request; return whether another may follow."""
+        try:
+            request = await self._read_request()
+        except h11.RemoteProtocolError as why:
+            await self._refuse(why.error_status_hint)
+            return False
+        except _TooLargeError:
+            await self._refuse(413)
+            return False
+        if request is None:
+            return False
+        exchange = Exchange(
+            request, self._parser, self._write, self._is_leaving
+        )
+        if not await self._answer(exchange):
+            return False
+        self.busy = False
+        if self._parser.our_state is not h11.DONE:
+            await self._linger()
+            return False
+        if self._parser.their_state is not h11.DONE:
+            return False
+        self._parser.start_next_cycle()
+        return True
+
+    async def _answer(self, exchange: Exchange) -> bool:
+        """Let the handler answer; return whether it answered in full."""
+        left = False
+
+        async def watch(scope: trio.CancelScope) -> None:
+            nonlocal left
+            await self._wait_left()
+            left = True
+            scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch, nursery.cancel_scope)
+            try:
+                await self._handle(exchange)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                # Writing found out first that the caller is gone.
+                left = True
+            nursery.cancel_scope.cancel()
+        if left:
+            return False
+        return self._parser.our_state in (h11.DONE, h11.MUST_CLOSE)
+
+    async def _wait_left(self) -> None:
+        """Return once the caller has closed its end."""
+        ahead = 0
+        while True:
+            try:
+                data = await self._stream.receive_some(_READ_SIZE)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            if not data:
+                return
+            # A further request, sent without waiting for this answer.
+            self._parser.receive_data(data)
+            ahead += len(data)
+            if ahead > _MOST_AHEAD:
+                await trio.sleep_forever()
+
+    async def _read_request(self) -> Request | None:
+        """Return the next request, or None when there is none."""
+        limits = self._read_limits()
+        head: h11.Request | None = None
+        body = bytearray()
+        timeout = limits.idle_timeout
+        if self._parser.trailing_data[0]:
+            timeout = limits.header_timeout
+        deadline = trio.current_time() + timeout
+        arrived = 0.0
+        while True:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA:
+                if self._parser.they_are_waiting_for_100_continue:
+                    await self._send_continue()
+                data = await self._receive(deadline)
+                if not data and head is None and not self.busy:
+                    return None
+                if data is None:
+                    return None
+                if not self.busy:
+                    self.busy = True
+                    deadline = trio.current_time() + limits.header_timeout
+                self._parser.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+                self.busy = True
+                arrived = trio.current_time()
+                deadline = arrived + limits.idle_timeout
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > limits.body_bytes:
+                    raise _TooLargeError
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return Request(
+                    bytes(head.method),
+                    bytes(head.target),
+                    tuple((bytes(n), bytes(v)) for n, v in head.headers),
+                    bytes(body),
+                    arrived,
+                )
+            else:
+                return None
+
+    async def _receive(self, deadline: float) -> bytes | None:
+        """Return what arrives, b"" at the end, None when nothing does."""
+        with trio.move_on_at(deadline):
+            return bytes(await self._stream.receive_some(_READ_SIZE))
+        return None
+
+    async def _send_continue(self) -> None:
+        response = h11.InformationalResponse(status_code=_CONTINUE, headers=[])
+        await self._write(self._parser.send(response) or b"")
+
+    async def _write(self, data: bytes) -> None:
+        with trio.move_on_after(_WRITE_TIMEOUT) as scope:
+            await self._stream.send_all(data)
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError("the caller does not read")
+
+    async def _refuse(self, status: int) -> None:
+        """Answer what is no proper request, and close."""
+        if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        response = h11.Response(
+            status_code=status,
+            headers=[(b"content-length", b"0"), (b"connection", b"close")],
+            reason=_find_reason(status),
+        )
+        data = self._parser.send(response) or b""
+        data += self._parser.send(h11.EndOfMessage()) or b""
+        await self._write(data)
+        await self._linger()
+
+    async def _linger(self) -> None:
+        """Close our end and read on for a moment."""
+        with trio.move_on_after(_LINGER):
+            await self._stream.send_eof()
+            while await self._stream.receive_some(_READ_SIZE):
+                continue
+
+
+class _TooLargeError(Exception):
+    """A caller's body is longer than the limit."""
+
+
+def _find_reason(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b""
--- /dev/null
+++ b/magnoliacove/gateway/calls.py
@@ -0,0 +1,299 @@
+"""One request to a plain service: tried, repeated where that is right."""
+
+from dataclasses import dataclass
+
+import trio
+
+from magnoliacove import errors
+from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.gateway.callers import Exchange
+from magnoliacove.gateway.channels import Answer
+from magnoliacove.gateway.channels import Channel
+from magnoliacove.gateway.channels import TargetError
+from magnoliacove.gateway.requests import RoutedRequest
+from magnoliacove.gateway.requests import make_timeout
+from magnoliacove.gateway.state import GatewayState
+from magnoliacove.platform import headers
+
+__all__ = ["PlainCall"]
+
+# Targets that refused without running a request may be followed by others,
+# up to so many in all; a service that refuses three times is full.
+_MOST_REFUSALS = 3
+# A second target is asked when the first took this many times its usual,
+# and at least this part of the latency objective.
+_HEDGE_TIMES = 4.0
+_HEDGE_OBJECTIVE = 0.4
+_RETRY_AFTER = 0.5
+_PROMISES = (408, 421, 429, 503)
+
+
+@dataclass(frozen=True)
+class _Result:
+    """How one try at a target ended: a whole answer, or an error."""
+
+    target: ListedTarget
+    answer: Answer | None = None
+    body: bytes = b""
+    marks: headers.AnswerMarks | None = None
+    error: TargetError | None = None
+
+    @property
+    def not_run(self) -> bool:
+        """Whether the target surely did not run the request."""
+        if self.error is not None:
+            return self.error.outcome is errors.Outcome.NOT_RUN
+        return self.marks is not None and self.marks.not_run
+
+    @property
+    def final(self) -> bool:
+        """Whether it is an answer that no other target would better."""
+        answer, marks = self.answer, self.marks
+        if answer is None or marks is None or marks.not_run:
+            return False
+        return marks.stamped and answer.status < 500
+
+
+class PlainCall:
+    """Answers one request from a plain service."""
+
+    def __init__(
+        self, state: GatewayState, exchange: Exchange, routed: RoutedRequest
+    ) -> None:
+        self._state = state
+        self._exchange = exchange
+        self._routed = routed
+        self._tried: list[str] = []
+        self._may_have_run = 0
+        self._in_flight = 0
+
+    async def run(self) -> None:
+        """Answer the request.
+
+        :raises magnoliacove.errors.RequestError: when no answer comes.
+        """
+        result: _Result | None = None
+        with trio.move_on_at(self._routed.deadline):
+            result = await self._find_answer()
+        if result is None:
+            raise make_timeout(bool(self._may_have_run or self._in_flight))
+        await self._pass_on(result)
+
+    async def _find_answer(self) -> _Result:
+        """Return the answer to pass on, after as many tries as it takes."""
+        send, receive = trio.open_memory_channel[_Result](8)
+        result: _Result | None = None
+        async with trio.open_nursery() as nursery:
+            going = self._start(nursery, send)
+            while going:
+                result = await self._wait_result(nursery, send, receive)
+                self._in_flight -= 1
+                if not result.not_run:
+                    self._may_have_run += 1
+                if result.final:
+                    break
+                started = self._may_repeat(result) and self._start(
+                    nursery, send
+                )
+                going = started or self._in_flight > 0
+            nursery.cancel_scope.cancel()
+        if result is None:
+            raise errors.RequestError(
+                "no_target",
+                f"no target serves {self._routed.service.name} now; the "
+                "request did not run",
+                retry_after=_RETRY_AFTER,
+            )
+        return result
+
+    async def _wait_result(
+        self,
+        nursery: trio.Nursery,
+        send: "trio.MemorySendChannel[_Result]",
+        receive: "trio.MemoryReceiveChannel[_Result]",
+    ) -> _Result:
+        """Return the next result; ask a second target when it takes long."""
+        if self._may_hedge():
+            record = self._state.candidates.read_record(self._tried[-1])
+            objective = self._routed.route.latency_objective
+            delay = max(
+                record.seconds * _HEDGE_TIMES, objective * _HEDGE_OBJECTIVE
+            )
+            with trio.move_on_after(delay):
+                return await receive.receive()
+            if self._state.budget.try_spend(self._routed.service.name):
+                self._start(nursery, send)
+        return await receive.receive()
+
+    def _may_hedge(self) -> bool:
+        routed = self._routed
+        runs = self._may_have_run + self._in_flight
+        return routed.route.repeatable and runs < routed.route.max_attempts
+
+    def _may_repeat(self, result: _Result) -> bool:
+        """Return whether another target may be tried after this result."""
+        state, routed = self._state, self._routed
+        self._note_failure(result)
+        if result.not_run:
+            if len(self._tried) >= _MOST_REFUSALS + self._may_have_run:
+                return False
+        elif not self._may_hedge():
+            return False
+        if result.error is not None and result.not_run:
+            # Nothing arrived anywhere, so it counts as no repeat.
+            return True
+        return state.budget.try_spend(routed.service.name)
+
+    def _start(
+        self,
+        nursery: trio.Nursery,
+        send: "trio.MemorySendChannel[_Result]",
+    ) -> bool:
+        """Begin a try at the best target; return False when there is none."""
+        routed = self._routed
+        target = self._state.candidates.choose_target(
+            routed.service.name, self._tried
+        )
+        if target is None:
+            return False
+        self._tried.append(target.name)
+        self._in_flight += 1
+        self._state.recorder.record(
+            "call-sent",
+            request=routed.marks.request,
+            target=target.name,
+            number=len(self._tried),
+            running=self._state.loads.read(target.name).requests,
+            failures=round(
+                self._state.candidates.read_record(target.name).read_failures(
+                    trio.current_time()
+                ),
+                2,
+            ),
+        )
+        nursery.start_soon(self._try_target, target, send)
+        return True
+
+    async def _try_target(
+        self, target: ListedTarget, send: "trio.MemorySendChannel[_Result]"
+    ) -> None:
+        state = self._state
+        began = trio.current_time()
+        reservation = state.loads.reserve_target(target.name)
+        try:
+            result = await self._exchange_with(target)
+        except TargetError as why:
+            result = _Result(target, error=why)
+        finally:
+            state.loads.release(reservation)
+        answer = result.answer
+        state.candidates.read_record(target.name).note(
+            trio.current_time(),
+            failed=answer is None or answer.status >= 500,
+            seconds=trio.current_time() - began,
+        )
+        await send.send(result)
+
+    async def _exchange_with(self, target: ListedTarget) -> _Result:
+        state, routed = self._state, self._routed
+        request = routed.request
+        # On a used connection a request may meet its closing, and whether
+        # it ran is then unknown; one that may not run again gets its own.
+        channel = await state.pool.acquire(
+            target, fresh=not routed.route.repeatable
+        )
+        whole = False
+        try:
+            await channel.send(
+                request.method,
+                request.target,
+                headers.write_request(
+                    request.headers,
+                    target=target,
+                    account=routed.account,
+                    patience=routed.deadline - trio.current_time(),
+                    priority=routed.priority,
+                    last_event=routed.marks.last_event,
+                    body_length=len(request.body),
+                ),
+                request.body,
+            )
+            result = await self._read_answer(target, channel)
+            whole = True
+        finally:
+            if whole:
+                await state.pool.release(channel)
+            else:
+                with trio.CancelScope(shield=True):
+                    await state.pool.discard(channel)
+        return result
+
+    async def _read_answer(
+        self, target: ListedTarget, channel: Channel
+    ) -> _Result:
+        answer = await channel.read_head(
+            self._routed.marks.request,
+            lambda a: headers.read_answer(a.status, a.headers).request,
+        )
+        body = bytearray()
+        while (part := await channel.read_body()) is not None:
+            body += part
+        marks = headers.read_answer(answer.status, answer.headers)
+        encoded = any(n == b"content-encoding" for n, _ in answer.headers)
+        if answer.status < 300 and (encoded or not marks.stamped):
+            raise TargetError(
+                "the answer is not one of the service's targets",
+                errors.Outcome.MAY_HAVE_RUN,
+            )
+        return _Result(target, answer, bytes(body), marks)
+
+    def _note_failure(self, result: _Result) -> None:
+        state, why = self._state, ""
+        if result.error is not None:
+            why = str(result.error)
+        elif result.answer is not None:
+            why = f"it answered {result.answer.status}"
+        state.recorder.record(
+            "call-failed",
+            request=self._routed.marks.request,
+            target=result.target.name,
+            why=why,
+            outcome=errors.Outcome.NOT_RUN
+            if result.not_run
+            else errors.Outcome.MAY_HAVE_RUN,
+        )
+        unreachable = result.error is not None and result.not_run
+        moved = result.answer is not None and result.answer.status == 421
+        if unreachable or moved:
+            state.health.suspect(result.target.name, why)
+
+    async def _pass_on(self, result: _Result) -> None:
+        """Send the answer on, or say what is known of the request."""
+        answer, marks = result.answer, result.marks
+        if result.not_run and not self._may_have_run:
+            raise errors.RequestError(
+                "refused",
+                "every target that was asked refused; the request did not run",
+                retry_after=_RETRY_AFTER,
+            )
+        unproven = answer is None or marks is None or not marks.stamped
+        # Callers read these as "did not run"; this one may have.
+        promise = answer is not None and answer.status in _PROMISES
+        if answer is None or unproven or promise or result.not_run:
+            raise errors.RequestError(
+                "target_failed",
+                "the target gave no whole answer; the request may have run",
+                status=502,
+                outcome=errors.Outcome.MAY_HAVE_RUN,
+            )
+        self._state.recorder.record(
+            "request-answered",
+            request=self._routed.marks.request,
+            target=result.target.name,
+            status=answer.status,
+            seconds=round(
+                trio.current_time() - self._routed.request.arrived, 3
+            ),
+        )
+        copied = headers.copy_answer(answer.headers)
+        await self._exchange.answer(answer.status, copied, result.body)
--- /dev/null
+++ b/magnoliacove/gateway/channels.py
@@ -0,0 +1,347 @@
+"""Connections to targets, one HTTP request at a time on each.
+
+The parser is h11 itself: the pool of the usual client closes a connection
+on which a stray answer lies, and with it the answer behind that one, and
+does not tell a connection that broke before anything was sent from one
+that broke afterwards.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+import select
+import socket
+
+import h11
+import trio
+
+from magnoliacove import errors
+from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.wire.network import Address
+
+__all__ = ["Answer", "Channel", "ChannelPool", "TargetError"]
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+# A connection inside a region opens in a few milliseconds; a lost opening
+# packet is sent again after a second, which is too late to wait for.
+CONNECT_TIMEOUT = 0.4
+# Idle connections are used again for so long, or as long as the target
+# says, less a margin for what is on its way.
+KEEP_IDLE = 8.0
+_KEEP_MARGIN = 1.0
+# What is sent unacknowledged for so long breaks the connection.  Without
+# it a connection through a cut link hangs for many minutes.
+_UNSENT_TIMEOUT_MS = 3000
+_READ_SIZE = 65536
+# Bodies up to this size fit the socket's buffer and need no second task.
+_SMALL_BODY = 8192
+_MOST_STRAY_ANSWERS = 3
+
+
+class TargetError(errors.Error):
+    """A target gave no whole answer.
+
+    :param outcome: whether the request may have run.
+    """
+
+    def __init__(self, message: str, outcome: errors.Outcome) -> None:
+        super().__init__(message)
+        self.outcome = outcome
+
+
+@dataclass(frozen=True)
+class Answer:
+    """The head of a target's answer."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+
+
+class Channel:
+    """One connection to one target."""
+
+    def __init__(
+        self,
+        target: str,
+        stream: trio.SocketStream,
+        start_soon: Callable[..., object],
+    ) -> None:
+        self.target = target
+        self.used = False
+        self.idle_until = 0.0
+        self._stream = stream
+        self._start_soon = start_soon
+        self._sending = False
+        self._parser = h11.Connection(h11.CLIENT)
+        self._request: h11.Request | None = None
+        self._keep = KEEP_IDLE
+        self._reusable = True
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether nothing arrived since the last answer.
+
+        An idle connection on which something lies was closed by the
+        target, or holds bytes that belong to no request.
+        """
+        poll = select.poll()
+        poll.register(self._stream.socket.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    async def send(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> None:
+        """Send a request with its whole body.
+
+        :raises TargetError: when the connection breaks.
+        """
+        if self.used:
+            self._parser.start_next_cycle()
+        self.used = True
+        self._request = h11.Request(
+            method=method, target=target, headers=list(headers)
+        )
+        data = self._write_request(body)
+        if len(data) <= _SMALL_BODY:
+            await self._send_all(data)
+            return
+        # A target may answer before it has read a long body, and stop
+        # reading meanwhile.  Sending beside reading the answer cannot hang.
+        self._sending = True
+        self._start_soon(self._send_long, data)
+
+    async def read_head(
+        self, request: str, read_id: Callable[[Answer], str]
+    ) -> Answer:
+        """Return the head of the answer to the request that was sent.
+
+        Answers to other requests are skipped: a target may send one more
+        answer to an earlier request.
+
+        :param request: the id of the request.
+        :param read_id: returns the id that an answer names, or "".
+        :raises TargetError: when no answer comes.
+        """
+        for _ in range(_MOST_STRAY_ANSWERS):
+            answer = await self._read_head()
+            if read_id(answer) in ("", request):
+                return answer
+            await self._skip_answer()
+        raise TargetError(
+            "the target sends answers to other requests",
+            errors.Outcome.MAY_HAVE_RUN,
+        )
+
+    async def read_body(self) -> bytes | None:
+        """Return the next part of the body, or None at its proper end.
+
+        :raises TargetError: when the answer breaks off.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                return None
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        self._reusable = False
+        await trio.aclose_forcefully(self._stream)
+
+    def finish(self, now: float) -> bool:
+        """End an exchange; return whether the connection may be kept."""
+        parser = self._parser
+        # While the rest of a long body is due, the target would take the
+        # next request for it, so such a connection is never kept.
+        clean = (
+            self._reusable
+            and not self._sending
+            and parser.our_state is h11.DONE
+            and parser.their_state is h11.DONE
+            and not parser.trailing_data[0]
+        )
+        self.idle_until = now + self._keep
+        return clean and self._keep > 0
+
+    def _write_request(self, body: bytes) -> bytes:
+        request = self._request
+        if request is None:
+            return b""
+        parts = [self._parser.send(request) or b""]
+        if body:
+            parts.append(self._parser.send(h11.Data(data=body)) or b"")
+        parts.append(self._parser.send(h11.EndOfMessage()) or b"")
+        return b"".join(parts)
+
+    async def _send_all(self, data: bytes) -> None:
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as why:
+            raise TargetError(
+                "the connection broke while the request was sent",
+                errors.Outcome.MAY_HAVE_RUN,
+            ) from why
+
+    async def _send_long(self, data: bytes) -> None:
+        try:
+            await self._send_all(data)
+        except TargetError:
+            # Whoever reads the answer meets the broken connection too and
+            # tells; this only keeps it from being used again.
+            self._reusable = False
+        self._sending = False
+
+    async def _read_head(self) -> Answer:
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                headers = tuple((bytes(n), bytes(v)) for n, v in event.headers)
+                self._note_keep_alive(headers)
+                return Answer(event.status_code, headers)
+
+    async def _skip_answer(self) -> None:
+        """Read a stray answer to its end and await the next one."""
+        while await self.read_body() is not None:
+            continue
+        rest, closed = self._parser.trailing_data
+        request = self._request
+        if request is None or closed:
+            raise TargetError(
+                "the target closed after a stray answer",
+                errors.Outcome.MAY_HAVE_RUN,
+            )
+        # The parser pairs each answer with a request.  A new one that
+        # takes the request for sent reads the answer that is due.
+        self._parser = h11.Connection(h11.CLIENT)
+        self._parser.send(
+            h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=[
+                    (n, v)
+                    for n, v in request.headers
+                    if n not in (b"content-length", b"transfer-encoding")
+                ],
+            )
+        )
+        self._parser.send(h11.EndOfMessage())
+        if rest:
+            self._parser.receive_data(rest)
+
+    async def _next_event(self) -> object:
+        try:
+            while True:
+                event = self._parser.next_event()
+                if event is not h11.NEED_DATA:
+                    break
+                self._parser.receive_data(
+                    await self._stream.receive_some(_READ_SIZE)
+                )
+        except h11.RemoteProtocolError as why:
+            raise TargetError(
+                f"the target sent no proper answer: {why}",
+                errors.Outcome.MAY_HAVE_RUN,
+            ) from why
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as why:
+            raise TargetError(
+                "the connection was reset", errors.Outcome.MAY_HAVE_RUN
+            ) from why
+        if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+            raise TargetError(
+                "the target closed the connection without an answer",
+                errors.Outcome.MAY_HAVE_RUN,
+            )
+        return event
+
+    def _note_keep_alive(self, headers: Headers) -> None:
+        for name, value in headers:
+            if name != b"keep-alive":
+                continue
+            for part in value.split(b","):
+                key, _, seconds = part.strip().partition(b"=")
+                if key.lower() == b"timeout" and seconds.isdigit():
+                    self._keep = min(KEEP_IDLE, int(seconds) - _KEEP_MARGIN)
+
+
+class ChannelPool:
+    """Idle connections to targets, and the opening of new ones.
+
+    :param start_soon: starts a task that may outlive an exchange.
+    """
+
+    def __init__(
+        self,
+        start_soon: Callable[..., object] = trio.lowlevel.spawn_system_task,
+    ) -> None:
+        self.opened = 0
+        self.start_soon = start_soon
+        self._idle: dict[str, list[Channel]] = defaultdict(list)
+        self._counts: dict[str, int] = defaultdict(int)
+
+    def count(self, target: str) -> int:
+        """Return how many connections to a target are open."""
+        return self._counts[target]
+
+    async def acquire(
+        self, target: ListedTarget, *, fresh: bool = False
+    ) -> Channel:
+        """Return a connection for one exchange.
+
+        :param fresh: never one that was used before: a target may drop an
+            idle connection just as a request goes out, and whether the
+            request ran is then unknown.
+        :raises TargetError: when the target cannot be reached; the
+            request did not run.
+        """
+        idle = self._idle[target.name]
+        now = trio.current_time()
+        while idle:
+            channel = idle.pop()
+            if not fresh and now < channel.idle_until and channel.is_quiet:
+                return channel
+            await self.discard(channel)
+        stream = await self._open(target.address)
+        self.opened += 1
+        self._counts[target.name] += 1
+        return Channel(target.name, stream, self.start_soon)
+
+    async def release(self, channel: Channel) -> None:
+        """Keep a connection after a whole exchange, if it can be kept."""
+        if channel.finish(trio.current_time()):
+            self._idle[channel.target].append(channel)
+            return
+        await self.discard(channel)
+
+    async def discard(self, channel: Channel) -> None:
+        """Close a connection for good."""
+        self._counts[channel.target] -= 1
+        await channel.close()
+
+    async def close_expired(self, known: set[str]) -> None:
+        """Close what is idle for too long, or leads to nobody any more."""
+        now = trio.current_time()
+        for name, idle in list(self._idle.items()):
+            for channel in list(idle):
+                if now < channel.idle_until and name in known:
+                    continue
+                idle.remove(channel)
+                await self.discard(channel)
+            if not idle:
+                del self._idle[name]
+
+    async def _open(self, address: Address) -> trio.SocketStream:
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT):
+                stream = await trio.open_tcp_stream(address.host, address.port)
+        except (OSError, trio.TooSlowError) as why:
+            raise TargetError(
+                f"{address} cannot be reached; check that it runs",
+                errors.Outcome.NOT_RUN,
+            ) from why
+        stream.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNSENT_TIMEOUT_MS
+        )
+        return stream
--- /dev/null
+++ b/magnoliacove/gateway/engines.py
@@ -0,0 +1,106 @@
+"""Calls to model engines beside requests: reports and orders."""
+
+import trio
+
+from magnoliacove import errors
+from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.gateway.channels import ChannelPool
+from magnoliacove.gateway.channels import TargetError
+from magnoliacove.platform import engines
+
+__all__ = ["EngineCalls"]
+
+_OK = 200
+
+
+class EngineCalls:
+    """Asks engines for reports and gives them orders."""
+
+    def __init__(self, pool: ChannelPool) -> None:
+        self.reports = 0
+        self.orders = 0
+        self._pool = pool
+
+    async def read_report(self, target: ListedTarget) -> engines.EngineReport:
+        """Return an engine's report.
+
+        :raises TargetError: when none comes.
+        """
+        self.reports += 1
+        status, body = await self._call(
+            target, b"GET", engines.REPORT_PATH, b""
+        )
+        if status != _OK:
+            raise TargetError(
+                f"a report was answered with {status}", errors.Outcome.NOT_RUN
+            )
+        try:
+            return engines.read_report(body)
+        except errors.ProtocolError as why:
+            raise TargetError(str(why), errors.Outcome.RAN) from why
+
+    async def place(
+        self,
+        target: ListedTarget,
+        layers: LayerRange,
+        *,
+        interrupt: bool,
+        orders: int | None,
+    ) -> engines.OrderResult:
+        """Order an engine to hold a range of layers.
+
+        :raises TargetError: when no answer comes; the order may have been
+            taken.
+        """
+        self.orders += 1
+        body = engines.write_place_order(
+            layers, interrupt=interrupt, orders=orders
+        )
+        status, _ = await self._call(target, b"POST", engines.ORDER_PATH, body)
+        return engines.read_order_result(status)
+
+    async def _call(
+        self, target: ListedTarget, method: bytes, path: str, body: bytes
+    ) -> tuple[int, bytes]:
+        try:
+            return await self._call_once(target, method, path, body, False)
+        except TargetError as why:
+            if why.outcome is errors.Outcome.NOT_RUN:
+                raise
+        # A kept connection may have been dropped without notice, which
+        # says nothing of the engine.  A report may be asked for again; an
+        # order names the orders before it, so a second one cannot add to
+        # the first.
+        return await self._call_once(target, method, path, body, True)
+
+    async def _call_once(
+        self,
+        target: ListedTarget,
+        method: bytes,
+        path: str,
+        body: bytes,
+        fresh: bool,
+    ) -> tuple[int, bytes]:
+        channel = await self._pool.acquire(target, fresh=fresh)
+        whole = False
+        try:
+            sent = [(b"host", str(target.address).encode())]
+            if body:
+                sent += [
+                    (b"content-type", b"application/json"),
+                    (b"content-length", b"%d" % len(body)),
+                ]
+            await channel.send(method, path.encode(), sent, body)
+            answer = await channel.read_head("", lambda _: "")
+            parts = []
+            while (part := await channel.read_body()) is not None:
+                parts.append(part)
+            whole = True
+        finally:
+            if whole:
+                await self._pool.release(channel)
+            else:
+                with trio.CancelScope(shield=True):
+                    await self._pool.discard(channel)
+        return answer.status, b"".join(parts)
--- /dev/null
+++ b/magnoliacove/gateway/process.py
@@ -0,0 +1,416 @@
+"""One gateway process, put together from its parts."""
+
+import random
+import time
+
+import trio
+
+from magnoliacove import limits
+from magnoliacove import platform
+from magnoliacove import web
+from magnoliacove import wire
+from magnoliacove.configuration.routes import CallerLimits
+from magnoliacove.configuration.routes import ModelShape
+from magnoliacove.directory import Lease
+from magnoliacove.directory.health import Health
+from magnoliacove.directory.holdings import Holdings
+from magnoliacove.directory.targets import TargetList
+from magnoliacove.gateway.callers import CallerConnection
+from magnoliacove.gateway.callers import Exchange
+from magnoliacove.gateway.channels import ChannelPool
+from magnoliacove.gateway.engines import EngineCalls
+from magnoliacove.gateway.relay import Relay
+from magnoliacove.gateway.stalls import StallWatch
+from magnoliacove.gateway.state import GatewayState
+from magnoliacove.gateway.store import StoreFollower
+from magnoliacove.metrics import Meters
+from magnoliacove.metrics import serve_meters
+from magnoliacove.peers import Heartbeat
+from magnoliacove.peers import Heartbeats
+from magnoliacove.peers import ReportedHolding
+from magnoliacove.peers.snapshots import PeerSnapshot
+from magnoliacove.peers.snapshots import ask_snapshot
+from magnoliacove.peers.snapshots import serve_snapshots
+from magnoliacove.placement import duty
+from magnoliacove.platform.settings import NodeSettings
+from magnoliacove.routing.candidates import Candidates
+from magnoliacove.timeline import Recorder
+
+__all__ = ["Gateway"]
+
+# An entry that lapsed while the store was away is back about so many
+# seconds after the store; what is missing then is gone.
+_LAPSE_GRACE = 1.8
+# The balancer asks each second and takes an entry out after two misses, so
+# callers still come for so long after this process began to leave.
+_BALANCER_NOTICES = 2.6
+# What is left of the grace time for the last bytes and the log.
+_STOP_RESERVE = 0.7
+_TIDY_EVERY = 1.0
+# A peer's configuration or list is asked for after our own view has been
+# behind, or the store silent, for so long.
+_BEHIND = 0.4
+
+
+class Gateway:
+    """Serves callers until it is told to leave."""
+
+    def __init__(
+        self, settings: NodeSettings, api: platform.ObjectApi, meters_port: int
+    ) -> None:
+        self._settings = settings
+        self._api = api
+        self._meters_port = meters_port
+        self._incarnation = time.time_ns() // 1_000_000
+        self._address = wire.Address(settings.host, settings.peer_port)
+        self._network = wire.Network()
+        recorder = Recorder(settings.name)
+        self.recorder = recorder
+        rng = random.Random()
+        targets = TargetList(recorder, grace=_LAPSE_GRACE)
+        health, holdings = Health(recorder), Holdings()
+        loads = limits.LoadBook()
+        bounds = settings.bounds
+        pool = ChannelPool()
+        self.state = GatewayState(
+            name=settings.name,
+            data_centre=settings.data_centre,
+            recorder=recorder,
+            meters=Meters(self._read_gauges, self._is_ready),
+            targets=targets,
+            health=health,
+            holdings=holdings,
+            loads=loads,
+            budget=limits.SharedRetryBudget(
+                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+            ),
+            room=limits.RoomQueue(),
+            pool=pool,
+            candidates=Candidates(
+                settings.data_centre, targets, health, holdings, loads, rng
+            ),
+            rng=rng,
+        )
+        self._calls = EngineCalls(pool)
+        self._store = StoreFollower(self.state, api)
+        self._heartbeats = Heartbeats(
+            self._address,
+            settings.seeds,
+            recorder,
+            self._make_heartbeat,
+            self._take_heartbeat,
+            self._lose_peers,
+        )
+        self._stalls = StallWatch(self.state, self._calls)
+        self._relay = Relay(self.state, self._stalls)
+        owner = f"{settings.name}/{self._incarnation}"
+        self._lease = Lease(api, recorder, duty.LEASE, owner)
+        self._duty = duty.PlacementDuty(
+            duty.DutySources(
+                targets=targets,
+                health=health,
+                holdings=holdings,
+                loads=loads,
+                calls=self._calls,
+                recorder=recorder,
+                list_models=self._list_models,
+                is_settled=lambda: (
+                    self.state.seen_traffic or not settings.first_start
+                ),
+                read_store_silence=self._read_store_silence,
+                is_first_peer=self._is_first_peer,
+                tell=self._tell_news,
+            ),
+            self._lease,
+        )
+        self._connections: set[CallerConnection] = set()
+        self._behind_since: float | None = None
+        targets.listen(self.state.room.fill)
+        health.listen(lambda _: self._heartbeats.send_soon())
+        self.state.listen_routes(self._heartbeats.send_soon)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        settings, state = self._settings, self.state
+        async with trio.open_nursery() as nursery:
+            state.pool.start_soon = nursery.start_soon
+            nursery.start_soon(self._heartbeats.run)
+            nursery.start_soon(self._store.run)
+            nursery.start_soon(
+                serve_snapshots,
+                self._address,
+                settings.name,
+                self._network,
+                self.recorder,
+                self._make_snapshot,
+            )
+            nursery.start_soon(self._duty.run)
+            nursery.start_soon(self._stalls.run)
+            nursery.start_soon(self._tidy)
+            nursery.start_soon(self._catch_up)
+            nursery.start_soon(self._serve_readiness)
+            nursery.start_soon(self._serve_meters)
+            nursery.start_soon(self._serve_callers)
+            self.recorder.record(
+                "started",
+                address=str(settings.callers),
+                data_centre=settings.data_centre,
+                first_start=settings.first_start,
+                incarnation=self._incarnation,
+            )
+
+    async def drain(self) -> None:
+        """Take no new callers and return once all are answered."""
+        state = self.state
+        state.leaving = True
+        began = trio.current_time()
+        self.recorder.record("stopping", open_requests=state.open_requests)
+        self._heartbeats.send_soon()
+        await self._duty.release()
+        limit = began + self._settings.bounds.grace - _STOP_RESERVE
+        while trio.current_time() < limit:
+            noticed = trio.current_time() - began >= _BALANCER_NOTICES
+            if noticed:
+                for connection in tuple(self._connections):
+                    connection.close_if_idle()
+            if noticed and not state.open_requests and not self._connections:
+                break
+            await trio.sleep(0.05)
+        self.recorder.record(
+            "stopped",
+            open_requests=state.open_requests,
+            why="the grace time is over" if state.open_requests else "",
+        )
+
+    def reload(self, settings: NodeSettings) -> None:
+        """Take changed settings, as far as they can change in place."""
+        fixed = (settings.name, settings.callers, settings.peer_port)
+        known = self._settings
+        changed = fixed != (known.name, known.callers, known.peer_port)
+        for seed in settings.seeds:
+            self._heartbeats.add_address(seed)
+        self._settings = settings
+        self.recorder.record(
+            "reloaded",
+            why="a name or an address differs; it counts from the next start"
+            if changed
+            else "",
+        )
+
+    # Listening.
+
+    async def _serve_callers(self) -> None:
+        address = self._settings.callers
+        listener = _listen(address)
+        async with trio.open_nursery() as nursery:
+            await trio.serve_listeners(
+                self._serve_caller, [listener], handler_nursery=nursery
+            )
+
+    async def _serve_caller(self, stream: trio.SocketStream) -> None:
+        connection = CallerConnection(
+            stream,
+            self._read_limits,
+            self._relay.serve,
+            lambda: self.state.leaving,
+        )
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+
+    async def _serve_readiness(self) -> None:
+        async def answer(stream: trio.SocketStream) -> None:
+            connection = CallerConnection(
+                stream, CallerLimits, self._answer_readiness, lambda: False
+            )
+            await connection.run()
+
+        listener = _listen(self._settings.readiness)
+        await trio.serve_listeners(answer, [listener])
+
+    async def _answer_readiness(self, exchange: Exchange) -> None:
+        ready = self._is_ready()
+        await exchange.answer(200 if ready else 503, [], b"")
+
+    async def _serve_meters(self) -> None:
+        if not self._meters_port:
+            return
+        listener = web.bind_socket(self._settings.host, self._meters_port)
+        await serve_meters(self.state.meters, listener)
+
+    def _is_ready(self) -> bool:
+        return self.state.routes is not None and not self.state.leaving
+
+    def _read_limits(self) -> CallerLimits:
+        table = self.state.routes
+        return table.limits if table else CallerLimits()
+
+    # Peers.
+
+    def _make_heartbeat(
+        self, sequence: int, peers: tuple[str, ...]
+    ) -> Heartbeat:
+        state = self.state
+        now = trio.current_time()
+        table = state.routes
+        return Heartbeat(
+            name=state.name,
+            address=str(self._address),
+            incarnation=self._incarnation,
+            sequence=sequence,
+            data_centre=state.data_centre,
+            configuration_version=table.version if table else 0,
+            leaving=state.leaving,
+            store_reachable=self._store.reachable,
+            crossings=state.loads.crossings,
+            loads=dict(state.loads.list_own()),
+            suspicions=tuple(
+                (s.target, max(0.0, now - s.since), s.why)
+                for s in state.health.list_suspicions()
+            ),
+            holdings=tuple(
+                ReportedHolding(target, age, holding)
+                for target, age, holding in state.holdings.list_fresh()
+            )
+            if self._duty.acting
+            else (),
+            services=state.budget.list_counts(),
+            peers=peers,
+        )
+
+    def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
+        state = self.state
+        state.loads.take_others(
+            heartbeat.name, heartbeat.loads, heartbeat.crossings
+        )
+        state.budget.take_others(heartbeat.name, heartbeat.services)
+        for target, age, why in heartbeat.suspicions:
+            state.health.suspect(target, why, age=age, source=heartbeat.name)
+        for item in heartbeat.holdings:
+            state.holdings.note(item.target, item.holding, item.age)
+        state.room.fill()
+
+    def _lose_peers(self, names: list[str]) -> None:
+        self.state.loads.forget(names)
+        self.state.budget.forget(names)
+
+    def _tell_news(self) -> None:
+        self._heartbeats.send_soon()
+        self.state.room.fill()
+
+    def _is_first_peer(self) -> bool:
+        """Return whether this gateway is to act while the store is away."""
+        peers = self._heartbeats.list_live()
+        if not peers:
+            # It is more likely that this gateway is cut off from all
+            # others than that they are gone with the store.
+            return False
+        if any(peer.heartbeat.store_reachable for peer in peers):
+            return False
+        staying = [p.heartbeat for p in peers if not p.heartbeat.leaving]
+        return all(self.state.name < other.name for other in staying)
+
+    def _read_store_silence(self) -> float:
+        return trio.current_time() - self._store.answered_at
+
+    def _make_snapshot(self) -> PeerSnapshot:
+        return PeerSnapshot(
+            self._store.configuration,
+            tuple(self.state.targets.list_all()),
+            self.state.targets.revision,
+        )
+
+    async def _catch_up(self) -> None:
+        """Take from a peer what the store does not give."""
+        while True:
+            await trio.sleep(_BEHIND / 2)
+            peers = self._heartbeats.list_live()
+            table = self.state.routes
+            own = table.version if table else 0
+            newest = max(
+                peers,
+                key=lambda p: p.heartbeat.configuration_version,
+                default=None,
+            )
+            away = self._read_store_silence() > 1.5
+            better = [p for p in peers if p.heartbeat.store_reachable]
+            now = trio.current_time()
+            if newest and newest.heartbeat.configuration_version > own:
+                self._behind_since = self._behind_since or now
+                if now - self._behind_since >= _BEHIND:
+                    await self._ask(newest.heartbeat)
+                continue
+            self._behind_since = None
+            if away and better:
+                await self._ask(self.state.rng.choice(better).heartbeat)
+                await trio.sleep(_BEHIND)
+
+    async def _ask(self, peer: Heartbeat) -> None:
+        found = await ask_snapshot(
+            wire.Address.parse(peer.address),
+            self.state.name,
+            self._network,
+            self.recorder,
+        )
+        if found is None:
+            return
+        source = f"the gateway {peer.name}"
+        if found.configuration:
+            self._store.take_configuration(found.configuration, source)
+        if found.revision > self.state.targets.revision:
+            self.state.targets.replace(
+                found.targets, found.revision, after_outage=False
+            )
+
+    # Housekeeping.
+
+    def _list_models(self) -> dict[str, ModelShape]:
+        table = self.state.routes
+        if table is None:
+            return {}
+        return {
+            name: service.model
+            for name, service in table.services.items()
+            if service.model is not None
+        }
+
+    async def _tidy(self) -> None:
+        state = self.state
+        while True:
+            await trio.sleep(_TIDY_EVERY)
+            state.targets.expire()
+            known = {target.name for target in state.targets.list_all()}
+            state.health.forget(known)
+            state.holdings.forget(known)
+            state.candidates.forget(known)
+            await state.pool.close_expired(known)
+
+    def _read_gauges(self) -> dict[str, float]:
+        state = self.state
+        now = trio.current_time()
+        return {
+            "configuration_version": state.routes.version
+            if state.routes
+            else 0,
+            "configuration_age_seconds": now - state.routes_at,
+            "store_silence_seconds": min(1e6, self._read_store_silence()),
+            "store_calls": getattr(self._api, "calls", 0),
+            "targets_listed": len(state.targets.list_all()),
+            "targets_suspected": len(state.health.list_suspicions()),
+            "requests_in_progress": state.open_requests,
+            "requests_waiting": state.room.waiting,
+            "requests_refused": state.room.refused,
+            "retries_denied": state.budget.denied,
+            "connections_opened": state.pool.opened,
+            "engine_reports": self._calls.reports,
+            "engine_orders": self._calls.orders,
+            "peers_live": len(self._heartbeats.list_live()),
+            "placement_duty": float(self._duty.acting),
+        }
+
+
+def _listen(address: wire.Address) -> trio.SocketListener:
+    listener = web.bind_socket(address.host, address.port)
+    return trio.SocketListener(trio.socket.from_stdlib_socket(listener))
--- /dev/null
+++ b/magnoliacove/gateway/state.py
@@ -0,0 +1,75 @@
+"""What the parts of one gateway share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+import random
+
+import trio
+
+from magnoliacove.configuration.routes import RouteTable
+from magnoliacove.directory.health import Health
+from magnoliacove.directory.holdings import Holdings
+from magnoliacove.directory.targets import TargetList
+from magnoliacove.gateway.channels import ChannelPool
+from magnoliacove.limits.load import LoadBook
+from magnoliacove.limits.retries import SharedRetryBudget
+from magnoliacove.limits.room import RoomQueue
+from magnoliacove.metrics import Meters
+from magnoliacove.routing.candidates import Candidates
+from magnoliacove.timeline import Recorder
+
+__all__ = ["GatewayState"]
+
+
+@dataclass
+class GatewayState:
+    """The beliefs and the tools of one gateway.
+
+    :param routes: the configuration in force, None before the first.
+    :param seen_traffic: whether a caller's request has come yet.
+    :param open_requests: requests that are being answered.
+    """
+
+    name: str
+    data_centre: str
+    recorder: Recorder
+    meters: Meters
+    targets: TargetList
+    health: Health
+    holdings: Holdings
+    loads: LoadBook
+    budget: SharedRetryBudget
+    room: RoomQueue
+    pool: ChannelPool
+    candidates: Candidates
+    rng: random.Random
+    routes: RouteTable | None = None
+    routes_at: float = 0.0
+    leaving: bool = False
+    seen_traffic: bool = False
+    open_requests: int = 0
+    _route_listeners: list[Callable[[], None]] = field(default_factory=list)
+
+    def take_routes(self, table: RouteTable, source: str) -> bool:
+        """Put a newer configuration in force; never an older one.
+
+        :param source: where it came from, for the log.
+        """
+        if self.routes is not None and table.version <= self.routes.version:
+            return False
+        self.routes = table
+        self.routes_at = trio.current_time()
+        self.recorder.version = table.version
+        self.recorder.record(
+            "configuration-in-force",
+            why=f"from {source}",
+            routes=len(table.routes),
+        )
+        for listener in self._route_listeners:
+            listener()
+        return True
+
+    def listen_routes(self, listener: Callable[[], None]) -> None:
+        """Call a function after each new configuration."""
+        self._route_listeners.append(listener)
--- /dev/null
+++ b/magnoliacove/gateway/store.py
@@ -0,0 +1,163 @@
+"""Following the configuration and the list of targets in the store.
+
+A watch that waits is cut, or falls silent, without notice.  So each waits
+only for a short time, and what a watch may have missed is read again.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import orjson
+import trio
+
+from magnoliacove import errors
+from magnoliacove import platform
+from magnoliacove.directory import Backoff
+from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.gateway.state import GatewayState
+from magnoliacove.platform.routes import CONFIGURATION
+from magnoliacove.platform.routes import read_routes
+from magnoliacove.platform.servers import SERVERS
+from magnoliacove.platform.servers import read_server
+
+__all__ = ["StoreFollower"]
+
+# How long a watch waits, in seconds.  A connection that fell silent is
+# found out after this and the timeout of a call, and a call costs.
+WATCH_SECONDS = 2.5
+_RETRY_FIRST = 0.1
+_RETRY_MOST = 0.8
+_SOURCE = "the platform's store"
+_CONFIGURATION_NAME = "/".join(CONFIGURATION)
+
+
+class StoreFollower:
+    """Brings the beliefs of a gateway up to date with the store.
+
+    :param reachable: whether the last call was answered.
+    :param configuration: the newest configuration as the store holds it,
+        for peers that cannot reach the store.
+    """
+
+    def __init__(self, state: GatewayState, api: platform.ObjectApi) -> None:
+        self.reachable = False
+        self.answered_at = -1e9
+        self.configuration = b""
+        self._state = state
+        self._api = api
+        self._lost_since: float | None = trio.current_time()
+        self._wake = trio.Event()
+        self._unreadable = ""
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._repeat, self._follow_configuration)
+            nursery.start_soon(self._repeat, self._follow_targets)
+
+    def take_configuration(self, value: bytes, source: str) -> None:
+        """Put a configuration in force, unless it cannot be read."""
+        try:
+            table = read_routes(orjson.loads(value))
+        except (errors.ProtocolError, ValueError) as why:
+            # The last good configuration stays in force; one line says
+            # what to correct, not one for each try.
+            if str(why) != self._unreadable:
+                self._unreadable = str(why)
+                self._state.recorder.record(
+                    "configuration-unreadable", why=str(why), source=source
+                )
+            return
+        if self._state.take_routes(table, source):
+            self.configuration = value
+
+    async def _repeat(
+        self, follow: Callable[[Backoff], Awaitable[None]]
+    ) -> None:
+        backoff = Backoff(_RETRY_FIRST, _RETRY_MOST)
+        while True:
+            try:
+                await follow(backoff)
+            except platform.CompactedError:
+                # The history after our revision is gone; reading
+                # everything again misses nothing.
+                self._state.recorder.record("store-compacted")
+                await backoff.pause()
+            except errors.PlatformError as why:
+                self._note_lost(str(why))
+                await backoff.pause()
+
+    async def _follow_configuration(self, backoff: Backoff) -> None:
+        kind = f"{CONFIGURATION[0]}/"
+        listing = await self._api.list_records(kind)
+        self._note_answered()
+        self._take_records(listing.records)
+        backoff.reset()
+        revision = listing.revision
+        while True:
+            events, revision = await self._api.watch(
+                kind, revision, WATCH_SECONDS
+            )
+            self._note_answered()
+            self._take_records(tuple(event.record for event in events))
+
+    def _take_records(self, records: tuple[platform.Record, ...]) -> None:
+        for record in records:
+            if record.name == _CONFIGURATION_NAME and record.version:
+                self.take_configuration(record.value, _SOURCE)
+
+    async def _follow_targets(self, backoff: Backoff) -> None:
+        kind = f"{SERVERS}/"
+        lost = self._lost_since is not None
+        listing = await self._api.list_records(kind)
+        self._note_answered()
+        self._state.targets.replace(
+            self._read_targets(listing.records),
+            listing.revision,
+            after_outage=lost,
+        )
+        backoff.reset()
+        revision = listing.revision
+        while True:
+            events, revision = await self._api.watch(
+                kind, revision, WATCH_SECONDS
+            )
+            self._note_answered()
+            for event in events:
+                self._take_event(event)
+            self._state.targets.expire()
+
+    def _take_event(self, event: platform.WatchEvent) -> None:
+        if not event.record.version:
+            name = event.record.name.partition("/")[2]
+            self._state.targets.remove(name, event.revision)
+            return
+        for target in self._read_targets((event.record,)):
+            self._state.targets.apply(target)
+
+    def _read_targets(
+        self, records: tuple[platform.Record, ...]
+    ) -> list[ListedTarget]:
+        found = []
+        for record in records:
+            try:
+                found.append(read_server(record))
+            except (errors.ProtocolError, ValueError) as why:
+                self._state.recorder.record(
+                    "target-unreadable", target=record.name, why=str(why)
+                )
+        return found
+
+    def _note_answered(self) -> None:
+        self.answered_at = trio.current_time()
+        self._lost_since = None
+        if not self.reachable:
+            self._state.recorder.record("store-regained")
+        self.reachable = True
+
+    def _note_lost(self, why: str) -> None:
+        if self._lost_since is None:
+            self._lost_since = trio.current_time()
+        if self.reachable:
+            self._state.recorder.record("store-lost", why=why)
+        self.reachable = False
--- /dev/null
+++ b/magnoliacove/gateway/streams.py
@@ -0,0 +1,465 @@
+"""One stream: sent down a path of engines, resumed when the path is lost.
+
+A caller sees one answer.  When its path is lost the stream goes on at
+another one after the last whole event that was sent on, inside the same
+answer, so nothing is missing and nothing comes twice.
+"""
+
+from collections.abc import AsyncIterator
+import contextlib
+
+import trio
+
+from magnoliacove import errors
+from magnoliacove.configuration.routes import ModelShape
+from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.gateway.callers import Exchange
+from magnoliacove.gateway.channels import Answer
+from magnoliacove.gateway.channels import Channel
+from magnoliacove.gateway.channels import TargetError
+from magnoliacove.gateway.events import EventSplitter
+from magnoliacove.gateway.requests import RoutedRequest
+from magnoliacove.gateway.requests import make_timeout
+from magnoliacove.gateway.stalls import StallWatch
+from magnoliacove.gateway.state import GatewayState
+from magnoliacove.limits.load import Reservation
+from magnoliacove.platform import headers
+from magnoliacove.routing.paths import Path
+from magnoliacove.routing.paths import find_path
+
+__all__ = ["StreamCall"]
+
+# Engines that refuse without running a request cost it nothing but time;
+# after so many refusals there is no room, whatever the books say.
+_MOST_REFUSALS = 4
+# How long a stream without a path waits for one.  A lost engine's layers
+# are placed again in about two seconds, and a late answer still counts.
+_PATIENCE = 4.0
+# A begun stream has two seconds before its caller leaves.
+_RESUME_PATIENCE = 1.6
+# An engine that refused for want of memory is left alone for so long.
+_FULL_SECONDS = 0.3
+_RETRY_AFTER = 0.5
+# The part of the answer's likely length that is reserved: streams in
+# progress have written half of theirs on the mean.
+_ANSWER_PART = 0.8
+
+
+class _BrokenError(Exception):
+    """A path gave no whole stream.
+
+    :param ran: whether the request may have run on it.
+    :param answer: an engine's own failure, to be passed on at the end.
+    """
+
+    def __init__(
+        self,
+        why: str,
+        ran: bool,
+        answer: Answer | None = None,
+        body: bytes = b"",
+    ) -> None:
+        super().__init__(why)
+        self.why = why
+        self.ran = ran
+        self.answer = answer
+        self.body = body
+
+
+class StreamCall:
+    """Answers one request from a model's engines."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        stalls: StallWatch,
+        exchange: Exchange,
+        routed: RoutedRequest,
+    ) -> None:
+        self.request = routed.marks.request
+        self.path: Path | None = None
+        self.first_target: ListedTarget | None = None
+        self.began = False
+        self._state = state
+        self._stalls = stalls
+        self._exchange = exchange
+        self._routed = routed
+        self._shape: ModelShape = _require_shape(routed)
+        self._answer_tokens = _guess_answer(routed, self._shape)
+        self._last_event = routed.marks.last_event
+        self._events = 0
+        self._first_event_at = 0.0
+        self._heard = 0.0
+        self._longest_gap = 0.0
+        self._scope: trio.CancelScope | None = None
+        self._moved = ""
+        self._reservation: Reservation | None = None
+        self._avoided: set[str] = set()
+        self._runs = 0
+        self._refusals = 0
+
+    async def run(self) -> None:
+        """Answer the request.
+
+        :raises magnoliacove.errors.RequestError: when the stream cannot be
+            brought to its end.
+        """
+        done = False
+        with trio.move_on_at(self._routed.deadline):
+            await self._run()
+            done = True
+        if not done:
+            raise make_timeout(self._runs > 0)
+        self._note_answered()
+
+    # What the stall watch calls.
+
+    def read_silence(self, now: float) -> float:
+        """Return seconds since the engine was heard last, 0 if not due."""
+        if self._scope is None or not self._heard:
+            return 0.0
+        return now - self._heard
+
+    def move(self, why: str) -> None:
+        """Leave the present path and go on elsewhere."""
+        if self._scope is not None and not self._moved:
+            self._moved = why
+            self._scope.cancel()
+
+    # Trying paths.
+
+    async def _run(self) -> None:
+        while True:
+            await self._find_path()
+            try:
+                await self._follow_path()
+                return
+            except _BrokenError as why:
+                failure = why
+            finally:
+                self._leave_path()
+            if not await self._may_go_on(failure):
+                await self._give_up(failure)
+                return
+
+    async def _find_path(self) -> None:
+        """Wait until a path has room, and reserve it."""
+        routed = self._routed
+        left = routed.deadline - trio.current_time()
+        patience = _RESUME_PATIENCE if self.began else _PATIENCE
+        objective = routed.route.latency_objective
+        await self._state.room.wait_path(
+            self._reserve,
+            # A begun stream goes before all others: its caller leaves
+            # soon, and what it has read already would be lost.
+            priority=-1 if self.began else routed.priority,
+            fresh_until=trio.current_time() + patience
+            if self.began
+            else routed.request.arrived + objective,
+            patience=min(left, patience),
+        )
+
+    def _reserve(self) -> Path | None:
+        state = self._state
+        marks = self._routed.marks
+        prompt = marks.prompt_tokens or self._shape.usual_prompt
+        options = state.candidates.list_options(
+            self._routed.service.name, self._shape, self._avoided
+        )
+        costs = state.candidates.make_costs(
+            self._shape, prompt, self._answer_tokens * _ANSWER_PART
+        )
+        path = find_path(options, costs)
+        if path is None:
+            return None
+        if path.crossings and not state.candidates.may_cross(self._shape):
+            return None
+        first = state.targets.find(path.stages[0].target)
+        if first is None:
+            return None
+        self.path, self.first_target = path, first
+        self._reservation = state.loads.reserve_path(path, costs.tokens)
+        return path
+
+    def _leave_path(self) -> None:
+        if self._reservation is not None:
+            self._state.loads.release(self._reservation)
+            self._reservation = None
+        self.path = self.first_target = None
+        self._state.room.fill()
+
+    async def _may_go_on(self, failure: _BrokenError) -> bool:
+        """Return whether another path may be tried."""
+        state, route = self._state, self._routed.route
+        state.recorder.record(
+            "path-lost",
+            request=self.request,
+            why=failure.why,
+            ran=failure.ran,
+            events=self._events,
+            last_event=self._last_event,
+        )
+        if failure.ran:
+            self._runs += 1
+            if not route.repeatable or self._runs > route.max_attempts:
+                return False
+        else:
+            self._refusals += 1
+            if self._refusals > _MOST_REFUSALS:
+                return False
+        return state.budget.try_spend(self._routed.service.name)
+
+    async def _give_up(self, failure: _BrokenError) -> None:
+        """Answer with the engine's own failure, or say what is known."""
+        answer = failure.answer
+        if answer is not None and not self._exchange.started:
+            copied = headers.copy_answer(answer.headers)
+            await self._exchange.answer(answer.status, copied, failure.body)
+            return
+        ran = self._runs > 0
+        raise errors.RequestError(
+            "stream_failed" if ran else "refused",
+            f"no path of engines brought the stream to its end: {failure.why}",
+            status=502 if ran else 503,
+            outcome=errors.Outcome.MAY_HAVE_RUN
+            if ran
+            else errors.Outcome.NOT_RUN,
+            retry_after=None if ran else _RETRY_AFTER,
+        )
+
+    # One path.
+
+    async def _follow_path(self) -> None:
+        """Send the request down the path and pass its events on.
+
+        :raises _BrokenError: when the stream does not come to its end.
+        """
+        target, path = self.first_target, self.path
+        if target is None or path is None:
+            raise _BrokenError("the first engine is gone", False)
+        self._note_path(path)
+        self._moved = ""
+        sent = False
+        self._heard = trio.current_time()
+        self._stalls.streams.add(self)
+        try:
+            with trio.CancelScope() as self._scope:
+                try:
+                    async with self._open_channel(target, path) as channel:
+                        sent = True
+                        await self._read_stream(channel)
+                        return
+                except TargetError as why:
+                    ran = sent or why.outcome is not errors.Outcome.NOT_RUN
+                    if not ran:
+                        self._state.health.suspect(target.name, str(why))
+                    raise _BrokenError(str(why), ran) from why
+        finally:
+            self._scope = None
+            self._stalls.streams.discard(self)
+        self._avoided.add(target.name)
+        raise _BrokenError(self._moved, sent)
+
+    @contextlib.asynccontextmanager
+    async def _open_channel(
+        self, target: ListedTarget, path: Path
+    ) -> AsyncIterator[Channel]:
+        """Send the request on a connection that is closed if it breaks."""
+        state, routed = self._state, self._routed
+        request = routed.request
+        channel = await state.pool.acquire(target)
+        whole = False
+        try:
+            await channel.send(
+                request.method,
+                request.target,
+                headers.write_request(
+                    request.headers,
+                    target=target,
+                    account=routed.account,
+                    patience=routed.deadline - trio.current_time(),
+                    priority=routed.priority,
+                    last_event=self._last_event,
+                    path=path,
+                    body_length=len(request.body),
+                ),
+                request.body,
+            )
+            yield channel
+            whole = True
+        finally:
+            # Closing is what ends the engine's work when the caller left.
+            if whole:
+                await state.pool.release(channel)
+            else:
+                with trio.CancelScope(shield=True):
+                    await state.pool.discard(channel)
+
+    async def _read_stream(self, channel: Channel) -> None:
+        answer = await channel.read_head(
+            self.request,
+            lambda a: headers.read_answer(a.status, a.headers).request,
+        )
+        marks = headers.read_answer(answer.status, answer.headers)
+        if answer.status != 200:
+            await self._take_failure(channel, answer, marks)
+        if not marks.stamped or any(
+            name == b"content-encoding" for name, _ in answer.headers
+        ):
+            raise _BrokenError("the answer is not one of the model's", True)
+        splitter = EventSplitter()
+        while (part := await channel.read_body()) is not None:
+            await self._pass_on(answer, splitter, part)
+        if splitter.rest:
+            # A whole answer may end without an empty line.
+            await self._start_answer(answer)
+            await self._write(splitter.rest)
+        if not self._exchange.started:
+            await self._start_answer(answer)
+        await self._exchange.end()
+
+    async def _pass_on(
+        self, answer: Answer, splitter: EventSplitter, part: bytes
+    ) -> None:
+        """Send on the events that a part of the body completes."""
+        now = trio.current_time()
+        if self._events:
+            self._longest_gap = max(self._longest_gap, now - self._heard)
+        self._heard = now
+        try:
+            events = list(splitter.feed(part))
+        except ValueError as why:
+            raise _BrokenError(str(why), True) from why
+        fresh = b""
+        for event in events:
+            if event.number is not None and not self._is_next(event.number):
+                continue
+            fresh += event.data
+            self._last_event = event.event_id or self._last_event
+            self._events += 1
+        if not fresh:
+            return
+        if not self.began:
+            self.began = True
+            self._first_event_at = now
+        await self._start_answer(answer)
+        await self._write(fresh)
+
+    def _is_next(self, number: int) -> bool:
+        """Return whether an event is due; False for one sent already.
+
+        :raises _BrokenError: when events before it are missing.
+        """
+        if not self._last_event.isdigit():
+            return True
+        last = int(self._last_event)
+        if number <= last:
+            return False
+        if number > last + 1:
+            raise _BrokenError(
+                f"event {number} came after event {last}; some are missing",
+                True,
+            )
+        return True
+
+    async def _start_answer(self, answer: Answer) -> None:
+        if self._exchange.started:
+            return
+        copied = [
+            (name, value)
+            for name, value in headers.copy_answer(answer.headers)
+            if name != b"content-length"
+        ]
+        await self._exchange.start(
+            200, [*copied, (b"transfer-encoding", b"chunked")]
+        )
+
+    async def _write(self, data: bytes) -> None:
+        heard = self._heard
+        await self._exchange.write(data)
+        # Time that the caller took to read is not the engine's silence.
+        self._heard = max(heard, trio.current_time())
+
+    async def _take_failure(
+        self, channel: Channel, answer: Answer, marks: headers.AnswerMarks
+    ) -> None:
+        """Learn from an answer that is no stream.
+
+        :raises _BrokenError: always.
+        """
+        body = bytearray()
+        while (part := await channel.read_body()) is not None:
+            body += part
+        if marks.not_run:
+            self._note_refusal(answer.status, marks.faulty)
+            raise _BrokenError(
+                f"refused with {answer.status} by "
+                f"{marks.faulty or 'the first engine'}",
+                False,
+            )
+        passed = answer if marks.stamped and answer.status >= 400 else None
+        raise _BrokenError(
+            f"the engine answered {answer.status}", True, passed, bytes(body)
+        )
+
+    def _note_refusal(self, status: int, faulty: str) -> None:
+        """Keep new requests off the engine that a refusal names."""
+        state = self._state
+        for target in state.targets.list_all():
+            if str(target.address) == faulty:
+                self._avoided.add(target.name)
+                state.candidates.note_full(target.name, _FULL_SECONDS)
+                state.recorder.record(
+                    "engine-refused",
+                    request=self.request,
+                    target=target.name,
+                    status=status,
+                    requests=state.loads.read(target.name).requests,
+                )
+
+    def _note_path(self, path: Path) -> None:
+        self._state.recorder.record(
+            "path-chosen",
+            request=self.request,
+            path=path.describe(),
+            seconds=round(path.seconds, 3),
+            crossings=path.crossings,
+            waited=round(
+                trio.current_time() - self._routed.request.arrived, 3
+            ),
+            last_event=self._last_event,
+            number=self._runs + self._refusals + 1,
+        )
+
+    def _note_answered(self) -> None:
+        now = trio.current_time()
+        arrived = self._routed.request.arrived
+        first = self._first_event_at - arrived if self._events else 0.0
+        self._state.meters.observe("first_event_seconds", first)
+        self._state.recorder.record(
+            "request-answered",
+            request=self.request,
+            events=self._events,
+            first_event=round(first, 3),
+            longest_gap=round(self._longest_gap, 3),
+            runs=self._runs + 1,
+            seconds=round(now - arrived, 3),
+        )
+
+
+def _require_shape(routed: RoutedRequest) -> ModelShape:
+    shape = routed.service.model
+    if shape is None:
+        raise errors.RequestError(
+            "no_model",
+            f"service {routed.service.name} has no model; route streams to "
+            "a service with engines",
+        )
+    return shape
+
+
+def _guess_answer(routed: RoutedRequest, shape: ModelShape) -> float:
+    """Return the likely number of tokens of the answer."""
+    marks = routed.marks
+    likely = marks.likely_tokens or shape.usual_answer
+    return min(likely, marks.most_tokens) if marks.most_tokens else likely
--- a/magnoliacove/limits/retries.py
+++ b/magnoliacove/limits/retries.py
@@ -1,8 +1,18 @@
 """A budget for retries, so that a failure does not multiply the load."""
 
+from collections import deque
+from collections.abc import Callable
+from collections.abc import Mapping
+
+import trio
+
 from magnoliacove import defaults
 
-__all__ = ["RetryBudget"]
+__all__ = ["RetryBudget", "SharedRetryBudget"]
+
+# The part of the whole fleet's budget that is used at most: what the other
+# entries spent is known one heartbeat late.
+_SAFE_PART = 0.7
 
 
 class RetryBudget:
@@ -35,3 +45,80 @@
         self._tokens -= 1.0
         self.spent += 1
         return True
+
+
+class SharedRetryBudget:
+    """Keeps the repeats of all entries together under one bound.
+
+    In each window a service may get a part of its requests, and a fixed
+    number more, as repeats.  Each entry counts its own and hears of the
+    others' with their heartbeats.
+
+    :param ratio: repeats allowed for each request.
+    :param slack: repeats allowed beyond that in a window.
+    :param window: seconds.
+    """
+
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window: float,
+        read_time: Callable[[], float] = trio.current_time,
+    ) -> None:
+        self.denied = 0
+        self._ratio = ratio
+        self._slack = slack
+        self._window = window
+        self._read_time = read_time
+        self._requests: dict[str, deque[float]] = {}
+        self._repeats: dict[str, deque[float]] = {}
+        self._others: dict[str, Mapping[str, tuple[int, int]]] = {}
+
+    def note_request(self, service: str) -> None:
+        """Count one request that came from a caller."""
+        self._append(self._requests, service)
+
+    def try_spend(self, service: str) -> bool:
+        """Take one repeat out of the budget, if there is one."""
+        requests, repeats = self._count(service)
+        others = [
+            counts.get(service, (0, 0)) for counts in self._others.values()
+        ]
+        requests += sum(known[0] for known in others)
+        repeats += sum(known[1] for known in others)
+        bound = _SAFE_PART * (self._ratio * requests + self._slack)
+        if repeats >= bound:
+            self.denied += 1
+            return False
+        self._append(self._repeats, service)
+        return True
+
+    def list_counts(self) -> dict[str, tuple[int, int]]:
+        """Return each service's requests and repeats in the window."""
+        names = set(self._requests) | set(self._repeats)
+        return {name: self._count(name) for name in names}
+
+    def take_others(
+        self, entry: str, counts: Mapping[str, tuple[int, int]]
+    ) -> None:
+        """Take what another entry counted."""
+        self._others[entry] = counts
+
+    def forget(self, entries: list[str]) -> None:
+        """Drop the counts of entries that are gone."""
+        for entry in entries:
+            self._others.pop(entry, None)
+
+    def _count(self, service: str) -> tuple[int, int]:
+        start = self._read_time() - self._window
+        counts = []
+        for kept in (self._requests, self._repeats):
+            times = kept.get(service, deque())
+            while times and times[0] < start:
+                times.popleft()
+            counts.append(len(times))
+        return counts[0], counts[1]
+
+    def _append(self, kept: dict[str, deque[float]], service: str) -> None:
+        kept.setdefault(service, deque()).append(self._read_time())
--- /dev/null
+++ b/magnoliacove/peers/__init__.py
@@ -0,0 +1,8 @@
+"""What gateways tell each other without the platform's store."""
+
+from magnoliacove.peers.heartbeats import Heartbeat
+from magnoliacove.peers.heartbeats import Heartbeats
+from magnoliacove.peers.heartbeats import Peer
+from magnoliacove.peers.heartbeats import ReportedHolding
+
+__all__ = ["Heartbeat", "Heartbeats", "Peer", "ReportedHolding"]
--- /dev/null
+++ b/magnoliacove/peers/heartbeats.py
@@ -0,0 +1,323 @@
+"""Heartbeats among gateways: who lives, what runs where, what is lost.
+
+Each gateway sends its own news to all others as datagrams.  A lost one
+matters little, since the next says all of it again; and unlike a
+connection, a datagram cannot fall silent for good.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+import pathlib
+
+import capnp
+import trio
+
+from magnoliacove import errors
+from magnoliacove.directory.holdings import Holding
+from magnoliacove.directory.targets import LayerRange
+from magnoliacove.limits.load import TargetLoad
+from magnoliacove.timeline import Recorder
+from magnoliacove.wire.network import Address
+
+__all__ = ["Heartbeat", "Heartbeats", "Peer", "ReportedHolding"]
+
+_schema = capnp.load(str(pathlib.Path(__file__).with_name("heartbeat.capnp")))
+
+# Seconds between heartbeats, for few peers and for each further one; the
+# cost of a gateway's heartbeats stays the same as the fleet grows.
+_LEAST_INTERVAL = 0.15
+_INTERVAL_PER_PEER = 0.012
+# News that cannot wait is sent at once, but not more often than this.
+_LEAST_PAUSE = 0.03
+# A peer unheard for so many intervals is taken for gone, at least _GONE.
+_GONE_INTERVALS = 6
+_GONE = 1.2
+# A peer unheard for so long is no longer written to.
+_FORGOTTEN = 30.0
+_MOST_PEERS_NAMED = 64
+_MOST_DATAGRAM = 60_000
+
+
+@dataclass(frozen=True)
+class ReportedHolding:
+    """What an engine reported to whoever has the placement duty.
+
+    :param age: seconds since the report.
+    """
+
+    target: str
+    age: float
+    holding: Holding
+
+
+@dataclass(frozen=True)
+class Heartbeat:
+    """One gateway's news.
+
+    :param suspicions: targets, ages in seconds and reasons.
+    :param services: requests and repeats in the present window.
+    :param peers: addresses of gateways that it knows.
+    """
+
+    name: str
+    address: str
+    incarnation: int
+    sequence: int
+    data_centre: str
+    configuration_version: int
+    leaving: bool
+    store_reachable: bool
+    crossings: int
+    loads: dict[str, TargetLoad]
+    suspicions: tuple[tuple[str, float, str], ...]
+    holdings: tuple[ReportedHolding, ...]
+    services: dict[str, tuple[int, int]]
+    peers: tuple[str, ...]
+
+    def encode(self) -> bytes:
+        """Return the heartbeat as one datagram."""
+        data: bytes = _schema.Heartbeat.new_message(
+            name=self.name,
+            address=self.address,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            dataCentre=self.data_centre,
+            configurationVersion=self.configuration_version,
+            leaving=self.leaving,
+            storeReachable=self.store_reachable,
+            crossings=self.crossings,
+            loads=[
+                {
+                    "target": target,
+                    "requests": load.requests,
+                    "tokenLayers": int(load.token_layers),
+                }
+                for target, load in self.loads.items()
+            ],
+            suspicions=[
+                {"target": target, "age": int(age * 1000), "why": why}
+                for target, age, why in self.suspicions
+            ],
+            holdings=[_write_holding(item) for item in self.holdings],
+            services=[
+                {"service": name, "requests": counts[0], "repeats": counts[1]}
+                for name, counts in self.services.items()
+            ],
+            peers=list(self.peers),
+        ).to_bytes()
+        return data
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Heartbeat":
+        """Return the heartbeat of a datagram.
+
+        :raises magnoliacove.errors.ProtocolError: when it is none.
+        """
+        try:
+            with _schema.Heartbeat.from_bytes(data) as read:
+                return cls(
+                    name=read.name,
+                    address=read.address,
+                    incarnation=read.incarnation,
+                    sequence=read.sequence,
+                    data_centre=read.dataCentre,
+                    configuration_version=read.configurationVersion,
+                    leaving=read.leaving,
+                    store_reachable=read.storeReachable,
+                    crossings=read.crossings,
+                    loads={
+                        item.target: TargetLoad(
+                            item.requests, float(item.tokenLayers)
+                        )
+                        for item in read.loads
+                    },
+                    suspicions=tuple(
+                        (item.target, item.age / 1000, item.why)
+                        for item in read.suspicions
+                    ),
+                    holdings=tuple(map(_read_holding, read.holdings)),
+                    services={
+                        item.service: (item.requests, item.repeats)
+                        for item in read.services
+                    },
+                    peers=tuple(read.peers),
+                )
+        except (capnp.KjException, ValueError) as why:
+            raise errors.ProtocolError(
+                f"a datagram is no heartbeat: {why}; check that all "
+                "gateways run the same release"
+            ) from why
+
+
+def _write_holding(item: ReportedHolding) -> dict[str, object]:
+    layers = item.holding.layers
+    return {
+        "target": item.target,
+        "age": int(item.age * 1000),
+        "first": layers.first if layers else 0,
+        "end": layers.end if layers else 0,
+        "loading": item.holding.loading,
+        "slowness": item.holding.slowness,
+    }
+
+
+def _read_holding(item: object) -> ReportedHolding:
+    read: object = item
+    first, end = read.first, read.end  # type: ignore[attr-defined]
+    layers = LayerRange(first, end) if end > first else None
+    return ReportedHolding(
+        read.target,  # type: ignore[attr-defined]
+        read.age / 1000,  # type: ignore[attr-defined]
+        Holding(
+            layers,
+            read.loading,  # type: ignore[attr-defined]
+            read.slowness,  # type: ignore[attr-defined]
+        ),
+    )
+
+
+@dataclass
+class Peer:
+    """Another gateway, as last heard."""
+
+    heartbeat: Heartbeat
+    heard_at: float
+
+
+class Heartbeats:
+    """Sends this gateway's heartbeats and takes the others'.
+
+    :param make: returns this gateway's present heartbeat, told its
+        sequence and the peers' addresses.
+    :param take: called with each newer heartbeat.
+    :param lose: called with the names of peers that are gone.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        seeds: Sequence[Address],
+        recorder: Recorder,
+        make: Callable[[int, tuple[str, ...]], Heartbeat],
+        take: Callable[[Heartbeat], None],
+        lose: Callable[[list[str]], None],
+    ) -> None:
+        self.bytes_sent = 0
+        self._address = address
+        self._recorder = recorder
+        self._make = make
+        self._take = take
+        self._lose = lose
+        self._peers: dict[str, Peer] = {}
+        self._heard: dict[Address, float] = {}
+        self._seeds = {seed for seed in seeds if seed != address}
+        self._sequence = 0
+        self._news = trio.Event()
+        self._live: set[str] = set()
+
+    def list_live(self) -> list[Peer]:
+        """Return the peers that were heard lately, by name."""
+        limit = trio.current_time() - self._gone_after
+        return [
+            self._peers[name]
+            for name in sorted(self._peers)
+            if self._peers[name].heard_at >= limit
+        ]
+
+    def add_address(self, address: Address) -> None:
+        """Write to one more address from now on."""
+        if address != self._address:
+            self._heard.setdefault(address, trio.current_time())
+
+    def send_soon(self) -> None:
+        """Send the next heartbeat at once."""
+        self._news.set()
+
+    async def run(self) -> None:
+        """Send and take heartbeats until cancelled."""
+        socket = trio.socket.socket(
+            trio.socket.AF_INET, trio.socket.SOCK_DGRAM
+        )
+        with socket:
+            await socket.bind((self._address.host, self._address.port))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._receive, socket)
+                while True:
+                    await self._send(socket)
+                    await trio.sleep(_LEAST_PAUSE)
+                    with trio.move_on_after(self._interval - _LEAST_PAUSE):
+                        await self._news.wait()
+
+    @property
+    def _interval(self) -> float:
+        return max(_LEAST_INTERVAL, _INTERVAL_PER_PEER * len(self._heard))
+
+    @property
+    def _gone_after(self) -> float:
+        return max(_GONE, _GONE_INTERVALS * self._interval)
+
+    async def _send(self, socket: trio.socket.SocketType) -> None:
+        self._news = trio.Event()
+        self._notice_lost()
+        self._sequence += 1
+        # Only who was heard is named; else gateways would go on telling
+        # each other of one that is long gone.
+        live = self.list_live()[:_MOST_PEERS_NAMED]
+        named = tuple(peer.heartbeat.address for peer in live)
+        data = self._make(self._sequence, named).encode()
+        if len(data) > _MOST_DATAGRAM:
+            self._recorder.record(
+                "heartbeat-too-long",
+                why=f"{len(data)} bytes do not fit one datagram",
+            )
+            return
+        for address in {*self._heard, *self._seeds}:
+            try:
+                await socket.sendto(data, (address.host, address.port))
+                self.bytes_sent += len(data)
+            except OSError:
+                # An unreachable peer is noticed by its own silence.
+                continue
+
+    async def _receive(self, socket: trio.socket.SocketType) -> None:
+        while True:
+            try:
+                data, _ = await socket.recvfrom(65536)
+            except OSError:
+                # A peer's port was closed; its silence tells the rest.
+                continue
+            try:
+                self._take_one(Heartbeat.decode(data))
+            except errors.Error as why:
+                self._recorder.record("heartbeat-unreadable", why=str(why))
+
+    def _take_one(self, heartbeat: Heartbeat) -> None:
+        now = trio.current_time()
+        known = self._peers.get(heartbeat.name)
+        rank = (heartbeat.incarnation, heartbeat.sequence)
+        if known is not None:
+            before = known.heartbeat
+            if rank <= (before.incarnation, before.sequence):
+                return
+        self._peers[heartbeat.name] = Peer(heartbeat, now)
+        self._heard[Address.parse(heartbeat.address)] = now
+        for text in heartbeat.peers:
+            self.add_address(Address.parse(text))
+        if heartbeat.name not in self._live:
+            self._live.add(heartbeat.name)
+            self._recorder.record("peer-heard", target=heartbeat.name)
+        self._take(heartbeat)
+
+    def _notice_lost(self) -> None:
+        live = {peer.heartbeat.name for peer in self.list_live()}
+        lost = sorted(self._live - live)
+        self._live = live
+        for name in lost:
+            self._recorder.record("peer-silent", target=name)
+        if lost:
+            self._lose(lost)
+        limit = trio.current_time() - _FORGOTTEN
+        for address, heard_at in list(self._heard.items()):
+            if heard_at < limit:
+                del self._heard[address]
--- /dev/null
+++ b/magnoliacove/peers/snapshots.py
@@ -0,0 +1,133 @@
+"""Asking a peer for the configuration and the targets that it knows.
+
+A gateway that starts, or goes on, while the platform's store does not
+answer it takes both from a peer that is better off.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import orjson
+import trio
+
+from magnoliacove import defaults
+from magnoliacove import errors
+from magnoliacove import wire
+from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.timeline import Recorder
+from magnoliacove.wire import messages
+
+__all__ = ["PeerSnapshot", "ask_snapshot", "serve_snapshots"]
+
+_ASK_TIMEOUT = 1.0
+_ROLE = "gateway"
+
+
+@dataclass(frozen=True)
+class PeerSnapshot:
+    """What a gateway knows.
+
+    :param configuration: the configuration as the store holds it, or b"".
+    :param revision: the store's revision of the list of targets.
+    """
+
+    configuration: bytes
+    targets: tuple[ListedTarget, ...]
+    revision: int
+
+    def encode(self) -> bytes:
+        """Return the snapshot as JSON."""
+        return orjson.dumps(
+            {
+                "configuration": self.configuration.decode(),
+                "targets": self.targets,
+                "revision": self.revision,
+            }
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "PeerSnapshot":
+        """Return the snapshot that JSON describes.
+
+        :raises magnoliacove.errors.ProtocolError: when it describes none.
+        """
+        try:
+            values = orjson.loads(data)
+            return cls(
+                values["configuration"].encode(),
+                tuple(_read_target(item) for item in values["targets"]),
+                int(values["revision"]),
+            )
+        except (ValueError, KeyError, TypeError) as why:
+            raise errors.ProtocolError(
+                f"a peer's snapshot cannot be read: {why}"
+            ) from why
+
+
+def _read_target(values: dict[str, object]) -> ListedTarget:
+    address = values.pop("address")
+    layers = values.pop("layers")
+    return ListedTarget(
+        **values,  # type: ignore[arg-type]
+        address=wire.Address(**address),  # type: ignore[arg-type]
+        layers=LayerRange(**layers) if layers else None,  # type: ignore[arg-type]
+    )
+
+
+def _make_hello(name: str) -> Callable[[], messages.Hello]:
+    def make() -> messages.Hello:
+        version = defaults.PROTOCOL_VERSION
+        return messages.Hello(version, name, 0, _ROLE, "", 0, "")
+
+    return make
+
+
+async def serve_snapshots(
+    address: wire.Address,
+    name: str,
+    network: wire.Network,
+    recorder: Recorder,
+    make: Callable[[], PeerSnapshot],
+) -> None:
+    """Answer peers that ask, until cancelled."""
+
+    async def take(
+        connection: wire.Connection, message: messages.Message
+    ) -> None:
+        if isinstance(message, messages.Subscribe):
+            connection.post(messages.Snapshot(make().encode()))
+
+    async def serve(stream: trio.abc.Stream) -> None:
+        await wire.serve_connection(
+            stream, recorder, _make_hello(name), take, messages.Pong
+        )
+
+    await network.listen(address, serve, task_status=trio.TASK_STATUS_IGNORED)
+
+
+async def ask_snapshot(
+    address: wire.Address,
+    name: str,
+    network: wire.Network,
+    recorder: Recorder,
+    versions: Sequence[int] = (0,),
+) -> PeerSnapshot | None:
+    """Ask one peer; return None when it gives no answer."""
+    found = await wire.ask(
+        network,
+        address,
+        recorder.clock,
+        _make_hello(name),
+        messages.Subscribe(versions[0]),
+        messages.Snapshot,
+        _ASK_TIMEOUT,
+    )
+    if found is None:
+        return None
+    try:
+        return PeerSnapshot.decode(found.data)
+    except errors.ProtocolError as why:
+        recorder.record("snapshot-unreadable", why=str(why))
+        return None
--- /dev/null
+++ b/magnoliacove/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which engine holds which layers, and who sees to it."""
--- /dev/null
+++ b/magnoliacove/placement/duty.py
@@ -0,0 +1,347 @@
+"""The duty of keeping layers placed, held by one gateway at a time.
+
+The holder of a lease in the platform's store asks the engines how they are
+and orders layers onto them.  While the store is away the last holder goes
+on, or else the live gateway whose name comes first: orders name the number
+of orders that the engine has begun, so of two that cross only one counts.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+
+from magnoliacove import defaults
+from magnoliacove import errors
+from magnoliacove.configuration.routes import ModelShape
+from magnoliacove.directory import Lease
+from magnoliacove.directory.health import Health
+from magnoliacove.directory.holdings import Holding
+from magnoliacove.directory.holdings import Holdings
+from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.targets import TargetList
+from magnoliacove.gateway.channels import TargetError
+from magnoliacove.gateway.engines import EngineCalls
+from magnoliacove.limits.load import LoadBook
+from magnoliacove.placement.plan import EngineState
+from magnoliacove.placement.plan import PlacedLayers
+from magnoliacove.placement.plan import make_plan
+from magnoliacove.platform.engines import EngineReport
+from magnoliacove.platform.engines import OrderResult
+from magnoliacove.timeline import Recorder
+
+__all__ = ["DutySources", "PlacementDuty"]
+
+LEASE = "placement"
+_ROUND = 0.25
+# Each engine is asked twice a second: a lost one is found out within about
+# a second even where no stream passes, and a report is cheap.
+_REPORT_EVERY = 0.5
+_REPORT_TIMEOUT = 0.35
+# Reports that fail in a row before an engine is suspected; one may be
+# lost on a bad link.
+_FAILURES = 2
+_RENEW_EVERY = 1.2
+# The list of targets fills over some seconds after a start.  A placement
+# on a part of it would be made again, so it is awaited to stand still.
+_SETTLED = 1.5
+_MOST_WAIT = 6.0
+# An order whose engine shows no sign of it for so long may be given again.
+_ORDER_TIMEOUT = 1.0
+# The store is taken for away after so long without an answer.
+_STORE_AWAY = 1.5
+
+
+@dataclass(frozen=True)
+class DutySources:
+    """What the duty reads and tells.
+
+    :param list_models: the services that run on engines, by name.
+    :param is_settled: whether traffic has begun, so nothing is awaited.
+    :param read_store_silence: seconds since the store answered last.
+    :param is_first_peer: whether no live gateway goes before this one.
+    :param tell: called when engines hold other layers than before.
+    """
+
+    targets: TargetList
+    health: Health
+    holdings: Holdings
+    loads: LoadBook
+    calls: EngineCalls
+    recorder: Recorder
+    list_models: Callable[[], dict[str, ModelShape]]
+    is_settled: Callable[[], bool]
+    read_store_silence: Callable[[], float]
+    is_first_peer: Callable[[], bool]
+    tell: Callable[[], None]
+
+
+@dataclass
+class _Engine:
+    """What the duty knows of one engine.
+
+    :param ordered: what it was ordered to hold, until it shows.
+    :param ordered_at: when the order was given.
+    """
+
+    report: EngineReport | None = None
+    asked_at: float = -1e9
+    failures: int = 0
+    ordered: LayerRange | None = None
+    ordered_at: float = 0.0
+    began: bool = False
+
+
+class PlacementDuty:
+    """Takes part in the duty and does it while it is held."""
+
+    def __init__(self, sources: DutySources, lease: Lease) -> None:
+        self.acting = False
+        self._sources = sources
+        self._lease = lease
+        self._engines: dict[str, _Engine] = {}
+        self._started = trio.current_time()
+        self._acting_since = 0.0
+        self._last_orders = 0.0
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._keep_lease)
+            while True:
+                self._decide_acting()
+                if self.acting:
+                    await self._do_round(nursery)
+                await trio.sleep(_ROUND)
+
+    async def release(self) -> None:
+        """Give the duty up, so that another can take it at once."""
+        self.acting = False
+        with trio.move_on_after(defaults.STORE_TIMEOUT):
+            await self._lease.release()
+
+    async def _keep_lease(self) -> None:
+        while True:
+            try:
+                with trio.move_on_after(_RENEW_EVERY):
+                    await self._lease.try_take()
+            except errors.PlatformError:
+                # The follower of the store says that it is away.
+                pass
+            pause = _RENEW_EVERY if self._lease.held else _RENEW_EVERY / 2
+            await trio.sleep(pause)
+
+    def _decide_acting(self) -> None:
+        sources = self._sources
+        away = sources.read_store_silence() > _STORE_AWAY
+        acting = self._lease.held or (
+            away and (self.acting or sources.is_first_peer())
+        )
+        if acting == self.acting:
+            return
+        self.acting = acting
+        self._acting_since = trio.current_time()
+        self._engines.clear()
+        sources.recorder.record(
+            "placement-taken" if acting else "placement-left",
+            why="the lease is held"
+            if self._lease.held
+            else "the store is away"
+            if acting
+            else "the lease is not held",
+            fence=self._lease.fence,
+        )
+
+    # One round.
+
+    async def _do_round(self, nursery: trio.Nursery) -> None:
+        sources = self._sources
+        now = trio.current_time()
+        models = sources.list_models()
+        known = {t.name for t in sources.targets.list_all()}
+        for name in set(self._engines) - known:
+            del self._engines[name]
+        for service, shape in models.items():
+            for target in sources.targets.list_service(service):
+                engine = self._engines.setdefault(target.name, _Engine())
+                if now - engine.asked_at >= _REPORT_EVERY:
+                    engine.asked_at = now
+                    nursery.start_soon(self._ask, target, engine)
+            if self._may_plan(service):
+                self._give_orders(nursery, service, shape)
+
+    def _may_plan(self, service: str) -> bool:
+        """Return whether enough is known to place layers."""
+        sources = self._sources
+        now = trio.current_time()
+        targets = sources.targets.list_service(service)
+        if not targets:
+            return False
+        answered = [
+            t for t in targets if self._engines[t.name].report is not None
+        ]
+        asked_for = now - self._acting_since
+        if len(answered) < len(targets) and asked_for < _REPORT_EVERY * 2:
+            return False
+        if sources.is_settled():
+            return True
+        still = now - sources.targets.changed_at
+        return still >= _SETTLED or now - self._started > _MOST_WAIT
+
+    async def _ask(self, target: ListedTarget, engine: _Engine) -> None:
+        report: EngineReport | None = None
+        with trio.move_on_after(_REPORT_TIMEOUT):
+            try:
+                report = await self._sources.calls.read_report(target)
+            except TargetError as why:
+                engine.failures += 1
+                if why.outcome is errors.Outcome.NOT_RUN:
+                    # Nobody listens there: there is no need to ask again.
+                    engine.failures = _FAILURES
+        if report is not None:
+            self._take_report(target, engine, report)
+            return
+        engine.failures += 1
+        if engine.failures >= _FAILURES:
+            engine.report = None
+            self._sources.health.suspect(target.name, "it gives no reports")
+
+    def _take_report(
+        self, target: ListedTarget, engine: _Engine, report: EngineReport
+    ) -> None:
+        engine.failures = 0
+        engine.report = report
+        if engine.ordered is not None:
+            self._check_order(target, engine, report)
+        layers = report.layers
+        ordered = engine.ordered
+        if ordered is not None and layers is not None and layers != ordered:
+            # What is being given up takes no new work.
+            layers = _intersect(layers, ordered)
+        changed = self._sources.holdings.note(
+            target.name, Holding(layers, report.loading, report.slowness)
+        )
+        if changed:
+            self._sources.tell()
+
+    def _check_order(
+        self, target: ListedTarget, engine: _Engine, report: EngineReport
+    ) -> None:
+        """Forget an order that is done, or that the engine never began."""
+        now = trio.current_time()
+        if report.layers == engine.ordered and not report.loading:
+            self._sources.recorder.record(
+                "layers-placed",
+                target=target.name,
+                layers=_describe(engine.ordered),
+                seconds=round(now - engine.ordered_at, 2),
+            )
+            engine.ordered = None
+        elif not report.loading and now - engine.ordered_at > _ORDER_TIMEOUT:
+            self._sources.recorder.record(
+                "order-lost",
+                target=target.name,
+                layers=_describe(engine.ordered),
+                why="the engine neither holds nor loads the layers",
+            )
+            engine.ordered = None
+
+    # Orders.
+
+    def _give_orders(
+        self, nursery: trio.Nursery, service: str, shape: ModelShape
+    ) -> None:
+        states = [
+            self._describe_engine(target)
+            for target in self._sources.targets.list_service(service)
+        ]
+        loading = sum(
+            1
+            for name in (state.target for state in states)
+            if self._engines[name].ordered is not None
+        )
+        plan = make_plan(states, shape)
+        if self._sources.is_settled():
+            # More loads at a time take longer each; what closes a gap
+            # should not wait for what does not.
+            plan = plan[: max(0, shape.parallel_loads - loading)]
+        for item in plan:
+            target = self._sources.targets.find(item.target)
+            if target is None:
+                continue
+            engine = self._engines[item.target]
+            engine.ordered = item.layers
+            engine.ordered_at = trio.current_time()
+            nursery.start_soon(self._order, target, engine, item)
+
+    def _describe_engine(self, target: ListedTarget) -> EngineState:
+        engine = self._engines[target.name]
+        report = engine.report
+        suspected = self._sources.health.find(target.name) is not None
+        layers = engine.ordered
+        if layers is None and report is not None:
+            layers = report.layers
+        return EngineState(
+            target=target.name,
+            data_centre=target.data_centre,
+            accelerator=target.accelerator,
+            layers=layers,
+            usable=report is not None and not suspected,
+            movable=engine.ordered is None
+            and report is not None
+            and not report.loading,
+            requests=self._sources.loads.read(target.name).requests,
+        )
+
+    async def _order(
+        self, target: ListedTarget, engine: _Engine, item: PlacedLayers
+    ) -> None:
+        report = engine.report
+        result = "lost"
+        self._note_giving_up(target, report, item)
+        with trio.move_on_after(_ORDER_TIMEOUT):
+            try:
+                result = await self._sources.calls.place(
+                    target,
+                    item.layers,
+                    interrupt=item.closes_gap,
+                    orders=report.orders if report else None,
+                )
+            except TargetError as why:
+                result = f"lost: {why}"
+        self._sources.recorder.record(
+            "order-given",
+            target=target.name,
+            layers=_describe(item.layers),
+            closes_gap=item.closes_gap,
+            held=_describe(report.layers if report else None),
+            orders=report.orders if report else None,
+            result=str(result),
+            fence=self._lease.fence,
+        )
+        if result in (OrderResult.CONFLICT, OrderResult.REFUSED):
+            # Another order came first; the next report tells which.
+            engine.ordered = None
+            engine.asked_at = -1e9
+
+    def _note_giving_up(
+        self,
+        target: ListedTarget,
+        report: EngineReport | None,
+        item: PlacedLayers,
+    ) -> None:
+        """Tell everybody at once which layers the engine gives up."""
+        held = report.layers if report else None
+        kept = _intersect(held, item.layers) if held else None
+        if self._sources.holdings.note(target.name, Holding(kept, True)):
+            self._sources.tell()
+
+
+def _intersect(a: LayerRange, b: LayerRange) -> LayerRange | None:
+    first, end = max(a.first, b.first), min(a.end, b.end)
+    return LayerRange(first, end) if first < end else None
+
+
+def _describe(layers: LayerRange | None) -> str:
+    return f"{layers.first}-{layers.end}" if layers else ""
--- a/magnoliacove/platform/api.py
+++ b/magnoliacove/platform/api.py
@@ -63,8 +63,15 @@
     async def get(self, name: str) -> Record | None:
         """Return an object, or None when there is none."""
 
-    async def list_records(self, prefix: str) -> Listing:
-        """Return the objects whose names start with a prefix."""
+    async def list_records(
+        self, prefix: str, *, stale: bool = False
+    ) -> Listing:
+        """Return the objects whose names start with a prefix.
+
+        :param prefix: begins with the kind and a slash.
+        :param stale: an answer that is some seconds old will do; it is
+            cheaper and does not count against the store's rate.
+        """
 
     async def put(
         self, name: str, value: bytes, if_version: int | None = None
--- a/magnoliacove/platform/client.py
+++ b/magnoliacove/platform/client.py
@@ -1,12 +1,18 @@
-"""The object API over HTTP."""
+"""The platform's object store over HTTP: the one client for it.
+
+An object is named ``KIND/NAME`` here.  The store keeps JSON; what is not
+JSON lies in it as base64 text.
+"""
 
 import base64
-import json
+import binascii
 from typing import Any
 from urllib.parse import quote
+from urllib.parse import unquote
 from urllib.parse import urlencode
 
 import httpcore
+import orjson
 
 from magnoliacove import defaults
 from magnoliacove import errors
@@ -14,11 +20,16 @@
 
 __all__ = ["HttpObjectApi"]
 
+_OBJECTS = "/v1/objects/"
+# The longest wait of a watch that the store takes, in seconds.
+_MOST_WAIT = 30.0
+
 
 class HttpObjectApi:
-    """Speaks to the platform's object API.
+    """Speaks to the platform's object store.
 
     :param url: for example ``http://10.0.0.2:8500``.
+    :param timeout: seconds for a connection, a write and an answer.
     """
 
     def __init__(
@@ -33,47 +44,84 @@
 
     async def get(self, name: str) -> api.Record | None:
         """Return an object, or None when there is none."""
-        status, data = await self._call("GET", f"/objects/{quote(name)}")
-        return None if status == 404 else _read_record(data)
+        status, data = await self._call("GET", _path(name))
+        return None if status == 404 else _read_object(_kind(name), data)
 
-    async def list_records(self, prefix: str) -> api.Listing:
+    async def list_records(
+        self, prefix: str, *, stale: bool = False
+    ) -> api.Listing:
         """Return the objects whose names start with a prefix."""
-        query = urlencode({"prefix": prefix})
-        _, data = await self._call("GET", f"/objects?{query}")
-        records = tuple(_read_record(item) for item in data["records"])
-        return api.Listing(records, data["revision"])
+        kind, _, start = prefix.partition("/")
+        records: list[api.Record] = []
+        after, revision = "", 0
+        while True:
+            query = {"after": after} if after else {}
+            if stale:
+                query["stale_ok"] = "1"
+            path = f"{_OBJECTS}{quote(kind)}?{urlencode(query)}"
+            status, data = await self._call("GET", path.rstrip("?"))
+            if status == 404:
+                return api.Listing((), revision)
+            # The first page's revision: what is written while the others
+            # are read is then seen twice by a watch rather than never.
+            revision = revision or int(data["as_of"])
+            page = [_read_object(kind, item) for item in data["items"]]
+            records += page
+            if not data.get("has_more") or not page:
+                break
+            after = data["items"][-1]["metadata"]["name"]
+        found = (r for r in records if _tail(r.name).startswith(start))
+        return api.Listing(tuple(found), revision)
 
     async def put(
         self, name: str, value: bytes, if_version: int | None = None
     ) -> int:
         """Write an object and return its version."""
-        path = f"/objects/{quote(name)}{_condition(if_version)}"
-        _, data = await self._call("PUT", path, value)
-        return int(data["version"])
+        if if_version == 0:
+            return await self._create(name, value)
+        body = _write_object(name, value, if_version)
+        status, data = await self._call("PUT", _path(name), body)
+        if status != 404:
+            return int(data["metadata"]["revision"])
+        if if_version is not None:
+            raise api.VersionConflictError(f"{name} does not exist")
+        return await self._create(name, value)
 
     async def delete(self, name: str, if_version: int | None = None) -> None:
         """Delete an object, if it has the given version."""
-        path = f"/objects/{quote(name)}{_condition(if_version)}"
-        await self._call("DELETE", path)
+        path = _path(name)
+        if if_version is not None:
+            path += f"?revision={if_version}"
+        status, _ = await self._call("DELETE", path)
+        if status == 404 and if_version:
+            raise api.VersionConflictError(f"{name} does not exist")
 
     async def watch(
         self, prefix: str, after: int, timeout: float
     ) -> tuple[tuple[api.WatchEvent, ...], int]:
         """Wait for writes under a prefix after a revision."""
-        query = urlencode(
-            {"prefix": prefix, "after": after, "timeout": timeout}
-        )
-        _, data = await self._call("GET", f"/watch?{query}", extra=timeout)
-        events = tuple(
-            api.WatchEvent(item["revision"], _read_record(item["record"]))
-            for item in data["events"]
+        kind, _, start = prefix.partition("/")
+        wait = min(timeout, _MOST_WAIT)
+        query = urlencode({"watch": after, "wait_ms": int(wait * 1000)})
+        path = f"{_OBJECTS}{quote(kind)}?{query}"
+        _, data = await self._call("GET", path, extra=wait)
+        events = (_read_event(kind, item) for item in data.get("events", ()))
+        revision = int(data["as_of"])
+        return (
+            tuple(e for e in events if _tail(e.record.name).startswith(start)),
+            revision,
         )
-        return events, data["revision"]
 
     async def aclose(self) -> None:
         """Close the connections."""
         await self._pool.aclose()
 
+    async def _create(self, name: str, value: bytes) -> int:
+        path = f"{_OBJECTS}{quote(_kind(name))}"
+        body = _write_object(name, value, None)
+        _, data = await self._call("POST", path, body)
+        return int(data["metadata"]["revision"])
+
     async def _call(
         self, method: str, path: str, body: bytes = b"", extra: float = 0.0
     ) -> tuple[int, Any]:
@@ -83,6 +131,7 @@
             response = await self._pool.request(
                 method,
                 self._url + path,
+                headers=[(b"content-type", b"application/json")],
                 content=body or None,
                 extensions={
                     "timeout": {
@@ -93,7 +142,7 @@
                     }
                 },
             )
-            data = json.loads(response.content or b"null")
+            data = orjson.loads(response.content or b"null")
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as why:
             raise errors.PlatformError(
                 f"the object API at {self._url} cannot be reached",
@@ -118,16 +167,16 @@
 
 
 def _check(status: int, data: Any) -> None:
-    if status in (200, 404):
+    if status in (200, 201, 404):
         return
     reason = data.get("error", "") if isinstance(data, dict) else ""
     if status == 409:
-        raise api.VersionConflictError(reason)
+        raise api.VersionConflictError(str(reason))
     if status == 410:
-        raise api.CompactedError(reason)
+        raise api.CompactedError(str(reason))
     if status in (429, 503):
         raise errors.PlatformError(
-            f"the object API refused the call: {reason}",
+            f"the object API refused the call: {status} {reason}",
             errors.Outcome.NOT_RUN,
         )
     raise errors.PlatformError(
@@ -136,10 +185,47 @@
     )
 
 
-def _condition(if_version: int | None) -> str:
-    return "" if if_version is None else f"?if_version={if_version}"
+def _kind(name: str) -> str:
+    return name.partition("/")[0]
+
+
+def _tail(name: str) -> str:
+    return name.partition("/")[2]
 
 
-def _read_record(data: dict[str, Any]) -> api.Record:
-    value = base64.b64decode(data["value"])
-    return api.Record(data["name"], data["version"], value)
+def _path(name: str) -> str:
+    return f"{_OBJECTS}{quote(_kind(name))}/{quote(_tail(name), safe='')}"
+
+
+def _read_event(kind: str, data: dict[str, Any]) -> api.WatchEvent:
+    record = _read_object(kind, data["object"])
+    if data.get("removed"):
+        gone = api.Record(record.name, 0, b"")
+        return api.WatchEvent(record.version, gone)
+    return api.WatchEvent(record.version, record)
+
+
+def _read_object(kind: str, data: dict[str, Any]) -> api.Record:
+    meta, spec = data["metadata"], data.get("spec")
+    name = f"{kind}/{unquote(meta['name'])}"
+    if isinstance(spec, str):
+        try:
+            value = base64.b64decode(spec, validate=True)
+        except binascii.Error:
+            value = spec.encode()
+    else:
+        value = orjson.dumps(spec)
+    return api.Record(name, int(meta["revision"]), value)
+
+
+def _write_object(name: str, value: bytes, version: int | None) -> bytes:
+    meta: dict[str, Any] = {"name": _tail(name)}
+    if version is not None:
+        meta["revision"] = version
+    try:
+        spec = orjson.loads(value)
+        if isinstance(spec, str):
+            raise ValueError
+    except ValueError:
+        spec = base64.b64encode(value).decode()
+    return orjson.dumps({"metadata": meta, "spec": spec})
--- /dev/null
+++ b/magnoliacove/platform/fields.py
@@ -0,0 +1,79 @@
+"""Reading values out of decoded JSON, with errors that name the field."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from magnoliacove import errors
+
+__all__ = ["Fields"]
+
+
+class Fields:
+    """One JSON object whose fields are read with their types checked.
+
+    :param where: what the object is, for messages, as ``route r-1``.
+    """
+
+    def __init__(self, values: Any, where: str) -> None:
+        if not isinstance(values, Mapping):
+            raise errors.ProtocolError(
+                f"{where} is not a JSON object; check what wrote it"
+            )
+        self.where = where
+        self._values = values
+
+    def text(self, name: str, default: str | None = None) -> str:
+        """Return a string."""
+        return str(self._get(name, str, default))
+
+    def flag(self, name: str, default: bool = False) -> bool:
+        """Return true or false."""
+        return bool(self._get(name, bool, default))
+
+    def integer(self, name: str, default: int | None = None) -> int:
+        """Return a whole number."""
+        return int(self._get(name, (int, float), default))
+
+    def number(self, name: str, default: float | None = None) -> float:
+        """Return a number."""
+        return float(self._get(name, (int, float), default))
+
+    def seconds(self, name: str, default_ms: float | None = None) -> float:
+        """Return seconds from a field that counts milliseconds."""
+        return self.number(name, default_ms) / 1000
+
+    def objects(self, name: str) -> list["Fields"]:
+        """Return the objects of a list; a missing list is empty."""
+        items = self._get(name, (list, tuple), [])
+        where = f"{self.where}, {name}"
+        return [Fields(item, f"{where}[{n}]") for n, item in enumerate(items)]
+
+    def texts(self, name: str) -> tuple[str, ...]:
+        """Return the strings of a list; a missing list is empty."""
+        return tuple(str(item) for item in self._get(name, (list, tuple), []))
+
+    def object(self, name: str) -> "Fields | None":
+        """Return an object, or None when there is none."""
+        value = self._values.get(name)
+        if value is None:
+            return None
+        return Fields(value, f"{self.where}, {name}")
+
+    def has(self, name: str) -> bool:
+        """Return whether a field holds a value."""
+        return self._values.get(name) is not None
+
+    def _get(self, name: str, kinds: Any, default: Any) -> Any:
+        value = self._values.get(name)
+        if value is None:
+            value = default
+        if value is None:
+            raise errors.ProtocolError(
+                f"{self.where} has no field {name!r}; it must be set"
+            )
+        if not isinstance(value, kinds) and value is not default:
+            raise errors.ProtocolError(
+                f"{self.where} has {value!r:.60} in field {name!r}, which "
+                "is of another type; correct the field"
+            )
+        return value
--- /dev/null
+++ b/magnoliacove/platform/headers.py
@@ -0,0 +1,223 @@
+"""The header names that callers and engines use, and their formats."""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.routing.paths import Path
+
+__all__ = [
+    "AnswerMarks",
+    "CallerMarks",
+    "read_answer",
+    "read_caller",
+    "write_refusal",
+    "write_request",
+]
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+_REQUEST_ID = b"x-request-id"
+_DEADLINE = b"x-deadline-ms"
+_LAST_EVENT = b"last-event-id"
+_TENANT = b"x-tenant"
+_INSTANCE = b"x-target-instance"
+_PRIORITY = b"x-request-priority"
+_EXPECTED_VERSION = b"x-expect-version"
+_PATH = b"x-hops"
+_TOKENS = b"x-token-usage"
+_LENGTH_HINT = b"x-length-hint"
+_AUTHORIZATION = b"authorization"
+_STAMP = b"x-response-stamp"
+_NOT_RUN = b"x-not-executed"
+_LOAD = b"x-server-load"
+_FAULTY = b"at-server"
+_RETRY_AFTER = b"retry-after"
+_KEY_SCHEME = b"token"
+# Priorities that engines know; 0 goes first.
+_LOWEST_PRIORITY = 9
+
+# These concern one connection only.
+_HOP_BY_HOP = frozenset(
+    [
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    ]
+)
+# What the system sets itself, whatever a caller sent.
+_OURS = frozenset(
+    [
+        _DEADLINE,
+        _TENANT,
+        _INSTANCE,
+        _PRIORITY,
+        _EXPECTED_VERSION,
+        _PATH,
+        _LAST_EVENT,
+        _AUTHORIZATION,
+        b"content-length",
+    ]
+)
+
+
+@dataclass(frozen=True)
+class CallerMarks:
+    """What a caller's headers say.
+
+    :param request: the id of this attempt of the caller.
+    :param key: the API key, or "".
+    :param patience: seconds that the caller waits, or None.
+    :param last_event: the last event that the caller has, or "".
+    :param prompt_tokens: the length of a prompt, 0 when unknown.
+    :param most_tokens: the most tokens that the answer may have.
+    :param likely_tokens: the caller's estimate of the answer's length.
+    """
+
+    request: str
+    key: str
+    patience: float | None
+    last_event: str
+    prompt_tokens: int
+    most_tokens: int
+    likely_tokens: int
+
+
+@dataclass(frozen=True)
+class AnswerMarks:
+    """What a target's headers say.
+
+    :param request: the id of the request that is answered, or "".
+    :param stamped: the answer proves that a target gave it.
+    :param not_run: the target says that the request did not run.
+    :param faulty: the address of the engine at fault, or "".
+    :param running: requests that run there, or None when not told.
+    :param waiting: requests that wait there.
+    :param slots: how many may run there.
+    """
+
+    request: str
+    stamped: bool
+    not_run: bool
+    faulty: str
+    running: int | None = None
+    waiting: int = 0
+    slots: int = 0
+
+
+def read_caller(headers: Headers) -> CallerMarks:
+    """Decode a caller's headers."""
+    values = dict(headers)
+    scheme, _, key = values.get(_AUTHORIZATION, b"").partition(b" ")
+    prompt, _, most = values.get(_TOKENS, b"").partition(b",")
+    patience = _read_count(values.get(_DEADLINE, b""))
+    return CallerMarks(
+        request=values.get(_REQUEST_ID, b"").decode("latin-1"),
+        key=key.strip().decode("latin-1")
+        if scheme.lower() == _KEY_SCHEME
+        else "",
+        patience=patience / 1000 if patience is not None else None,
+        last_event=values.get(_LAST_EVENT, b"").decode("latin-1"),
+        prompt_tokens=_read_count(prompt) or 0,
+        most_tokens=_read_count(most) or 0,
+        likely_tokens=_read_count(values.get(_LENGTH_HINT, b"")) or 0,
+    )
+
+
+def read_answer(status: int, headers: Headers) -> AnswerMarks:
+    """Decode a target's headers."""
+    values = dict(headers)
+    load = [_read_count(p) for p in values.get(_LOAD, b"").split(b",")]
+    known = len(load) == 3 and None not in load
+    return AnswerMarks(
+        request=values.get(_REQUEST_ID, b"").decode("latin-1"),
+        stamped=_STAMP in values,
+        not_run=_NOT_RUN in values or status == 421,
+        faulty=values.get(_FAULTY, b"").decode("latin-1"),
+        running=load[0] if known else None,
+        waiting=load[1] or 0 if known else 0,
+        slots=load[2] or 0 if known else 0,
+    )
+
+
+def write_request(
+    headers: Headers,
+    *,
+    target: ListedTarget,
+    account: str,
+    patience: float,
+    priority: int,
+    last_event: str = "",
+    path: Path | None = None,
+    body_length: int = 0,
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers for a target.
+
+    :param headers: the caller's.
+    :param patience: seconds that are left.
+    """
+    dropped = _HOP_BY_HOP | _OURS | _list_named(headers)
+    kept = [(n, v) for n, v in headers if n not in dropped]
+    kept += [
+        (_DEADLINE, b"%d" % max(1, int(patience * 1000))),
+        (_INSTANCE, target.name.encode()),
+        (_PRIORITY, b"%d" % min(max(0, priority), _LOWEST_PRIORITY)),
+    ]
+    if account:
+        kept.append((_TENANT, account.encode()))
+    if last_event:
+        kept.append((_LAST_EVENT, last_event.encode()))
+    if path is not None:
+        kept.append((_PATH, _write_path(path)))
+    if body_length or any(n == b"content-length" for n, _ in headers):
+        kept.append((b"content-length", b"%d" % body_length))
+    return kept
+
+
+def copy_answer(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return a target's headers without those of its connection."""
+    dropped = _HOP_BY_HOP | _list_named(headers)
+    return [(n, v) for n, v in headers if n not in dropped]
+
+
+def write_refusal(
+    request: str, retry_after: float | None
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers of an answer of our own."""
+    headers = [(b"content-type", b"application/json")]
+    if request:
+        headers.append((_REQUEST_ID, request.encode("latin-1")))
+    if retry_after is not None:
+        headers.append((_RETRY_AFTER, b"%.2f" % retry_after))
+    return headers
+
+
+def _write_path(path: Path) -> bytes:
+    parts = [f"{s.address}={s.first}-{s.end}" for s in path.stages]
+    return ",".join(parts).encode()
+
+
+def _list_named(headers: Headers) -> set[bytes]:
+    """Return the headers that ``Connection`` names as its own."""
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            named.update(_split(value.lower()))
+    return named - {b"close", b"keep-alive"}
+
+
+def _split(value: bytes) -> Iterable[bytes]:
+    return (part.strip() for part in value.split(b","))
+
+
+def _read_count(value: bytes) -> int | None:
+    text = value.strip()
+    return int(text) if text.isdigit() else None
--- /dev/null
+++ b/magnoliacove/routing/candidates.py
@@ -0,0 +1,181 @@
+"""The engines and targets that could serve a request now."""
+
+from collections.abc import Collection
+from collections.abc import Sequence
+from dataclasses import dataclass
+import random
+
+import trio
+
+from magnoliacove.configuration.routes import ModelShape
+from magnoliacove.directory.health import Health
+from magnoliacove.directory.holdings import Holdings
+from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.targets import TargetList
+from magnoliacove.limits.load import LoadBook
+from magnoliacove.routing.paths import PathCosts
+from magnoliacove.routing.paths import StageOption
+
+__all__ = ["Candidates", "TargetRecord"]
+
+# Half of the pipe between data centres is left to transfers that queue.
+_PIPE_SHARE = 0.5
+# A usual stream lasts about so long, in seconds.
+_STREAM_SECONDS = 3.0
+_SMOOTHING = 0.2
+_START_SECONDS = 0.05
+# What one failure adds to a target's expected time, in seconds, and how
+# fast that fades.
+_FAILURE_SECONDS = 1.0
+_FAILURE_FADES = 5.0
+
+
+@dataclass
+class TargetRecord:
+    """What this process learned of one target of a plain service.
+
+    :param seconds: how long answers take, as a moving mean.
+    :param failures: recent failures, fading.
+    """
+
+    seconds: float = _START_SECONDS
+    failures: float = 0.0
+    changed_at: float = 0.0
+
+    def read_failures(self, now: float) -> float:
+        """Return the failures that still count."""
+        fade = (now - self.changed_at) / _FAILURE_FADES
+        return max(0.0, self.failures - fade)
+
+    def note(self, now: float, *, failed: bool, seconds: float) -> None:
+        """Learn from one exchange."""
+        self.failures = self.read_failures(now) + (1.0 if failed else 0.0)
+        self.changed_at = now
+        if not failed:
+            self.failures = max(0.0, self.failures - 0.25)
+            self.seconds += _SMOOTHING * (seconds - self.seconds)
+
+
+class Candidates:
+    """Answers who could serve a request, best first."""
+
+    def __init__(
+        self,
+        data_centre: str,
+        targets: TargetList,
+        health: Health,
+        holdings: Holdings,
+        loads: LoadBook,
+        rng: random.Random,
+    ) -> None:
+        self._data_centre = data_centre
+        self._targets = targets
+        self._health = health
+        self._holdings = holdings
+        self._loads = loads
+        self._rng = rng
+        self._records: dict[str, TargetRecord] = {}
+        self._full_until: dict[str, float] = {}
+
+    # Model engines.
+
+    def list_options(
+        self, service: str, shape: ModelShape, avoided: Collection[str] = ()
+    ) -> list[StageOption]:
+        """Return the engines of a model with their layers and room.
+
+        :param avoided: engines that are not to be used.
+        """
+        now = trio.current_time()
+        options = []
+        for target in self._targets.list_service(service):
+            if target.name in avoided or not self._health.is_usable(
+                target.name
+            ):
+                continue
+            holding = self._holdings.read(target)
+            if holding.layers is None:
+                continue
+            if target.accelerator not in shape.accelerators:
+                continue
+            load = self._loads.read(target.name)
+            room = shape.count_room(target.accelerator, holding.layers.count)
+            if self._full_until.get(target.name, 0.0) > now:
+                room = 0.0
+            options.append(
+                StageOption(
+                    target.name,
+                    target.address,
+                    target.data_centre,
+                    target.accelerator,
+                    holding.layers,
+                    room - load.token_layers,
+                    load.requests,
+                    holding.slowness,
+                )
+            )
+        return options
+
+    def make_costs(
+        self, shape: ModelShape, prompt: float, answer: float
+    ) -> PathCosts:
+        """Return what a request of a model costs on its engines."""
+        crossing = 0.0
+        if shape.link_mbps > 0:
+            bits = (prompt + answer) * shape.hop_bytes * 8
+            busy = self._loads.all_crossings / max(
+                1.0, self.count_crossings(shape)
+            )
+            crossing = bits / (shape.link_mbps * 1e6) * (1 + 4 * busy)
+        return PathCosts(shape, prompt, answer, crossing)
+
+    def count_crossings(self, shape: ModelShape) -> float:
+        """Return how many hops between data centres may run at a time."""
+        bytes_a_second = shape.link_mbps * 1e6 / 8
+        needed = shape.hop_bytes * shape.usual_tokens / _STREAM_SECONDS
+        return _PIPE_SHARE * bytes_a_second / needed if needed else 1e9
+
+    def may_cross(self, shape: ModelShape) -> bool:
+        """Return whether the pipe between data centres has room."""
+        return self._loads.all_crossings < self.count_crossings(shape)
+
+    def note_full(self, target: str, seconds: float) -> None:
+        """Keep new requests off an engine that had no room after all."""
+        self._full_until[target] = trio.current_time() + seconds
+
+    # Plain services.
+
+    def choose_target(
+        self, service: str, tried: Collection[str]
+    ) -> ListedTarget | None:
+        """Return the target that is expected to answer first, or None."""
+        found = [
+            target
+            for target in self._targets.list_service(service)
+            if target.name not in tried
+        ]
+        usable = [t for t in found if self._health.is_usable(t.name)]
+        choice: Sequence[ListedTarget] = usable or found
+        if not choice:
+            return None
+        now = trio.current_time()
+        return min(choice, key=lambda target: self._expect(target, now))
+
+    def read_record(self, target: str) -> TargetRecord:
+        """Return what was learned of a target."""
+        return self._records.setdefault(target, TargetRecord())
+
+    def forget(self, known: set[str]) -> None:
+        """Drop what was learned of targets that no longer exist."""
+        for name in set(self._records) - known:
+            del self._records[name]
+        for name in set(self._full_until) - known:
+            del self._full_until[name]
+
+    def _expect(self, target: ListedTarget, now: float) -> tuple[float, float]:
+        record = self.read_record(target.name)
+        running = self._loads.read(target.name).requests
+        turns = 1 + running / max(1, target.slots)
+        failures = record.read_failures(now) * _FAILURE_SECONDS
+        # Equals are drawn, so that entries do not all choose the first.
+        return failures + record.seconds * turns, self._rng.random()
--- /dev/null
+++ b/magnoliacove/routing/paths.py
@@ -0,0 +1,240 @@
+"""Choosing the engines that one request passes through.
+
+Engines hand a request on by themselves; whoever sends it names the whole
+path.  A path runs every layer once and in order, uses an engine once, and
+leaves room for the request in the memory of each.
+"""
+
+from collections import defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from magnoliacove.configuration.routes import ModelShape
+from magnoliacove.directory.targets import LayerRange
+from magnoliacove.wire.network import Address
+
+__all__ = ["Path", "PathCosts", "PathStage", "StageOption", "find_path"]
+
+# What handing a token to the next engine takes beside its wait for the
+# engine's present pass, in seconds: two link delays and a queue's turn.
+_HOP_SECONDS = 0.0005
+# A token that arrives waits for half a pass on the mean.
+_PASS_WAIT = 0.5
+
+
+@dataclass(frozen=True)
+class StageOption:
+    """An engine and what it could run.
+
+    :param target: the engine's name.
+    :param layers: what it holds.
+    :param room: token-layers of memory that are free for a new request.
+    :param requests: requests that pass through it now.
+    :param slowness: 1 for usual speed, more when it is slow.
+    """
+
+    target: str
+    address: Address
+    data_centre: str
+    accelerator: str
+    layers: LayerRange
+    room: float
+    requests: int = 0
+    slowness: float = 1.0
+
+
+@dataclass(frozen=True)
+class PathStage:
+    """An engine and the layers that it runs for one request."""
+
+    target: str
+    address: Address
+    data_centre: str
+    first: int
+    end: int
+
+
+@dataclass(frozen=True)
+class Path:
+    """The engines of one request, in order.
+
+    :param seconds: the expected time of the whole request.
+    :param crossings: how often it goes from one data centre to another.
+    """
+
+    stages: tuple[PathStage, ...]
+    seconds: float
+    crossings: int
+
+    @property
+    def targets(self) -> tuple[str, ...]:
+        """The names of the engines."""
+        return tuple(stage.target for stage in self.stages)
+
+    def describe(self) -> str:
+        """Return the path in one line, for logs."""
+        return " ".join(f"{s.target}:{s.first}-{s.end}" for s in self.stages)
+
+
+@dataclass(frozen=True)
+class PathCosts:
+    """What a request costs on the engines of one model.
+
+    :param prompt: tokens that are read first.
+    :param answer: tokens that are written, one step each.
+    :param crossing: seconds that each hop between data centres adds.
+    """
+
+    shape: ModelShape
+    prompt: float
+    answer: float
+    crossing: float
+
+    @property
+    def tokens(self) -> float:
+        """Tokens that the request holds in memory at its end."""
+        return self.prompt + self.answer
+
+    def layer_seconds(self, option: StageOption) -> float:
+        """Return the seconds that the request takes in one layer."""
+        shape = self.shape
+        kind = shape.accelerators[option.accelerator]
+        others = option.requests + 1
+        context = others * shape.usual_tokens / 1000
+        step = (
+            shape.step
+            + others * shape.step_per_request
+            + context * shape.step_per_kilotoken
+        ) * kind.step_factor
+        reading = self.prompt / shape.prefill_per_second * kind.prefill_factor
+        seconds = self.answer * step + reading
+        return seconds * option.slowness / shape.layers
+
+    def hop_seconds(self, option: StageOption) -> float:
+        """Return what entering an engine takes over the whole answer."""
+        shape = self.shape
+        kind = shape.accelerators[option.accelerator]
+        share = option.layers.count / shape.layers
+        wait = shape.step * kind.step_factor * share * option.slowness
+        return self.answer * (_HOP_SECONDS + _PASS_WAIT * wait)
+
+
+def find_path(options: Sequence[StageOption], costs: PathCosts) -> Path | None:
+    """Return the quickest path with room for the request, or None.
+
+    Paths inside one data centre are looked at first.  The pipe between
+    data centres is shared by all and moves one transfer after another, so
+    it is used only while no data centre has a whole path of its own.
+    """
+    by_place: dict[str, list[StageOption]] = defaultdict(list)
+    for option in options:
+        by_place[option.data_centre].append(option)
+    inside = [_search(group, costs) for group in by_place.values()]
+    found = [path for path in inside if path is not None]
+    if found:
+        return min(found, key=lambda path: path.seconds)
+    return _search(options, costs) if len(by_place) > 1 else None
+
+
+@dataclass(frozen=True)
+class _Step:
+    """The best way to have run the layers before one position."""
+
+    seconds: float
+    before: "tuple[int, str] | None"
+    option: StageOption | None
+
+
+def _search(options: Sequence[StageOption], costs: PathCosts) -> Path | None:
+    """Return the quickest path over all layers by dynamic programming."""
+    path = _search_cuts(options, costs, _list_cuts(options, costs))
+    if path is not None and len(set(path.targets)) < len(path.stages):
+        # An engine that is left and entered again would be named twice,
+        # which engines refuse.  Ending each stage where its engine's
+        # layers end cannot come back to it.
+        path = _search_cuts(options, costs, None)
+    return path
+
+
+def _list_cuts(options: Sequence[StageOption], costs: PathCosts) -> list[int]:
+    return sorted({o.layers.first for o in options} | {costs.shape.layers})
+
+
+def _search_cuts(
+    options: Sequence[StageOption],
+    costs: PathCosts,
+    cuts: Sequence[int] | None,
+) -> Path | None:
+    """Search among stages that end at a cut or where an engine ends."""
+    last = costs.shape.layers
+    known = [
+        (o, costs.layer_seconds(o), costs.hop_seconds(o)) for o in options
+    ]
+    best: dict[int, dict[str, _Step]] = defaultdict(dict)
+    best[0][""] = _Step(0.0, None, None)
+    positions = {0}
+    while positions:
+        at = min(positions)
+        positions.discard(at)
+        if at == last:
+            break
+        for option, per_layer, hop in known:
+            if not option.layers.first <= at < option.layers.end:
+                continue
+            place = option.data_centre
+            base, before = min(
+                (
+                    step.seconds
+                    + (costs.crossing if from_place not in ("", place) else 0),
+                    from_place,
+                )
+                for from_place, step in best[at].items()
+            )
+            for end in _list_ends(option, at, cuts, last):
+                if costs.tokens * (end - at) > option.room:
+                    continue
+                seconds = base + hop + per_layer * (end - at)
+                present = best[end].get(place)
+                if present is None or seconds < present.seconds:
+                    best[end][place] = _Step(seconds, (at, before), option)
+                    positions.add(end)
+    if not best[last]:
+        return None
+    return _trace(best, last)
+
+
+def _list_ends(
+    option: StageOption, at: int, cuts: Sequence[int] | None, last: int
+) -> list[int]:
+    end = min(option.layers.end, last)
+    if cuts is None:
+        return [end]
+    return [cut for cut in cuts if at < cut < end] + [end]
+
+
+def _trace(best: dict[int, dict[str, _Step]], last: int) -> Path:
+    place = min(best[last], key=lambda name: best[last][name].seconds)
+    seconds = best[last][place].seconds
+    stages: list[PathStage] = []
+    at = last
+    while True:
+        step = best[at][place]
+        if step.before is None or step.option is None:
+            break
+        option = step.option
+        stages.append(
+            PathStage(
+                option.target,
+                option.address,
+                option.data_centre,
+                step.before[0],
+                at,
+            )
+        )
+        at, place = step.before
+    stages.reverse()
+    crossings = sum(
+        a.data_centre != b.data_centre
+        for a, b in zip(stages, stages[1:], strict=False)
+    )
+    return Path(tuple(stages), seconds, crossings)
--- a/magnoliacove/standins/object_api.py
+++ b/magnoliacove/standins/object_api.py
@@ -1,6 +1,5 @@
 """A stand-in for the platform's object API, with faults to order."""
 
-import base64
 from collections import deque
 from dataclasses import dataclass
 import json
@@ -15,6 +14,9 @@
 __all__ = ["Faults", "ObjectStore", "make_app"]
 
 _HISTORY = 10_000
+_OBJECTS = "/v1/objects/"
+# How many objects one page of a listing holds.
+_PAGE = 500
 _OUTAGE_MESSAGE = "the platform is out of service"
 
 
@@ -55,7 +57,9 @@
         await self._enter("get")
         return self._records.get(name)
 
-    async def list_records(self, prefix: str) -> api.Listing:
+    async def list_records(
+        self, prefix: str, *, stale: bool = False
+    ) -> api.Listing:
         """Return the objects whose names start with a prefix."""
         await self._enter("list")
         found = (r for n, r in self._records.items() if n.startswith(prefix))
@@ -102,6 +106,10 @@
             )
         return tuple(self._find(prefix, after)), self._revision
 
+    def holds(self, name: str) -> bool:
+        """Return whether an object exists, whatever the faults."""
+        return name in self._records
+
     def compact(self) -> None:
         """Forget all past writes, as a platform does now and then."""
         self._history.clear()
@@ -196,36 +204,59 @@
 
 
 async def _dispatch(store: ObjectStore, request: web.Request) -> Any:
-    query = request.query
-    if request.path == "/watch":
-        events, revision = await store.watch(
-            query["prefix"], int(query["after"]), float(query["timeout"])
-        )
-        return {
-            "revision": revision,
-            "events": [
-                {"revision": e.revision, "record": _write_record(e.record)}
-                for e in events
-            ],
-        }
-    if request.path == "/objects":
-        listing = await store.list_records(query.get("prefix", ""))
-        records = [_write_record(record) for record in listing.records]
-        return {"revision": listing.revision, "records": records}
-    name = request.path.removeprefix("/objects/")
-    if_version = int(query["if_version"]) if "if_version" in query else None
-    if request.method == "PUT":
-        version = await store.put(name, request.body, if_version)
-        return {"version": version}
+    kind, _, name = request.path.removeprefix(_OBJECTS).partition("/")
+    if request.method == "GET" and not name:
+        return await _read_kind(store, kind, request.query)
+    if request.method == "GET":
+        record = await store.get(f"{kind}/{name}")
+        if record is None:
+            raise errors.NotFoundError(f"there is no {kind} {name}")
+        return _write_object(record)
     if request.method == "DELETE":
-        await store.delete(name, if_version)
+        wanted = request.query.get("revision")
+        version = None if wanted is None else int(wanted)
+        await store.delete(f"{kind}/{name}", version)
         return {}
-    record = await store.get(name)
-    if record is None:
-        raise errors.NotFoundError(f"there is no object {name}")
-    return _write_record(record)
-
-
-def _write_record(record: api.Record) -> dict[str, Any]:
-    value = base64.b64encode(record.value).decode()
-    return {"name": record.name, "version": record.version, "value": value}
+    data = json.loads(request.body)
+    name = name or data["metadata"]["name"]
+    version = data["metadata"].get("revision")
+    if request.method == "POST":
+        version = 0
+    elif not store.holds(f"{kind}/{name}"):
+        raise errors.NotFoundError(f"there is no {kind} {name}")
+    value = json.dumps(data["spec"]).encode()
+    written = await store.put(f"{kind}/{name}", value, version)
+    return _write_object(api.Record(f"{kind}/{name}", written, value))
+
+
+async def _read_kind(
+    store: ObjectStore, kind: str, query: dict[str, str]
+) -> dict[str, Any]:
+    if "watch" in query:
+        seconds = float(query["wait_ms"]) / 1000
+        after = int(query["watch"])
+        events, revision = await store.watch(f"{kind}/", after, seconds)
+        written = [
+            {
+                "removed": not event.record.version,
+                "object": _write_object(event.record),
+            }
+            for event in events
+        ]
+        return {"events": written, "as_of": revision}
+    listing = await store.list_records(f"{kind}/")
+    ordered = sorted(listing.records, key=lambda record: record.name)
+    start = f"{kind}/{query.get('after', '')}"
+    rest = [record for record in ordered if record.name > start]
+    return {
+        "items": [_write_object(record) for record in rest[:_PAGE]],
+        "has_more": len(rest) > _PAGE,
+        "as_of": listing.revision,
+    }
+
+
+def _write_object(record: api.Record) -> dict[str, Any]:
+    name = record.name.partition("/")[2]
+    meta = {"name": name, "revision": record.version, "finalizers": []}
+    spec = json.loads(record.value) if record.value else None
+    return {"metadata": meta, "spec": spec, "status": None}
--- a/tests/platform/test_contract.py
+++ b/tests/platform/test_contract.py
@@ -65,17 +65,17 @@
 @pytest.mark.parametrize(("faults", "call", "outcome"), _FAULTS)
 async def test_faults_tell_the_outcome(over_http, faults, call, outcome):
     async with _open(over_http) as (store, api):
-        version = await api.put("a", b"1")
+        version = await api.put("k/a", b"1")
         for name, value in faults.items():
             setattr(store.faults, name, value)
         calls = {
-            "put": lambda: api.put("a", b"2", version),
-            "get": lambda: api.get("a"),
-            "delete": lambda: api.delete("a", version),
-            "watch": lambda: api.watch("", 0, 1.0),
+            "put": lambda: api.put("k/a", b"2", version),
+            "get": lambda: api.get("k/a"),
+            "delete": lambda: api.delete("k/a", version),
+            "watch": lambda: api.watch("k/", 0, 1.0),
         }
         if "calls_per_second" in faults:
-            await api.get("a")
+            await api.get("k/a")
         with pytest.raises(errors.PlatformError) as caught:
             await calls[call]()
         assert caught.value.outcome is outcome
@@ -86,21 +86,21 @@
 async def store_value(store):
     """Return what really stands in the store, whatever the faults."""
     store.faults = object_api.Faults()
-    record = await store.get("a")
+    record = await store.get("k/a")
     return record.value if record else None
 
 
 @_BOTH
 async def test_compacted_watch(over_http):
     async with _open(over_http) as (store, api):
-        await api.put("a", b"1")
+        await api.put("k/a", b"1")
         store.compact()
         with pytest.raises(platform.CompactedError):
-            await api.watch("", 0, 1.0)
+            await api.watch("k/", 0, 1.0)
 
 
 async def test_nobody_listens():
     api = platform.HttpObjectApi("http://127.0.0.1:9")
     with pytest.raises(errors.PlatformError) as caught:
-        await api.put("a", b"1")
+        await api.put("k/a", b"1")
     assert caught.value.outcome is errors.Outcome.NOT_RUN
