--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -6,6 +6,8 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 
 import trio
@@ -93,6 +95,7 @@
         self._longest_gap = 0.0
         self._scope: trio.CancelScope | None = None
         self._moved = ""
+        self._writing = False
         self._reservation: Reservation | None = None
         self._avoided: set[str] = set()
         self._runs = 0
@@ -116,14 +119,16 @@
 
     def read_silence(self, now: float) -> float:
         """Return seconds since the engine was heard last, 0 if not due."""
-        if self._scope is None or not self._heard:
+        if self._scope is None or self._writing:
             return 0.0
         return now - self._heard
 
     def move(self, why: str) -> None:
         """Leave the present path and go on elsewhere."""
-        if self._scope is not None and not self._moved:
-            self._moved = why
+        if self._scope is None or self._moved:
+            return
+        self._moved = why
+        if not self._writing:
             self._scope.cancel()
 
     # Trying paths.
@@ -370,15 +375,31 @@
             for name, value in headers.copy_answer(answer.headers)
             if name != b"content-length"
         ]
-        await self._exchange.start(
-            200, [*copied, (b"transfer-encoding", b"chunked")]
+        chunked = (b"transfer-encoding", b"chunked")
+        await self._send(
+            lambda: self._exchange.start(200, [*copied, chunked])
         )
 
     async def _write(self, data: bytes) -> None:
-        heard = self._heard
-        await self._exchange.write(data)
-        # Time that the caller took to read is not the engine's silence.
-        self._heard = max(heard, trio.current_time())
+        await self._send(lambda: self._exchange.write(data))
+
+    async def _send(self, send: Callable[[], Awaitable[None]]) -> None:
+        """Send something to the caller, whole, whatever befalls the path.
+
+        A path that is left while a write is on its way would leave the
+        half of it with the caller, and what comes from the next path would
+        follow in the middle: an answer that is none.  So moving waits for
+        the write.
+        """
+        self._writing = True
+        try:
+            await send()
+        finally:
+            self._writing = False
+            # Time that the caller took to read is not the engine's silence.
+            self._heard = trio.current_time()
+        if self._moved and self._scope is not None:
+            self._scope.cancel()
 
     async def _take_failure(
         self, channel: Channel, answer: Answer, marks: headers.AnswerMarks
