Refuse a stream that cannot begin before its caller leaves

Change: a stream waits for a path only while its first event can still come before the caller leaves, else it is refused with a time to return; beyond max_attempts a stream goes on only at an engine that it ran on.

--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -34,11 +34,14 @@
 # Engines that refuse without running a request cost it nothing but time;
 # after so many refusals there is no room, whatever the books say.
 _MOST_REFUSALS = 4
-# How long a stream without a path waits for one.  A lost engine's layers
-# are placed again in about two seconds, and a late answer still counts.
-_PATIENCE = 4.0
-# A begun stream has two seconds before its caller leaves.
-_RESUME_PATIENCE = 1.6
+# A caller leaves after the longest of these without an event: a fixed time,
+# so many times the latency objective, so many times the longest pause.
+_CALLER_PATIENCE = 2.0
+_CALLER_OBJECTIVES = 4.0
+_CALLER_GAPS = 8.0
+# What is left of that for the path to bring the first event, once it is
+# found: reading a usual prompt on a busy path, twice.
+_FIRST_EVENT_TIME = 0.5
 # An engine that refused for want of memory is left alone for so long.
 _FULL_SECONDS = 0.3
 _RETRY_AFTER = 0.5
@@ -92,12 +95,14 @@
         self._events = 0
         self._first_event_at = 0.0
         self._heard = 0.0
+        self._sent_at = 0.0
         self._longest_gap = 0.0
         self._scope: trio.CancelScope | None = None
         self._moved = ""
         self._writing = False
         self._reservation: Reservation | None = None
         self._avoided: set[str] = set()
+        self._firsts: set[str] = set()
         self._runs = 0
         self._refusals = 0
 
@@ -150,18 +155,40 @@
     async def _find_path(self) -> None:
         """Wait until a path has room, and reserve it."""
         routed = self._routed
-        left = routed.deadline - trio.current_time()
-        patience = _RESUME_PATIENCE if self.began else _PATIENCE
+        now = trio.current_time()
         objective = routed.route.latency_objective
+        leaves = max(
+            _CALLER_PATIENCE,
+            _CALLER_OBJECTIVES * objective,
+            _CALLER_GAPS * routed.route.gap_objective,
+        )
+        since = self._sent_at if self.began else routed.request.arrived
+        patience = since + leaves - _FIRST_EVENT_TIME - now
+        left = min(patience, routed.deadline - now)
+        if left <= 0:
+            raise self._make_hopeless()
         await self._state.room.wait_path(
             self._reserve,
             # A begun stream goes before all others: its caller leaves
             # soon, and what it has read already would be lost.
             priority=-1 if self.began else routed.priority,
-            fresh_until=trio.current_time() + patience
+            fresh_until=now + left
             if self.began
             else routed.request.arrived + objective,
-            patience=min(left, patience),
+            patience=left,
+        )
+
+    def _make_hopeless(self) -> errors.RequestError:
+        """Return the error for a caller that leaves before any event."""
+        ran = self._runs > 0
+        return errors.RequestError(
+            "too_late",
+            "no path could bring an event before the caller leaves",
+            status=504 if ran else 503,
+            outcome=errors.Outcome.MAY_HAVE_RUN
+            if ran
+            else errors.Outcome.NOT_RUN,
+            retry_after=None if ran else _RETRY_AFTER,
         )
 
     def _reserve(self) -> Path | None:
@@ -174,7 +201,7 @@
         costs = state.candidates.make_costs(
             self._shape, prompt, self._answer_tokens * _ANSWER_PART
         )
-        path = find_path(options, costs)
+        path = find_path(options, costs, self._list_firsts())
         if path is None:
             return None
         if path.crossings and not state.candidates.may_cross(self._shape):
@@ -186,6 +213,19 @@
         self._reservation = state.loads.reserve_path(path, costs.tokens)
         return path
 
+    def _list_firsts(self) -> frozenset[str] | None:
+        """Return the engines that may be first, None when all may.
+
+        A request runs on as many engines as its route allows, counted by
+        the first of each path; one that it ran on may run it once more.
+        """
+        used = frozenset(
+            name
+            for name in self._firsts
+            if self._state.targets.find(name) is not None
+        )
+        return used if len(used) >= self._routed.route.max_attempts else None
+
     def _leave_path(self) -> None:
         if self._reservation is not None:
             self._state.loads.release(self._reservation)
@@ -206,7 +246,7 @@
         )
         if failure.ran:
             self._runs += 1
-            if not route.repeatable or self._runs > route.max_attempts:
+            if not route.repeatable:
                 return False
         else:
             self._refusals += 1
@@ -243,6 +283,7 @@
         if target is None or path is None:
             raise _BrokenError("the first engine is gone", False)
         self._note_path(path)
+        self._firsts.add(target.name)
         self._moved = ""
         sent = False
         self._heard = trio.current_time()
@@ -262,7 +303,6 @@
         finally:
             self._scope = None
             self._stalls.streams.discard(self)
-        self._avoided.add(target.name)
         raise _BrokenError(self._moved, sent)
 
     @contextlib.asynccontextmanager
@@ -376,9 +416,7 @@
             if name != b"content-length"
         ]
         chunked = (b"transfer-encoding", b"chunked")
-        await self._send(
-            lambda: self._exchange.start(200, [*copied, chunked])
-        )
+        await self._send(lambda: self._exchange.start(200, [*copied, chunked]))
 
     async def _write(self, data: bytes) -> None:
         await self._send(lambda: self._exchange.write(data))
@@ -396,6 +434,7 @@
             await send()
         finally:
             self._writing = False
+            self._sent_at = trio.current_time()
             # Time that the caller took to read is not the engine's silence.
             self._heard = trio.current_time()
         if self._moved and self._scope is not None:
--- a/magnoliacove/routing/paths.py
+++ b/magnoliacove/routing/paths.py
@@ -6,6 +6,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Collection
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -119,13 +120,25 @@
         return self.answer * (_HOP_SECONDS + _PASS_WAIT * wait)
 
 
-def find_path(options: Sequence[StageOption], costs: PathCosts) -> Path | None:
+def find_path(
+    options: Sequence[StageOption],
+    costs: PathCosts,
+    firsts: Collection[str] | None = None,
+) -> Path | None:
     """Return the quickest path with room for the request, or None.
 
+    :param firsts: the engines that may be first, None when all may.
+
     Paths inside one data centre are looked at first.  The pipe between
     data centres is shared by all and moves one transfer after another, so
     it is used only while no data centre has a whole path of its own.
     """
+    if firsts is not None:
+        options = [
+            option
+            for option in options
+            if option.layers.first > 0 or option.target in firsts
+        ]
     by_place: dict[str, list[StageOption]] = defaultdict(list)
     for option in options:
         by_place[option.data_centre].append(option)
