Keep one fault from ending the whole gateway process

Change: the main tasks are supervised and start again, a fault while a request is answered ends that request only; each leaves a log line with its traceback.

--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+import traceback
 
 import trio
 
@@ -23,6 +24,7 @@
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.store import StoreFollower
+from magnoliacove.gateway.supervision import run_supervised
 from magnoliacove.metrics import Meters
 from magnoliacove.metrics import serve_meters
 from magnoliacove.peers import Heartbeat
@@ -134,23 +136,20 @@
         settings, state = self._settings, self.state
         async with trio.open_nursery() as nursery:
             state.pool.start_soon = nursery.start_soon
-            nursery.start_soon(self._heartbeats.run)
-            nursery.start_soon(self._store.run)
-            nursery.start_soon(
-                serve_snapshots,
-                self._address,
-                settings.name,
-                self._network,
-                self.recorder,
-                self._make_snapshot,
-            )
-            nursery.start_soon(self._duty.run)
-            nursery.start_soon(self._stalls.run)
-            nursery.start_soon(self._tidy)
-            nursery.start_soon(self._catch_up)
-            nursery.start_soon(self._serve_readiness)
-            nursery.start_soon(self._serve_meters)
-            nursery.start_soon(self._serve_callers)
+            tasks = {
+                "heartbeats": self._heartbeats.run,
+                "store": self._store.run,
+                "snapshots": self._serve_snapshots,
+                "placement": self._duty.run,
+                "stalls": self._stalls.run,
+                "tidy": self._tidy,
+                "catch-up": self._catch_up,
+                "readiness": self._serve_readiness,
+                "meters": self._serve_meters,
+                "callers": self._serve_callers,
+            }
+            for name, task in tasks.items():
+                nursery.start_soon(run_supervised, name, task, self.recorder)
             self.recorder.record(
                 "started",
                 address=str(settings.callers),
@@ -199,6 +198,15 @@
 
     # Listening.
 
+    async def _serve_snapshots(self) -> None:
+        await serve_snapshots(
+            self._address,
+            self._settings.name,
+            self._network,
+            self.recorder,
+            self._make_snapshot,
+        )
+
     async def _serve_callers(self) -> None:
         address = self._settings.callers
         listener = _listen(address)
@@ -217,6 +225,13 @@
         self._connections.add(connection)
         try:
             await connection.run()
+        except Exception as why:
+            # One caller's connection must not end all others.
+            self.recorder.record(
+                "connection-failed",
+                why=repr(why),
+                traceback=traceback.format_exc(),
+            )
         finally:
             self._connections.discard(connection)
 
@@ -236,7 +251,7 @@
 
     async def _serve_meters(self) -> None:
         if not self._meters_port:
-            return
+            await trio.sleep_forever()
         listener = web.bind_socket(self._settings.host, self._meters_port)
         await serve_meters(self.state.meters, listener)
 
--- a/magnoliacove/gateway/relay.py
+++ b/magnoliacove/gateway/relay.py
@@ -1,6 +1,7 @@
 """One request of a caller: whose it is, where it goes, what is answered."""
 
 from dataclasses import dataclass
+import traceback
 
 import orjson
 import trio
@@ -68,6 +69,11 @@
             await self._run(exchange, routed)
         except errors.RequestError as why:
             return await self._answer_error(exchange, marks, why)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The caller's connection broke; whoever serves it ends it.
+            raise
+        except Exception as why:
+            return await self._answer_fault(exchange, marks, why)
         return _Outcome("ok", 200)
 
     def _route(
@@ -144,6 +150,27 @@
             return
         await PlainCall(state, exchange, routed).run()
 
+    async def _answer_fault(
+        self,
+        exchange: Exchange,
+        marks: headers.CallerMarks,
+        why: Exception,
+    ) -> _Outcome:
+        """Answer a request that met a fault of our own."""
+        self._state.recorder.record(
+            "request-fault",
+            request=marks.request,
+            why=repr(why),
+            traceback=traceback.format_exc(),
+        )
+        error = errors.RequestError(
+            "internal",
+            "the entry failed; the request may have run",
+            status=502,
+            outcome=errors.Outcome.MAY_HAVE_RUN,
+        )
+        return await self._answer_error(exchange, marks, error)
+
     async def _answer_error(
         self,
         exchange: Exchange,
--- a/magnoliacove/logs.py
+++ b/magnoliacove/logs.py
@@ -35,6 +35,9 @@
 _ALWAYS_KEPT = frozenset(
     [
         "request-failed",
+        "request-fault",
+        "connection-failed",
+        "task-failed",
         "path-lost",
         "call-failed",
         "target-suspected",
