--- a/magnoliacove/directory/holdings.py
+++ b/magnoliacove/directory/holdings.py
@@ -27,11 +27,13 @@
     :param layers: what it serves, or None.
     :param loading: whether it is taking other layers.
     :param slowness: 1 for usual speed, more when it is slow.
+    :param used: token-layers of its memory that requests hold.
     """
 
     layers: LayerRange | None
     loading: bool = False
     slowness: float = 1.0
+    used: float = 0.0
 
 
 class Holdings:
@@ -44,7 +46,7 @@
         self._reported: dict[str, tuple[float, Holding]] = {}
 
     def note(self, target: str, holding: Holding, age: float = 0.0) -> bool:
-        """Take a report; return whether it changed anything.
+        """Take a report; return whether other layers are held now.
 
         :param age: seconds since the report was made.
         """
@@ -53,7 +55,7 @@
         if known is not None and known[0] > at:
             return False
         self._reported[target] = (at, holding)
-        return known is None or known[1] != holding
+        return known is None or known[1].layers != holding.layers
 
     def read(self, target: ListedTarget) -> Holding:
         """Return what an engine holds now."""
--- a/magnoliacove/directory/leases.py
+++ b/magnoliacove/directory/leases.py
@@ -34,7 +34,7 @@
     """One process's dealings with one lease.
 
     :param name: the lease, for example ``distributor-gent-a``.
-    :param owner: this process's name and incarnation.
+    :param owner: this process's name and incarnation, ``NAME/INCARNATION``.
     """
 
     def __init__(
@@ -92,7 +92,9 @@
         self._drop("another process took it")
         if self._observed is None or self._observed.version != version:
             self._observed = _Observed(version, holder, now)
-        free = holder in ("", self._owner)
+        # Only one process of an instance runs at a time.  A holder that was
+        # killed and started again need not wait for its own lease to lapse.
+        free = not holder or _instance(holder) == _instance(self._owner)
         if not free and now - self._observed.since < self._duration:
             return False
         return await self._write(version, fence + 1)
@@ -141,6 +143,11 @@
         self.fence = 0
 
 
+def _instance(owner: str) -> str:
+    """Return the instance's name of an owner, ``NAME/INCARNATION``."""
+    return owner.partition("/")[0]
+
+
 def read_lease(record: platform.Record | None) -> tuple[str, int]:
     """Return the holder and the fencing number of a lease's object."""
     if record is None:
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -106,7 +106,9 @@
         self._stalls = StallWatch(self.state, self._calls)
         self._relay = Relay(self.state, self._stalls)
         owner = f"{settings.name}/{self._incarnation}"
-        self._lease = Lease(api, recorder, duty.LEASE, owner)
+        self._lease = Lease(
+            api, recorder, duty.LEASE, owner, duration=duty.LEASE_SECONDS
+        )
         self._duty = duty.PlacementDuty(
             duty.DutySources(
                 targets=targets,
--- a/magnoliacove/peers/heartbeat.capnp
+++ b/magnoliacove/peers/heartbeat.capnp
@@ -38,6 +38,7 @@
   end @3 :UInt16;
   loading @4 :Bool;
   slowness @5 :Float32;
+  used @6 :UInt64;
 }
 
 struct ServiceCount {
--- a/magnoliacove/peers/heartbeats.py
+++ b/magnoliacove/peers/heartbeats.py
@@ -159,6 +159,7 @@
         "end": layers.end if layers else 0,
         "loading": item.holding.loading,
         "slowness": item.holding.slowness,
+        "used": int(item.holding.used),
     }
 
 
@@ -173,6 +174,7 @@
             layers,
             read.loading,  # type: ignore[attr-defined]
             read.slowness,  # type: ignore[attr-defined]
+            float(read.used),  # type: ignore[attr-defined]
         ),
     )
 
--- a/magnoliacove/placement/duty.py
+++ b/magnoliacove/placement/duty.py
@@ -42,7 +42,11 @@
 # Reports that fail in a row before an engine is suspected; one may be
 # lost on a bad link.
 _FAILURES = 2
-_RENEW_EVERY = 1.2
+# A lease that is not renewed for LEASE_SECONDS may be taken.  Four renewals
+# fit in, so one lost answer of the store costs nothing, and a holder that
+# died is followed before its engines' requests have all been given up.
+LEASE_SECONDS = 2.5
+_RENEW_EVERY = 0.8
 # The list of targets fills over some seconds after a start.  A placement
 # on a part of it would be made again, so it is awaited to stand still.
 _SETTLED = 1.5
@@ -220,7 +224,8 @@
             # What is being given up takes no new work.
             layers = _intersect(layers, ordered)
         changed = self._sources.holdings.note(
-            target.name, Holding(layers, report.loading, report.slowness)
+            target.name,
+            Holding(layers, report.loading, report.slowness, report.used),
         )
         if changed:
             self._sources.tell()
--- a/magnoliacove/placement/plan.py
+++ b/magnoliacove/placement/plan.py
@@ -5,6 +5,12 @@
 layers a second time, so that the loss of an engine leaves a whole path or
 a small gap.  A gap is closed with the fewest loads: by an engine that
 holds nothing, or one whose layers others hold as well.
+
+Memory is shared out so that every layer has room for as many requests.  An
+engine that shares its layers with another needs room for half of them and
+can hold more layers.  With the same room on every engine, the layers that
+are held once would bound the whole path, and the room beside the others
+would lie idle.
 """
 
 from collections import defaultdict
@@ -17,10 +23,10 @@
 
 __all__ = ["EngineState", "PlacedLayers", "make_plan"]
 
-# Requests of usual length that an engine keeps memory for beside its
-# layers.  About as many run on one path at a time in calm traffic; with
-# fewer the layers fit in more often, but a loss leaves no room.
-STREAMS_PER_ENGINE = 24
+# Requests of usual length that the paths of one data centre have room for.
+# Calm traffic keeps 20 to 30 in progress in each of three; twice that lets
+# two of them carry what the third one cannot, and a burst.
+STREAMS_PER_PLACE = 48
 
 
 @dataclass(frozen=True)
@@ -78,11 +84,13 @@
     return sorted(placed, key=lambda item: not item.closes_gap)
 
 
-def count_layers(
-    shape: ModelShape, accelerator: str, streams: int = STREAMS_PER_ENGINE
-) -> int:
-    """Return how many layers an engine holds beside so many requests."""
+def count_layers(shape: ModelShape, accelerator: str, copies: int) -> int:
+    """Return how many layers an engine is to hold.
+
+    :param copies: how many engines share the requests of those layers.
+    """
     kind = shape.accelerators[accelerator]
+    streams = STREAMS_PER_PLACE / copies
     tokens = streams * shape.usual_tokens
     per_layer = shape.layer_mb + tokens * shape.token_mb / shape.layers
     fitting = int(kind.memory_mb / per_layer)
@@ -122,14 +130,67 @@
 
     def make(self) -> list[PlacedLayers]:
         """Return the changes for this data centre."""
+        if len(self._empty) == len(self._engines):
+            self._lay_out()
         self._close_gaps()
         for engine in self._empty:
-            size = count_layers(self._shape, engine.accelerator)
+            size = self._size(engine, 2)
             if size:
                 window = self._find_thinnest(size)
                 self._place(engine.target, window, closes_gap=False)
         return self._placed
 
+    def _lay_out(self) -> None:
+        """Place all engines at once, when none holds anything yet.
+
+        The first layers, which the quickest engines run, are held twice.
+        As many are as memory allows: the loss of a quick engine takes the
+        longest to make good.
+        """
+        best: list[tuple[EngineState, LayerRange]] = []
+        for shared in range(self._shape.layers + 1):
+            layout = self._try_layout(shared)
+            if layout is None:
+                break
+            best = layout
+        for number, (engine, layers) in enumerate(best):
+            covers = any(
+                self._counts[n] == 0 for n in range(layers.first, layers.end)
+            )
+            self._place(
+                engine.target, layers, closes_gap=covers or number == 0
+            )
+        placed = {engine.target for engine, _ in best}
+        self._empty = [e for e in self._empty if e.target not in placed]
+
+    def _try_layout(
+        self, shared: int
+    ) -> list[tuple[EngineState, LayerRange]] | None:
+        """Lay engines in turn, with so many first layers held twice.
+
+        :returns: None when there are too few engines.
+        """
+        last = self._shape.layers
+        waiting = list(self._empty)
+        layout: list[tuple[EngineState, LayerRange]] = []
+        for end in (last, shared):
+            at = 0
+            while at < end:
+                if not waiting:
+                    return None
+                engine = waiting.pop(0)
+                size = self._size(engine, 2 if at < shared else 1)
+                if not size:
+                    continue
+                # The last one of a row reaches back over its neighbour.
+                first = min(at, last - size)
+                layout.append((engine, LayerRange(first, first + size)))
+                at = first + size
+        return layout
+
+    def _size(self, engine: EngineState, copies: int) -> int:
+        return count_layers(self._shape, engine.accelerator, copies)
+
     def _close_gaps(self) -> None:
         for _ in range(len(self._engines)):
             gap = self._find_gap()
@@ -143,7 +204,10 @@
                     return
                 engine = spare
                 self._release(engine.target)
-            size = count_layers(self._shape, engine.accelerator)
+            size = self._size(engine, 1)
+            if size < gap.count:
+                # Less room for requests is better than no path at all.
+                size = min(self._size(engine, 2), gap.count)
             if size == 0:
                 continue
             window = self._fit_window(gap, size)
@@ -173,7 +237,7 @@
             return None
 
         def rank(engine: EngineState) -> tuple[bool, int, int, str]:
-            size = count_layers(self._shape, engine.accelerator)
+            size = self._size(engine, 2)
             return size < gap.count, engine.requests, size, engine.target
 
         return min(spare, key=rank)
--- a/magnoliacove/routing/candidates.py
+++ b/magnoliacove/routing/candidates.py
@@ -109,7 +109,10 @@
                     target.data_centre,
                     target.accelerator,
                     holding.layers,
-                    room - load.token_layers,
+                    # What is reserved grows to its end, and what is used
+                    # may belong to requests of an entry that died; the
+                    # larger of both is taken.
+                    room - max(load.token_layers, holding.used),
                     load.requests,
                     holding.slowness,
                 )
