--- a/magnoliacove/logs.py
+++ b/magnoliacove/logs.py
@@ -29,7 +29,9 @@
 # Lines of a reader that has stopped: 8 MB at 1 KB each.
 _MOST_LINES = 8000
 _FLUSH_EVERY = 0.2
-_CHUNK = 65536
+# Writes of up to so many bytes to a pipe are taken whole or not at all, so
+# a line is never torn by what another writer adds in between.
+_ATOMIC_WRITE = 4096
 # Events that a budget never drops: they say why a request failed, or that
 # a belief on which many requests hang has changed.
 _ALWAYS_KEPT = frozenset(
@@ -130,8 +132,7 @@
             self._told = self.dropped
             self._lines.append(json.dumps(missing).encode() + b"\n")
         while self._rest or self._lines:
-            while self._lines and len(self._rest) < _CHUNK:
-                self._rest += self._lines.popleft()
+            self._fill_rest()
             try:
                 written = os.write(self._descriptor, self._rest)
             except BlockingIOError:
@@ -143,6 +144,14 @@
                 return
             self._rest = self._rest[written:]
 
+    def _fill_rest(self) -> None:
+        """Take as many whole lines as one write moves."""
+        while self._lines:
+            size = len(self._rest) + len(self._lines[0])
+            if self._rest and size > _ATOMIC_WRITE:
+                return
+            self._rest += self._lines.popleft()
+
     async def run(self) -> None:
         """Write queued lines until cancelled."""
         while True:
--- a/magnoliacove/placement/duty.py
+++ b/magnoliacove/placement/duty.py
@@ -169,7 +169,9 @@
         for service, shape in models.items():
             for target in sources.targets.list_service(service):
                 engine = self._engines.setdefault(target.name, _Engine())
-                if now - engine.asked_at >= _REPORT_EVERY:
+                suspected = not sources.health.is_usable(target.name)
+                pause = _ROUND if suspected else _REPORT_EVERY
+                if now - engine.asked_at >= pause:
                     engine.asked_at = now
                     nursery.start_soon(self._ask, target, engine)
             if self._may_plan(service):
@@ -207,7 +209,8 @@
             self._take_report(target, engine, report)
             return
         engine.failures += 1
-        if engine.failures >= _FAILURES:
+        suspected = not self._sources.health.is_usable(target.name)
+        if engine.failures >= _FAILURES or suspected:
             engine.report = None
             self._sources.health.suspect(target.name, "it gives no reports")
 
@@ -283,7 +286,6 @@
     def _describe_engine(self, target: ListedTarget) -> EngineState:
         engine = self._engines[target.name]
         report = engine.report
-        suspected = self._sources.health.find(target.name) is not None
         layers = engine.ordered
         if layers is None and report is not None:
             layers = report.layers
@@ -292,7 +294,9 @@
             data_centre=target.data_centre,
             accelerator=target.accelerator,
             layers=layers,
-            usable=report is not None and not suspected,
+            # An engine is lost when it gives no reports.  A suspicion
+            # alone may come from a cut between two others.
+            usable=report is not None,
             movable=engine.ordered is None
             and report is not None
             and not report.loading,
