--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -144,6 +144,7 @@
                 "snapshots": self._serve_snapshots,
                 "placement": self._duty.run,
                 "stalls": self._stalls.run,
+                "room": self.state.room.run,
                 "tidy": self._tidy,
                 "catch-up": self._catch_up,
                 "readiness": self._serve_readiness,
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -27,6 +27,8 @@
 from magnoliacove.limits.load import Reservation
 from magnoliacove.platform import headers
 from magnoliacove.routing.paths import Path
+from magnoliacove.routing.paths import StageOption
+from magnoliacove.routing.paths import describe_bottlenecks
 from magnoliacove.routing.paths import find_path
 
 __all__ = ["StreamCall"]
@@ -104,6 +106,7 @@
         self._avoided: set[str] = set()
         self._firsts: set[str] = set()
         self._runs = 0
+        self._waited_for = -1
         self._refusals = 0
 
     async def run(self) -> None:
@@ -202,9 +205,11 @@
             self._shape, prompt, self._answer_tokens * _ANSWER_PART
         )
         path = find_path(options, costs, self._list_firsts())
-        if path is None:
-            return None
-        if path.crossings and not state.candidates.may_cross(self._shape):
+        crossing = path is not None and path.crossings > 0
+        if path is None or (
+            crossing and not state.candidates.may_cross(self._shape)
+        ):
+            self._note_waiting(options, costs.tokens, crossing)
             return None
         first = state.targets.find(path.stages[0].target)
         if first is None:
@@ -491,6 +496,24 @@
             number=self._runs + self._refusals + 1,
         )
 
+    def _note_waiting(
+        self, options: list[StageOption], tokens: float, crossing: bool
+    ) -> None:
+        if self._waited_for == self._runs + self._refusals:
+            return
+        self._waited_for = self._runs + self._refusals
+        self._state.recorder.record(
+            "request-waiting",
+            request=self.request,
+            why="the pipe between data centres is full"
+            if crossing
+            else "no path has room",
+            tokens=round(tokens),
+            room=describe_bottlenecks(options, self._shape.layers),
+            waiting=self._state.room.waiting,
+            avoided=sorted(self._avoided),
+        )
+
     def _note_answered(self) -> None:
         now = trio.current_time()
         arrived = self._routed.request.arrived
--- a/magnoliacove/limits/room.py
+++ b/magnoliacove/limits/room.py
@@ -18,9 +18,13 @@
 
 __all__ = ["RoomQueue"]
 
-# Waiters that are tried, in order, each time that something changes; the
-# others need at least as much room or would go behind those.
+# Waiters that are tried, in order, each time that something changes; what
+# they leave is not enough for many more.
 _TRIED = 8
+# Changes within so many seconds are taken together.  A try costs a search
+# over the engines; one for each release and each heartbeat took the whole
+# processor when many waited, and callers' leaving went unnoticed.
+_FILL_EVERY = 0.025
 _SMOOTHING = 0.2
 _FIRST_PAUSE = 0.2
 _LEAST_RETRY_AFTER = 0.3
@@ -57,6 +61,7 @@
         # Seconds between two requests that got room, for Retry-After.
         self._pause = _FIRST_PAUSE
         self._granted_at = 0.0
+        self._changed = trio.Event()
 
     @property
     def waiting(self) -> int:
@@ -90,8 +95,8 @@
         waiter = _Waiter(find_path, priority, fresh_until, next(self._numbers))
         self._waiters.append(waiter)
         try:
+            self.fill()
             with trio.move_on_after(patience):
-                self.fill()
                 await waiter.decided.wait()
         finally:
             if waiter in self._waiters:
@@ -100,10 +105,20 @@
             raise self._refuse()
         return waiter.path
 
+    async def run(self) -> None:
+        """Give room to those who wait, until cancelled."""
+        while True:
+            await self._changed.wait()
+            self._changed = trio.Event()
+            self._fill()
+            await trio.sleep(_FILL_EVERY)
+
     def fill(self) -> None:
-        """Give room to those who wait, after something changed."""
-        if not self._waiters:
-            return
+        """Give room to those who wait soon, after something changed."""
+        if self._waiters:
+            self._changed.set()
+
+    def _fill(self) -> None:
         now = trio.current_time()
         ordered = sorted(
             self._waiters,
--- a/magnoliacove/placement/duty.py
+++ b/magnoliacove/placement/duty.py
@@ -34,10 +34,13 @@
 __all__ = ["DutySources", "PlacementDuty"]
 
 LEASE = "placement"
-_ROUND = 0.25
+_ROUND = 0.1
 # Each engine is asked twice a second: a lost one is found out within about
 # a second even where no stream passes, and a report is cheap.
 _REPORT_EVERY = 0.5
+# One that takes layers, or is suspected, is asked more often: until its
+# answer a data centre may lack a path.
+_REPORT_SOON = 0.2
 _REPORT_TIMEOUT = 0.35
 # Reports that fail in a row before an engine is suspected; one may be
 # lost on a bad link.
@@ -169,8 +172,10 @@
         for service, shape in models.items():
             for target in sources.targets.list_service(service):
                 engine = self._engines.setdefault(target.name, _Engine())
-                suspected = not sources.health.is_usable(target.name)
-                pause = _ROUND if suspected else _REPORT_EVERY
+                awaited = engine.ordered is not None or (
+                    not sources.health.is_usable(target.name)
+                )
+                pause = _REPORT_SOON if awaited else _REPORT_EVERY
                 if now - engine.asked_at >= pause:
                     engine.asked_at = now
                     nursery.start_soon(self._ask, target, engine)
--- a/magnoliacove/placement/plan.py
+++ b/magnoliacove/placement/plan.py
@@ -26,7 +26,7 @@
 # Requests of usual length that the paths of one data centre have room for.
 # Calm traffic keeps 20 to 30 in progress in each of three; twice that lets
 # two of them carry what the third one cannot, and a burst.
-STREAMS_PER_PLACE = 48
+STREAMS_PER_PLACE = 36
 
 
 @dataclass(frozen=True)
--- a/magnoliacove/routing/candidates.py
+++ b/magnoliacove/routing/candidates.py
@@ -18,8 +18,9 @@
 
 __all__ = ["Candidates", "TargetRecord"]
 
-# Half of the pipe between data centres is left to transfers that queue.
-_PIPE_SHARE = 0.5
+# The part of the pipe between data centres that requests may use.  The
+# rest lets a prompt's transfer pass before it delays others' tokens.
+_PIPE_SHARE = 0.75
 # A usual stream lasts about so long, in seconds.
 _STREAM_SECONDS = 3.0
 _SMOOTHING = 0.2
--- a/magnoliacove/routing/paths.py
+++ b/magnoliacove/routing/paths.py
@@ -14,7 +14,14 @@
 from magnoliacove.directory.targets import LayerRange
 from magnoliacove.wire.network import Address
 
-__all__ = ["Path", "PathCosts", "PathStage", "StageOption", "find_path"]
+__all__ = [
+    "Path",
+    "PathCosts",
+    "PathStage",
+    "StageOption",
+    "describe_bottlenecks",
+    "find_path",
+]
 
 # What handing a token to the next engine takes beside its wait for the
 # engine's present pass, in seconds: two link delays and a queue's turn.
@@ -149,6 +156,40 @@
     return _search(options, costs) if len(by_place) > 1 else None
 
 
+def measure_room(
+    options: Sequence[StageOption], layers: int
+) -> tuple[int, float]:
+    """Return the layer with the least room, and the tokens it has room for.
+
+    No request with more tokens has a path over these engines.  It is much
+    quicker to know than by a search.
+    """
+    rooms = [0.0] * layers
+    for option in options:
+        # An engine may run a part of its layers only, so in one layer it
+        # has room for as many tokens as it has token-layers.
+        for n in range(option.layers.first, min(option.layers.end, layers)):
+            rooms[n] = max(rooms[n], option.room)
+    least = min(range(layers), key=rooms.__getitem__)
+    return least, rooms[least]
+
+
+def describe_bottlenecks(
+    options: Sequence[StageOption], layers: int
+) -> dict[str, str]:
+    """Return for each data centre the layer with the least room.
+
+    It says why a request waits: ``7: 0`` that no engine with room holds
+    layer 7, ``7: 412`` that the roomiest has room for 412 tokens there.
+    """
+    found = {}
+    for place in sorted({option.data_centre for option in options}):
+        inside = [o for o in options if o.data_centre == place]
+        layer, room = measure_room(inside, layers)
+        found[place] = f"{layer}: {room:.0f}"
+    return found
+
+
 @dataclass(frozen=True)
 class _Step:
     """The best way to have run the layers before one position."""
@@ -160,6 +201,8 @@
 
 def _search(options: Sequence[StageOption], costs: PathCosts) -> Path | None:
     """Return the quickest path over all layers by dynamic programming."""
+    if measure_room(options, costs.shape.layers)[1] < costs.tokens:
+        return None
     path = _search_cuts(options, costs, _list_cuts(options, costs))
     if path is not None and len(set(path.targets)) < len(path.stages):
         # An engine that is left and entered again would be named twice,
