--- a/magnoliacove/directory/health.py
+++ b/magnoliacove/directory/health.py
@@ -18,18 +18,25 @@
 # outlasts the three heartbeats after which a dead engine's entry is gone.
 _FIRST = 2.0
 _MOST = 16.0
+# An engine that says that it leaves is gone within so many seconds, or its
+# entry has said so by then.
+_LEAVING = 10.0
 # After so many seconds without suspicion it starts again with the first.
 _FORGIVEN = 20.0
 
 
 @dataclass(frozen=True)
 class Suspicion:
-    """Why a target gets no new work, and since and until when."""
+    """Why a target gets no new work, and since and until when.
+
+    :param leaving: it works on what it has, but takes nothing new.
+    """
 
     target: str
     since: float
     until: float
     why: str
+    leaving: bool = False
 
 
 class Health:
@@ -67,24 +74,34 @@
         return [s for s in self._suspicions.values() if s.until > now]
 
     def suspect(
-        self, target: str, why: str, *, age: float = 0.0, source: str = ""
+        self,
+        target: str,
+        why: str,
+        *,
+        age: float = 0.0,
+        source: str = "",
+        leaving: bool = False,
     ) -> None:
         """Suspect a target, unless it is suspected already.
 
         :param age: seconds since another process began to suspect it.
         :param source: the process that says so, or "" for this one.
+        :param leaving: it says itself that it leaves.
         """
-        if self.find(target) is not None:
+        known = self.find(target)
+        if known is not None and (known.leaving or not leaving):
             return
         now = self._read_time()
         length, until = self._lengths.get(target, (_FIRST / 2, now))
         if now - until > _FORGIVEN:
             length = _FIRST / 2
         length = min(length * 2, _MOST)
+        if leaving:
+            length = _LEAVING
         since = now - age
         if since + length <= now:
             return
-        suspicion = Suspicion(target, since, since + length, why)
+        suspicion = Suspicion(target, since, since + length, why, leaving)
         self._lengths[target] = (length, suspicion.until)
         self._suspicions[target] = suspicion
         self._recorder.record(
@@ -92,6 +109,7 @@
             target=target,
             why=why,
             source=source,
+            leaving=leaving,
             seconds=round(length, 1),
         )
         for listener in self._listeners:
--- a/magnoliacove/directory/holdings.py
+++ b/magnoliacove/directory/holdings.py
@@ -26,6 +26,7 @@
 
     :param layers: what it serves, or None.
     :param loading: whether it is taking other layers.
+    :param moving: whether it gives up layers that it held.
     :param slowness: 1 for usual speed, more when it is slow.
     :param used: token-layers of its memory that requests hold.
     """
@@ -34,6 +35,7 @@
     loading: bool = False
     slowness: float = 1.0
     used: float = 0.0
+    moving: bool = False
 
 
 class Holdings:
--- /dev/null
+++ b/magnoliacove/gateway/detours.py
@@ -0,0 +1,155 @@
+"""Leading streams around engines of their paths that leave or are lost.
+
+The first engine of a path can be told to go on along another one.  What
+the other engines hold of a request is kept, and only the new ones read its
+tokens again; so a caller hardly notices that an engine drains, and a lost
+engine costs a pause instead of a new run of the whole request.
+"""
+
+from typing import Protocol
+
+import trio
+
+from magnoliacove.configuration.routes import ModelShape
+from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.gateway.channels import TargetError
+from magnoliacove.gateway.engines import EngineCalls
+from magnoliacove.gateway.state import GatewayState
+from magnoliacove.limits.load import Reservation
+from magnoliacove.platform.engines import OrderResult
+from magnoliacove.routing.paths import Path
+from magnoliacove.routing.paths import find_detour
+
+__all__ = ["Detours", "PathUser"]
+
+# An order is answered in milliseconds; a stream that waits for it is late
+# already, and its caller leaves after two seconds.
+_ORDER_TIMEOUT = 0.4
+# A stream that still gets events does not pass through what was suspected
+# to be lost, or the suspicion is wrong; it is not begun anew.
+_SILENT_WITH_IT = 0.15
+# An orderly detour that found no way is tried again after this, seconds.
+_TRY_AGAIN = 0.5
+
+
+class PathUser(Protocol):
+    """A stream as a detour sees it."""
+
+    request: str
+    service: str
+    shape: ModelShape
+    path: Path | None
+    first_target: ListedTarget | None
+
+    def read_tokens(self) -> tuple[float, float]:
+        """Return the tokens of the prompt and those still to be written."""
+
+    def read_silence(self, now: float) -> float:
+        """Return seconds since the path was heard last, 0 if not due."""
+
+    def take_path(self, path: Path, reservation: Reservation) -> None:
+        """Go on with another path after the same first stage."""
+
+    def move(self, why: str) -> None:
+        """Leave the present path and go on elsewhere."""
+
+
+class Detours:
+    """Changes the paths of the streams of one gateway."""
+
+    def __init__(self, state: GatewayState, calls: EngineCalls) -> None:
+        self._state = state
+        self._calls = calls
+        self._busy: set[str] = set()
+        self._not_before: dict[str, float] = {}
+
+    def start(
+        self,
+        nursery: trio.Nursery,
+        stream: PathUser,
+        left: frozenset[str],
+        why: str,
+        *,
+        lost: bool,
+    ) -> None:
+        """Lead a stream around engines, unless that is going on already.
+
+        :param left: engines of its path.
+        :param lost: they do not work any more; a stream that cannot be
+            led around them has to begin anew elsewhere.
+        """
+        now = trio.current_time()
+        if stream.request in self._busy:
+            return
+        if not lost and self._not_before.get(stream.request, 0.0) > now:
+            return
+        self._busy.add(stream.request)
+        nursery.start_soon(self._lead, stream, left, why, lost)
+
+    def forget(self, requests: set[str]) -> None:
+        """Drop what is known of streams that have ended."""
+        for request in set(self._not_before) - requests:
+            del self._not_before[request]
+
+    async def _lead(
+        self, stream: PathUser, left: frozenset[str], why: str, lost: bool
+    ) -> None:
+        try:
+            changed = await self._try_change(stream, left, why)
+        finally:
+            self._busy.discard(stream.request)
+        if changed:
+            return
+        now = trio.current_time()
+        if lost and stream.read_silence(now) >= _SILENT_WITH_IT:
+            stream.move(why)
+        elif not lost:
+            self._not_before[stream.request] = now + _TRY_AGAIN
+
+    async def _try_change(
+        self, stream: PathUser, left: frozenset[str], why: str
+    ) -> bool:
+        path, first = stream.path, stream.first_target
+        if path is None or first is None:
+            return True
+        if path.stages[0].target in left:
+            return False
+        prompt, answer = stream.read_tokens()
+        state = self._state
+        options = state.candidates.list_options(
+            stream.service, stream.shape, left
+        )
+        costs = state.candidates.make_costs(stream.shape, prompt, answer)
+        detour = find_detour(path, left, options, costs)
+        if detour is None:
+            return False
+        # Reserved before the order is out, so that the other streams that
+        # are led around the same engine see what is left.
+        reservation = state.loads.reserve_path(detour, costs.tokens)
+        result = await self._order(stream, first, detour)
+        took = result in (OrderResult.BEGUN, OrderResult.DONE)
+        if took and stream.path == path:
+            stream.take_path(detour, reservation)
+        else:
+            state.loads.release(reservation)
+        state.recorder.record(
+            "path-changed" if took else "path-not-changed",
+            request=stream.request,
+            why=why,
+            result=str(result),
+            path=detour.describe(),
+            crossings=detour.crossings,
+        )
+        return took
+
+    async def _order(
+        self, stream: PathUser, first: ListedTarget, detour: Path
+    ) -> str:
+        with trio.move_on_after(_ORDER_TIMEOUT):
+            try:
+                return await self._calls.change_path(
+                    first, stream.request, detour
+                )
+            except TargetError as why:
+                return f"lost: {why}"
+        return "lost: no answer in time"
--- a/magnoliacove/gateway/engines.py
+++ b/magnoliacove/gateway/engines.py
@@ -8,9 +8,12 @@
 from magnoliacove.gateway.channels import ChannelPool
 from magnoliacove.gateway.channels import TargetError
 from magnoliacove.platform import engines
+from magnoliacove.routing.paths import Path
 
 __all__ = ["EngineCalls"]
 
+Headers = tuple[tuple[bytes, bytes], ...]
+
 _OK = 200
 
 
@@ -28,7 +31,7 @@
         :raises TargetError: when none comes.
         """
         self.reports += 1
-        status, body = await self._call(
+        status, _, body = await self._call(
             target, b"GET", engines.REPORT_PATH, b""
         )
         if status != _OK:
@@ -57,12 +60,39 @@
         body = engines.write_place_order(
             layers, interrupt=interrupt, orders=orders
         )
-        status, _ = await self._call(target, b"POST", engines.ORDER_PATH, body)
+        status, _, _ = await self._call(
+            target, b"POST", engines.ORDER_PATH, body
+        )
         return engines.read_order_result(status)
 
+    async def change_path(
+        self, first: ListedTarget, request: str, path: Path
+    ) -> engines.OrderResult:
+        """Order a request's first engine to go on along another path.
+
+        :raises TargetError: when no answer comes; the order may have been
+            taken.
+        """
+        self.orders += 1
+        body = engines.write_detour_order(request, path)
+        status, _, _ = await self._call(
+            first, b"POST", engines.ORDER_PATH, body
+        )
+        return engines.read_order_result(status)
+
+    async def is_leaving(self, target: ListedTarget, path: str) -> bool:
+        """Return whether an engine's health check says that it leaves.
+
+        :param path: the path of the health check.
+        :raises TargetError: when no answer comes.
+        """
+        self.reports += 1
+        status, answered, _ = await self._call(target, b"GET", path, b"")
+        return engines.reads_leaving(status, answered, target.name)
+
     async def _call(
         self, target: ListedTarget, method: bytes, path: str, body: bytes
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, Headers, bytes]:
         try:
             return await self._call_once(target, method, path, body, False)
         except TargetError as why:
@@ -81,7 +111,7 @@
         path: str,
         body: bytes,
         fresh: bool,
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, Headers, bytes]:
         channel = await self._pool.acquire(target, fresh=fresh)
         whole = False
         try:
@@ -103,4 +133,4 @@
             else:
                 with trio.CancelScope(shield=True):
                     await self._pool.discard(channel)
-        return answer.status, b"".join(parts)
+        return answer.status, answer.headers, b"".join(parts)
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -30,6 +30,7 @@
 from magnoliacove.peers import Heartbeat
 from magnoliacove.peers import Heartbeats
 from magnoliacove.peers import ReportedHolding
+from magnoliacove.peers import ReportedSuspicion
 from magnoliacove.peers.snapshots import PeerSnapshot
 from magnoliacove.peers.snapshots import ask_snapshot
 from magnoliacove.peers.snapshots import serve_snapshots
@@ -285,7 +286,9 @@
             crossings=state.loads.crossings,
             loads=dict(state.loads.list_own()),
             suspicions=tuple(
-                (s.target, max(0.0, now - s.since), s.why)
+                ReportedSuspicion(
+                    s.target, max(0.0, now - s.since), s.why, s.leaving
+                )
                 for s in state.health.list_suspicions()
             ),
             holdings=tuple(
@@ -296,6 +299,7 @@
             else (),
             services=state.budget.list_counts(),
             peers=peers,
+            acting=self._duty.acting,
         )
 
     def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -304,8 +308,14 @@
             heartbeat.name, heartbeat.loads, heartbeat.crossings
         )
         state.budget.take_others(heartbeat.name, heartbeat.services)
-        for target, age, why in heartbeat.suspicions:
-            state.health.suspect(target, why, age=age, source=heartbeat.name)
+        for found in heartbeat.suspicions:
+            state.health.suspect(
+                found.target,
+                found.why,
+                age=found.age,
+                source=heartbeat.name,
+                leaving=found.leaving,
+            )
         for item in heartbeat.holdings:
             state.holdings.note(item.target, item.holding, item.age)
         state.room.fill()
@@ -325,7 +335,8 @@
             # It is more likely that this gateway is cut off from all
             # others than that they are gone with the store.
             return False
-        if any(peer.heartbeat.store_reachable for peer in peers):
+        known = [peer.heartbeat for peer in peers]
+        if any(one.store_reachable or one.acting for one in known):
             return False
         staying = [p.heartbeat for p in peers if not p.heartbeat.leaving]
         return all(self.state.name < other.name for other in staying)
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -1,10 +1,10 @@
-"""Noticing streams that fell silent, and finding out why.
+"""Watching streams: engines of their paths that leave, and silence.
 
 When an engine of a path is lost, the whole path falls silent while its
 first engine waits for the lost one.  The first engine's report names the
 engine at fault.  Asking costs one small call for all streams that share a
-first engine, and everything that passes through the lost engine moves on
-at once instead of waiting until the first engine gives up.
+first engine, and everything that passes through the lost engine is led
+around it at once instead of waiting until the first engine gives up.
 """
 
 from typing import Protocol
@@ -13,10 +13,11 @@
 
 from magnoliacove.directory.targets import ListedTarget
 from magnoliacove.gateway.channels import TargetError
+from magnoliacove.gateway.detours import Detours
+from magnoliacove.gateway.detours import PathUser
 from magnoliacove.gateway.engines import EngineCalls
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.platform.engines import EngineReport
-from magnoliacove.routing.paths import Path
 
 __all__ = ["StallWatch", "WatchedStream"]
 
@@ -24,9 +25,6 @@
 # Events come every 20 to 100 ms; a stream that is silent for so long is
 # looked into.  Earlier looks cost reports on every busy pass.
 SILENCE = 0.4
-# What passes through an engine that was found lost moves if it is silent
-# for this long already; what still gets events does not need it.
-_SILENT_WITH_IT = 0.15
 # A stream silent for so long moves whatever the report says.  Callers
 # leave after 2 s, and reading the prompt again takes part of that.
 HOPELESS_SILENCE = 1.4
@@ -35,19 +33,13 @@
 _REPORT_TIMEOUT = 0.35
 
 
-class WatchedStream(Protocol):
+class WatchedStream(PathUser, Protocol):
     """A stream as the watch sees it."""
 
-    request: str
-    path: Path | None
-    first_target: ListedTarget | None
     began: bool
 
-    def read_silence(self, now: float) -> float:
-        """Return seconds since the engine was heard last, 0 if not due."""
-
-    def move(self, why: str) -> None:
-        """Leave the present path and go on elsewhere."""
+    def read_wait(self, now: float) -> float:
+        """Return seconds since the caller got an event, 0 if not due."""
 
 
 class StallWatch:
@@ -57,76 +49,122 @@
         self.streams: set[WatchedStream] = set()
         self._state = state
         self._calls = calls
+        self._detours = Detours(state, calls)
         self._asked: dict[str, float] = {}
-        state.health.listen(lambda found: self._move_silent(found.target))
+        self._checked: dict[str, float] = {}
 
     async def run(self) -> None:
         """Watch until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(_CHECK_EVERY)
-                self._check(nursery)
+                self._lead_around(nursery)
+                self._check_silence(nursery)
+                self._detours.forget({s.request for s in self.streams})
 
-    def _check(self, nursery: trio.Nursery) -> None:
-        now = trio.current_time()
+    # Engines that leave.
+
+    def _lead_around(self, nursery: trio.Nursery) -> None:
+        lost, leaving = self._find_left()
+        if not lost and not leaving:
+            return
         for stream in tuple(self.streams):
-            silent = stream.read_silence(now)
-            if silent < SILENCE:
+            path = stream.path
+            if path is None:
+                continue
+            gone = lost.intersection(path.targets)
+            if gone:
+                names = ", ".join(sorted(gone))
+                why = f"{names} is suspected"
+                self._detours.start(nursery, stream, gone, why, lost=True)
                 continue
-            if silent >= HOPELESS_SILENCE and stream.began:
+            parting = leaving.intersection(path.targets[1:])
+            if parting:
+                names = ", ".join(sorted(parting))
+                why = f"{names} is about to leave the path"
+                self._detours.start(nursery, stream, parting, why, lost=False)
+
+    def _find_left(self) -> tuple[frozenset[str], frozenset[str]]:
+        """Return the engines that are lost, and those that leave."""
+        state = self._state
+        lost: set[str] = set()
+        leaving: set[str] = set()
+        for suspicion in state.health.list_suspicions():
+            found = leaving if suspicion.leaving else lost
+            found.add(suspicion.target)
+        for target in state.targets.list_all():
+            if target.draining or state.holdings.read(target).moving:
+                leaving.add(target.name)
+        return frozenset(lost), frozenset(leaving - lost)
+
+    # Silence.
+
+    def _check_silence(self, nursery: trio.Nursery) -> None:
+        now = trio.current_time()
+        for stream in tuple(self.streams):
+            if stream.read_wait(now) >= HOPELESS_SILENCE and stream.began:
                 stream.move("it was silent for too long")
                 continue
             target = stream.first_target
-            if target is None:
+            if target is None or stream.read_silence(now) < SILENCE:
                 continue
             if now - self._asked.get(target.name, -1.0) < _ASK_AGAIN:
                 continue
             self._asked[target.name] = now
-            nursery.start_soon(self._ask, target)
+            nursery.start_soon(self._ask, target, nursery)
 
-    async def _ask(self, target: ListedTarget) -> None:
+    async def _ask(self, target: ListedTarget, nursery: trio.Nursery) -> None:
         """Ask a first engine what its silent streams wait for."""
         report: EngineReport | None = None
+        why = f"no report within {_REPORT_TIMEOUT} s"
         with trio.move_on_after(_REPORT_TIMEOUT):
             try:
                 report = await self._calls.read_report(target)
-            except TargetError as why:
-                self._suspect(target.name, f"no report: {why}")
-                return
+            except TargetError as error:
+                why = f"no report: {error}"
         if report is None:
-            self._suspect(target.name, f"no report within {_REPORT_TIMEOUT} s")
+            self._state.health.suspect(target.name, why)
+            self._lead_around(nursery)
             return
-        self._take_report(target, report)
-
-    def _take_report(self, target: ListedTarget, report: EngineReport) -> None:
-        stalled = {item.request: item.address for item in report.stalled}
-        for address in sorted(set(stalled.values())):
+        for address in sorted({item.address for item in report.stalled}):
             self._suspect_address(address, target.name)
-        now = trio.current_time()
-        for stream in tuple(self.streams):
-            if stream.first_target != target:
-                continue
-            if stream.read_silence(now) < SILENCE:
-                continue
-            if stream.request in stalled:
-                stream.move(f"its path waits for {stalled[stream.request]}")
+        self._lead_around(nursery)
 
     def _suspect_address(self, address: str, source: str) -> None:
         for target in self._state.targets.list_all():
-            if str(target.address) == address:
-                self._suspect(target.name, f"requests at {source} wait for it")
+            if str(target.address) != address:
+                continue
+            if self._state.holdings.read(target).moving:
+                # It was told to hold other layers; the engine is sound and
+                # what passes through it is led around it anyhow.
+                continue
+            self._state.health.suspect(
+                target.name, f"requests at {source} wait for it"
+            )
+
+    # Refusals.
 
-    def _suspect(self, target: str, why: str) -> None:
-        self._state.health.suspect(target, why)
-        # The suspicion may be an old one; streams that fell silent since
-        # move all the same.
-        self._move_silent(target)
+    async def check_leaving(
+        self, target: ListedTarget, health_path: str
+    ) -> None:
+        """Find out whether an engine that refused requests leaves.
 
-    def _move_silent(self, target: str) -> None:
+        Its entry says so, but not while the store is away; and each
+        request that is sent there meanwhile is refused.
+        """
         now = trio.current_time()
-        for stream in tuple(self.streams):
-            path = stream.path
-            if path is None or target not in path.targets:
-                continue
-            if stream.read_silence(now) >= _SILENT_WITH_IT:
-                stream.move(f"{target} is suspected")
+        if now - self._checked.get(target.name, -1.0) < _ASK_AGAIN:
+            return
+        self._checked[target.name] = now
+        with trio.move_on_after(_REPORT_TIMEOUT):
+            try:
+                if await self._calls.is_leaving(target, health_path):
+                    self._state.health.suspect(
+                        target.name,
+                        "its health check says that it leaves",
+                        leaving=True,
+                    )
+            except TargetError as why:
+                self._state.health.suspect(
+                    target.name, f"no health check: {why}"
+                )
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -44,8 +44,6 @@
 # What is left of that for the path to bring the first event, once it is
 # found: reading a usual prompt on a busy path, twice.
 _FIRST_EVENT_TIME = 0.5
-# An engine that refused for want of memory is left alone for so long.
-_FULL_SECONDS = 0.3
 _RETRY_AFTER = 0.5
 # The part of the answer's likely length that is reserved: streams in
 # progress have written half of theirs on the mean.
@@ -84,6 +82,7 @@
         routed: RoutedRequest,
     ) -> None:
         self.request = routed.marks.request
+        self.service = routed.service.name
         self.path: Path | None = None
         self.first_target: ListedTarget | None = None
         self.began = False
@@ -91,13 +90,14 @@
         self._stalls = stalls
         self._exchange = exchange
         self._routed = routed
-        self._shape: ModelShape = _require_shape(routed)
-        self._answer_tokens = _guess_answer(routed, self._shape)
+        self.shape: ModelShape = _require_shape(routed)
+        self._answer_tokens = _guess_answer(routed, self.shape)
         self._last_event = routed.marks.last_event
         self._events = 0
         self._first_event_at = 0.0
         self._heard = 0.0
         self._sent_at = 0.0
+        self._path_at = 0.0
         self._longest_gap = 0.0
         self._scope: trio.CancelScope | None = None
         self._moved = ""
@@ -131,6 +131,26 @@
             return 0.0
         return now - self._heard
 
+    def read_wait(self, now: float) -> float:
+        """Return seconds since the caller got an event, 0 if not due."""
+        if self._scope is None or self._writing:
+            return 0.0
+        return now - max(self._sent_at, self._path_at)
+
+    def read_tokens(self) -> tuple[float, float]:
+        """Return the tokens of the prompt and those still to be written."""
+        prompt = self._routed.marks.prompt_tokens or self.shape.usual_prompt
+        return prompt, self._answer_tokens * _ANSWER_PART
+
+    def take_path(self, path: Path, reservation: Reservation) -> None:
+        """Go on with another path after the same first stage."""
+        if self._reservation is not None:
+            self._state.loads.release(self._reservation)
+        self.path, self._reservation = path, reservation
+        # The new stages read the tokens so far before the next event.
+        self._heard = trio.current_time()
+        self._state.room.fill()
+
     def move(self, why: str) -> None:
         """Leave the present path and go on elsewhere."""
         if self._scope is None or self._moved:
@@ -196,18 +216,14 @@
 
     def _reserve(self) -> Path | None:
         state = self._state
-        marks = self._routed.marks
-        prompt = marks.prompt_tokens or self._shape.usual_prompt
         options = state.candidates.list_options(
-            self._routed.service.name, self._shape, self._avoided
-        )
-        costs = state.candidates.make_costs(
-            self._shape, prompt, self._answer_tokens * _ANSWER_PART
+            self._routed.service.name, self.shape, self._avoided
         )
+        costs = state.candidates.make_costs(self.shape, *self.read_tokens())
         path = find_path(options, costs, self._list_firsts())
         crossing = path is not None and path.crossings > 0
         if path is None or (
-            crossing and not state.candidates.may_cross(self._shape)
+            crossing and not state.candidates.may_cross(self.shape)
         ):
             self._note_waiting(options, costs.tokens, crossing)
             return None
@@ -291,7 +307,7 @@
         self._firsts.add(target.name)
         self._moved = ""
         sent = False
-        self._heard = trio.current_time()
+        self._heard = self._path_at = trio.current_time()
         self._stalls.streams.add(self)
         try:
             with trio.CancelScope() as self._scope:
@@ -456,7 +472,7 @@
         while (part := await channel.read_body()) is not None:
             body += part
         if marks.not_run:
-            self._note_refusal(answer.status, marks.faulty)
+            await self._note_refusal(answer.status, marks.faulty)
             raise _BrokenError(
                 f"refused with {answer.status} by "
                 f"{marks.faulty or 'the first engine'}",
@@ -467,13 +483,13 @@
             f"the engine answered {answer.status}", True, passed, bytes(body)
         )
 
-    def _note_refusal(self, status: int, faulty: str) -> None:
+    async def _note_refusal(self, status: int, faulty: str) -> None:
         """Keep new requests off the engine that a refusal names."""
         state = self._state
         for target in state.targets.list_all():
             if str(target.address) == faulty:
                 self._avoided.add(target.name)
-                state.candidates.note_full(target.name, _FULL_SECONDS)
+                state.candidates.note_refusal(target.name)
                 state.recorder.record(
                     "engine-refused",
                     request=self.request,
@@ -481,6 +497,9 @@
                     status=status,
                     requests=state.loads.read(target.name).requests,
                 )
+                await self._stalls.check_leaving(
+                    target, self._routed.service.health_path
+                )
 
     def _note_path(self, path: Path) -> None:
         self._state.recorder.record(
@@ -509,7 +528,7 @@
             if crossing
             else "no path has room",
             tokens=round(tokens),
-            room=describe_bottlenecks(options, self._shape.layers),
+            room=describe_bottlenecks(options, self.shape.layers),
             waiting=self._state.room.waiting,
             avoided=sorted(self._avoided),
         )
--- a/magnoliacove/peers/heartbeat.capnp
+++ b/magnoliacove/peers/heartbeat.capnp
@@ -17,6 +17,7 @@
   holdings @11 :List(Holding);
   services @12 :List(ServiceCount);
   peers @13 :List(Text);
+  acting @14 :Bool;
 }
 
 struct Load {
@@ -29,6 +30,7 @@
   target @0 :Text;
   age @1 :UInt32;
   why @2 :Text;
+  leaving @3 :Bool;
 }
 
 struct Holding {
@@ -39,6 +41,7 @@
   loading @4 :Bool;
   slowness @5 :Float32;
   used @6 :UInt64;
+  moving @7 :Bool;
 }
 
 struct ServiceCount {
--- a/magnoliacove/peers/heartbeats.py
+++ b/magnoliacove/peers/heartbeats.py
@@ -20,7 +20,13 @@
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire.network import Address
 
-__all__ = ["Heartbeat", "Heartbeats", "Peer", "ReportedHolding"]
+__all__ = [
+    "Heartbeat",
+    "Heartbeats",
+    "Peer",
+    "ReportedHolding",
+    "ReportedSuspicion",
+]
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name("heartbeat.capnp")))
 
@@ -51,11 +57,24 @@
     holding: Holding
 
 
+@dataclass(frozen=True)
+class ReportedSuspicion:
+    """A target that a gateway suspects.
+
+    :param age: seconds since it began to.
+    """
+
+    target: str
+    age: float
+    why: str
+    leaving: bool
+
+
 @dataclass(frozen=True)
 class Heartbeat:
     """One gateway's news.
 
-    :param suspicions: targets, ages in seconds and reasons.
+    :param acting: whether it does the placement duty now.
     :param services: requests and repeats in the present window.
     :param peers: addresses of gateways that it knows.
     """
@@ -70,10 +89,11 @@
     store_reachable: bool
     crossings: int
     loads: dict[str, TargetLoad]
-    suspicions: tuple[tuple[str, float, str], ...]
+    suspicions: tuple[ReportedSuspicion, ...]
     holdings: tuple[ReportedHolding, ...]
     services: dict[str, tuple[int, int]]
     peers: tuple[str, ...]
+    acting: bool = False
 
     def encode(self) -> bytes:
         """Return the heartbeat as one datagram."""
@@ -96,8 +116,13 @@
                 for target, load in self.loads.items()
             ],
             suspicions=[
-                {"target": target, "age": int(age * 1000), "why": why}
-                for target, age, why in self.suspicions
+                {
+                    "target": item.target,
+                    "age": int(item.age * 1000),
+                    "why": item.why,
+                    "leaving": item.leaving,
+                }
+                for item in self.suspicions
             ],
             holdings=[_write_holding(item) for item in self.holdings],
             services=[
@@ -105,6 +130,7 @@
                 for name, counts in self.services.items()
             ],
             peers=list(self.peers),
+            acting=self.acting,
         ).to_bytes()
         return data
 
@@ -133,7 +159,12 @@
                         for item in read.loads
                     },
                     suspicions=tuple(
-                        (item.target, item.age / 1000, item.why)
+                        ReportedSuspicion(
+                            item.target,
+                            item.age / 1000,
+                            item.why,
+                            item.leaving,
+                        )
                         for item in read.suspicions
                     ),
                     holdings=tuple(map(_read_holding, read.holdings)),
@@ -142,6 +173,7 @@
                         for item in read.services
                     },
                     peers=tuple(read.peers),
+                    acting=read.acting,
                 )
         except (capnp.KjException, ValueError) as why:
             raise errors.ProtocolError(
@@ -160,6 +192,7 @@
         "loading": item.holding.loading,
         "slowness": item.holding.slowness,
         "used": int(item.holding.used),
+        "moving": item.holding.moving,
     }
 
 
@@ -175,6 +208,7 @@
             read.loading,  # type: ignore[attr-defined]
             read.slowness,  # type: ignore[attr-defined]
             float(read.used),  # type: ignore[attr-defined]
+            read.moving,  # type: ignore[attr-defined]
         ),
     )
 
--- a/magnoliacove/placement/duty.py
+++ b/magnoliacove/placement/duty.py
@@ -231,9 +231,12 @@
         if ordered is not None and layers is not None and layers != ordered:
             # What is being given up takes no new work.
             layers = _intersect(layers, ordered)
+        moving = ordered is not None and layers != report.layers
         changed = self._sources.holdings.note(
             target.name,
-            Holding(layers, report.loading, report.slowness, report.used),
+            Holding(
+                layers, report.loading, report.slowness, report.used, moving
+            ),
         )
         if changed:
             self._sources.tell()
@@ -291,6 +294,8 @@
     def _describe_engine(self, target: ListedTarget) -> EngineState:
         engine = self._engines[target.name]
         report = engine.report
+        suspicion = self._sources.health.find(target.name)
+        leaving = suspicion is not None and suspicion.leaving
         layers = engine.ordered
         if layers is None and report is not None:
             layers = report.layers
@@ -301,7 +306,7 @@
             layers=layers,
             # An engine is lost when it gives no reports.  A suspicion
             # alone may come from a cut between two others.
-            usable=report is not None,
+            usable=report is not None and not leaving,
             movable=engine.ordered is None
             and report is not None
             and not report.loading,
@@ -319,7 +324,9 @@
                 result = await self._sources.calls.place(
                     target,
                     item.layers,
-                    interrupt=item.closes_gap,
+                    # What passes through is led around the engine; cutting
+                    # it off would make each such answer late.
+                    interrupt=False,
                     orders=report.orders if report else None,
                 )
             except TargetError as why:
@@ -330,6 +337,7 @@
             layers=_describe(item.layers),
             closes_gap=item.closes_gap,
             held=_describe(report.layers if report else None),
+            requests=self._sources.loads.read(target.name).requests,
             orders=report.orders if report else None,
             result=str(result),
             fence=self._lease.fence,
@@ -348,7 +356,8 @@
         """Tell everybody at once which layers the engine gives up."""
         held = report.layers if report else None
         kept = _intersect(held, item.layers) if held else None
-        if self._sources.holdings.note(target.name, Holding(kept, True)):
+        holding = Holding(kept, True, moving=kept != held)
+        if self._sources.holdings.note(target.name, holding):
             self._sources.tell()
 
 
--- a/magnoliacove/platform/engines.py
+++ b/magnoliacove/platform/engines.py
@@ -1,5 +1,6 @@
 """Reports and orders of model engines."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 import enum
 
@@ -8,7 +9,9 @@
 from magnoliacove import errors
 from magnoliacove.directory.targets import LayerRange
 from magnoliacove.platform.fields import Fields
+from magnoliacove.platform.headers import write_path
 from magnoliacove.platform.servers import read_layers
+from magnoliacove.routing.paths import Path
 
 __all__ = [
     "ORDER_PATH",
@@ -18,9 +21,12 @@
     "StalledRequest",
     "read_order_result",
     "read_report",
+    "reads_leaving",
+    "write_detour_order",
     "write_place_order",
 ]
 
+_UNAVAILABLE = 503
 REPORT_PATH = "/v1/report"
 ORDER_PATH = "/v1/order"
 
@@ -120,6 +126,27 @@
     return orjson.dumps(body)
 
 
+def write_detour_order(request: str, path: Path) -> bytes:
+    """Return the body of an order to go on with a request on another path.
+
+    :param path: has the same first stage as the present one.
+    """
+    return orjson.dumps(
+        {"operation": "repath", "id": request, "path": write_path(path)}
+    )
+
+
+def reads_leaving(
+    status: int, headers: Sequence[tuple[bytes, bytes]], name: str
+) -> bool:
+    """Return whether the answer of a health check says that it leaves.
+
+    :param name: the engine; another one may have its address by now.
+    """
+    instance = dict(headers).get(b"x-instance-id", b"").decode("latin-1")
+    return status == _UNAVAILABLE and instance in ("", name)
+
+
 def read_order_result(status: int) -> OrderResult:
     """Return what the status of an order's answer means."""
     if status == 202:
--- a/magnoliacove/platform/headers.py
+++ b/magnoliacove/platform/headers.py
@@ -10,8 +10,10 @@
 __all__ = [
     "AnswerMarks",
     "CallerMarks",
+    "copy_answer",
     "read_answer",
     "read_caller",
+    "write_path",
     "write_refusal",
     "write_request",
 ]
@@ -176,7 +178,7 @@
     if last_event:
         kept.append((_LAST_EVENT, last_event.encode()))
     if path is not None:
-        kept.append((_PATH, _write_path(path)))
+        kept.append((_PATH, write_path(path).encode()))
     if body_length or any(n == b"content-length" for n, _ in headers):
         kept.append((b"content-length", b"%d" % body_length))
     return kept
@@ -200,9 +202,9 @@
     return headers
 
 
-def _write_path(path: Path) -> bytes:
-    parts = [f"{s.address}={s.first}-{s.end}" for s in path.stages]
-    return ",".join(parts).encode()
+def write_path(path: Path) -> str:
+    """Return a path in the platform's format."""
+    return ",".join(f"{s.address}={s.first}-{s.end}" for s in path.stages)
 
 
 def _list_named(headers: Headers) -> set[bytes]:
--- a/magnoliacove/routing/candidates.py
+++ b/magnoliacove/routing/candidates.py
@@ -25,6 +25,11 @@
 _STREAM_SECONDS = 3.0
 _SMOOTHING = 0.2
 _START_SECONDS = 0.05
+# How long an engine that refused is left alone, at first and at most, and
+# after how long without a refusal it begins anew; seconds.
+_FIRST_PAUSE = 0.3
+_MOST_PAUSE = 2.4
+_REFUSAL_FORGIVEN = 5.0
 # What one failure adds to a target's expected time, in seconds, and how
 # fast that fades.
 _FAILURE_SECONDS = 1.0
@@ -76,7 +81,7 @@
         self._loads = loads
         self._rng = rng
         self._records: dict[str, TargetRecord] = {}
-        self._full_until: dict[str, float] = {}
+        self._refused: dict[str, tuple[float, float]] = {}
 
     # Model engines.
 
@@ -101,8 +106,8 @@
                 continue
             load = self._loads.read(target.name)
             room = shape.count_room(target.accelerator, holding.layers.count)
-            if self._full_until.get(target.name, 0.0) > now:
-                room = 0.0
+            if self._refused.get(target.name, (0.0, 0.0))[1] > now:
+                continue
             options.append(
                 StageOption(
                     target.name,
@@ -143,9 +148,20 @@
         """Return whether the pipe between data centres has room."""
         return self._loads.all_crossings < self.count_crossings(shape)
 
-    def note_full(self, target: str, seconds: float) -> None:
-        """Keep new requests off an engine that had no room after all."""
-        self._full_until[target] = trio.current_time() + seconds
+    def note_refusal(self, target: str) -> None:
+        """Keep new requests off an engine that refused one for a while.
+
+        It had no room after all, or gives layers up, or leaves, and the
+        news of that is still on its way.  One that refuses again is left
+        alone for twice as long.
+        """
+        now = trio.current_time()
+        pause, until = self._refused.get(target, (0.0, 0.0))
+        if until > now:
+            return
+        again = now - until < _REFUSAL_FORGIVEN
+        pause = min(pause * 2, _MOST_PAUSE) if again else _FIRST_PAUSE
+        self._refused[target] = (pause, now + pause)
 
     # Plain services.
 
@@ -173,8 +189,8 @@
         """Drop what was learned of targets that no longer exist."""
         for name in set(self._records) - known:
             del self._records[name]
-        for name in set(self._full_until) - known:
-            del self._full_until[name]
+        for name in set(self._refused) - known:
+            del self._refused[name]
 
     def _expect(self, target: ListedTarget, now: float) -> tuple[float, float]:
         record = self.read_record(target.name)
--- a/magnoliacove/routing/paths.py
+++ b/magnoliacove/routing/paths.py
@@ -20,6 +20,7 @@
     "PathStage",
     "StageOption",
     "describe_bottlenecks",
+    "find_detour",
     "find_path",
 ]
 
@@ -156,6 +157,35 @@
     return _search(options, costs) if len(by_place) > 1 else None
 
 
+def find_detour(
+    path: Path,
+    lost: Collection[str],
+    options: Sequence[StageOption],
+    costs: PathCosts,
+) -> Path | None:
+    """Return a path with other engines in place of lost ones, or None.
+
+    The other stages stay as they are, so what they hold of the request is
+    kept and only the new ones read it again.
+
+    :param lost: engines of the path that are to be left; not the first.
+    """
+    kept = {name for name in path.targets if name not in lost}
+    free = [o for o in options if o.target not in kept]
+    stages: list[PathStage] = []
+    for stage in path.stages:
+        if stage.target not in lost:
+            stages.append(stage)
+            continue
+        part = _search_cuts(free, costs, None, stage.first, stage.end)
+        if part is None:
+            return None
+        stages.extend(part.stages)
+        used = set(part.targets)
+        free = [o for o in free if o.target not in used]
+    return Path(tuple(stages), path.seconds, _count_crossings(stages))
+
+
 def measure_room(
     options: Sequence[StageOption], layers: int
 ) -> tuple[int, float]:
@@ -220,15 +250,21 @@
     options: Sequence[StageOption],
     costs: PathCosts,
     cuts: Sequence[int] | None,
+    first: int = 0,
+    last: int = 0,
 ) -> Path | None:
-    """Search among stages that end at a cut or where an engine ends."""
-    last = costs.shape.layers
+    """Search among stages that end at a cut or where an engine ends.
+
+    :param first: the layer to begin with.
+    :param last: one past the last layer to run; 0 for all.
+    """
+    last = last or costs.shape.layers
     known = [
         (o, costs.layer_seconds(o), costs.hop_seconds(o)) for o in options
     ]
     best: dict[int, dict[str, _Step]] = defaultdict(dict)
-    best[0][""] = _Step(0.0, None, None)
-    positions = {0}
+    best[first][""] = _Step(0.0, None, None)
+    positions = {first}
     while positions:
         at = min(positions)
         positions.discard(at)
@@ -289,8 +325,11 @@
         )
         at, place = step.before
     stages.reverse()
-    crossings = sum(
+    return Path(tuple(stages), seconds, _count_crossings(stages))
+
+
+def _count_crossings(stages: Sequence[PathStage]) -> int:
+    return sum(
         a.data_centre != b.data_centre
         for a, b in zip(stages, stages[1:], strict=False)
     )
-    return Path(tuple(stages), seconds, crossings)
