--- a/magnoliacove/directory/holdings.py
+++ b/magnoliacove/directory/holdings.py
@@ -26,7 +26,7 @@
 
     :param layers: what it serves, or None.
     :param loading: whether it is taking other layers.
-    :param moving: whether it gives up layers that it held.
+    :param moving: whether it cuts off what passes through old layers.
     :param slowness: 1 for usual speed, more when it is slow.
     :param used: token-layers of its memory that requests hold.
     """
@@ -66,6 +66,14 @@
             return Holding(target.layers)
         return known[1]
 
+    def list_moving(self) -> list[str]:
+        """Return the engines that cut off what passes through old layers."""
+        return [
+            target
+            for target, _, holding in self.list_fresh()
+            if holding.moving
+        ]
+
     def list_fresh(self) -> list[tuple[str, float, Holding]]:
         """Return targets, ages of reports and what they hold."""
         now = self._read_time()
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -64,15 +64,19 @@
     def _lead_around(self, nursery: trio.Nursery) -> None:
         """Lead streams around engines that are lost.
 
-        Those that drain, or are to give layers up, go on with what passes
-        through them.  Leading streams around these as well was measured: a
-        pause of 0.4 s on the median, where the stream else had none.
+        Those that drain go on with what passes through them.  Leading
+        streams around these as well was measured: a pause of 0.4 s on the
+        median, where the stream else had none.
         """
+        state = self._state
         lost = {
             suspicion.target
-            for suspicion in self._state.health.list_suspicions()
+            for suspicion in state.health.list_suspicions()
             if not suspicion.leaving
         }
+        # What passes through layers that are given up for a gap elsewhere
+        # is cut off; it need not wait until that shows.
+        lost.update(state.holdings.list_moving())
         if not lost:
             return
         for stream in tuple(self.streams):
@@ -83,7 +87,7 @@
             if gone:
                 names = ", ".join(sorted(gone))
                 self._detours.start(
-                    nursery, stream, gone, f"{names} is suspected"
+                    nursery, stream, gone, f"{names} is lost to the path"
                 )
 
     # Silence.
--- a/magnoliacove/placement/duty.py
+++ b/magnoliacove/placement/duty.py
@@ -57,10 +57,6 @@
 _MOST_WAIT = 6.0
 # An order whose engine shows no sign of it for so long may be given again.
 _ORDER_TIMEOUT = 1.0
-# An engine that is to close a gap cuts off what passes through its old
-# layers if that is so little; else it lets it end, which takes seconds in
-# which the data centre has no path.  Each cut makes one answer late.
-_FEW_REQUESTS = 4
 # How often a placement without gaps is looked at for a better one; the
 # search takes some 10 ms.
 _BALANCE_EVERY = 1.0
@@ -98,6 +94,7 @@
 
     :param ordered: what it was ordered to hold, until it shows.
     :param ordered_at: when the order was given.
+    :param interrupted: the order cuts off what passes through old layers.
     """
 
     report: EngineReport | None = None
@@ -105,7 +102,12 @@
     failures: int = 0
     ordered: LayerRange | None = None
     ordered_at: float = 0.0
-    began: bool = False
+    interrupted: bool = False
+
+    def forget_order(self) -> None:
+        """Take the last order for done, or for lost."""
+        self.ordered = None
+        self.interrupted = False
 
 
 class PlacementDuty:
@@ -239,7 +241,7 @@
         if ordered is not None and layers is not None and layers != ordered:
             # What is being given up takes no new work.
             layers = _intersect(layers, ordered)
-        moving = ordered is not None and layers != report.layers
+        moving = engine.interrupted and layers != report.layers
         changed = self._sources.holdings.note(
             target.name,
             Holding(
@@ -261,7 +263,7 @@
                 layers=_describe(engine.ordered),
                 seconds=round(now - engine.ordered_at, 2),
             )
-            engine.ordered = None
+            engine.forget_order()
         elif not report.loading and now - engine.ordered_at > _ORDER_TIMEOUT:
             self._sources.recorder.record(
                 "order-lost",
@@ -269,7 +271,7 @@
                 layers=_describe(engine.ordered),
                 why="the engine neither holds nor loads the layers",
             )
-            engine.ordered = None
+            engine.forget_order()
 
     # Orders.
 
@@ -299,6 +301,7 @@
             engine = self._engines[item.target]
             engine.ordered = item.layers
             engine.ordered_at = trio.current_time()
+            engine.interrupted = item.closes_gap
             nursery.start_soon(self._order, target, engine, item)
 
     def _find_improvements(
@@ -353,7 +356,10 @@
                 result = await self._sources.calls.place(
                     target,
                     item.layers,
-                    interrupt=item.closes_gap and passing <= _FEW_REQUESTS,
+                    # Waiting for what passes through took up to 10 s, in
+                    # which the data centre had no path; what is cut off is
+                    # led around the engine in half a second.
+                    interrupt=item.closes_gap,
                     orders=report.orders if report else None,
                 )
             except TargetError as why:
@@ -371,7 +377,7 @@
         )
         if result in (OrderResult.CONFLICT, OrderResult.REFUSED):
             # Another order came first; the next report tells which.
-            engine.ordered = None
+            engine.forget_order()
             engine.asked_at = -1e9
 
     def _note_giving_up(
@@ -383,7 +389,8 @@
         """Tell everybody at once which layers the engine gives up."""
         held = report.layers if report else None
         kept = _intersect(held, item.layers) if held else None
-        holding = Holding(kept, True, moving=kept != held)
+        moving = item.closes_gap and kept != held
+        holding = Holding(kept, True, moving=moving)
         if self._sources.holdings.note(target.name, holding):
             self._sources.tell()
 
