--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -215,24 +215,30 @@
         )
 
     def _reserve(self) -> Path | None:
+        """Find a path with room and reserve it.
+
+        Engines on which this stream broke off or was refused are used only
+        where there is no path without them.
+        """
         state = self._state
-        options = state.candidates.list_options(
-            self._routed.service.name, self.shape, self._avoided
-        )
         costs = state.candidates.make_costs(self.shape, *self.read_tokens())
-        path = find_path(options, costs, self._list_firsts())
-        crossing = path is not None and path.crossings > 0
-        if path is None or (
-            crossing and not state.candidates.may_cross(self.shape)
-        ):
-            self._note_waiting(options, costs.tokens, crossing)
-            return None
-        first = state.targets.find(path.stages[0].target)
-        if first is None:
-            return None
-        self.path, self.first_target = path, first
-        self._reservation = state.loads.reserve_path(path, costs.tokens)
-        return path
+        may_cross = state.candidates.may_cross(self.shape)
+        options: list[StageOption] = []
+        for avoided in (self._avoided, ()) if self._avoided else ((),):
+            options = state.candidates.list_options(
+                self.service, self.shape, avoided
+            )
+            path = find_path(options, costs, self._list_firsts())
+            first = state.targets.find(path.targets[0]) if path else None
+            if path is None or first is None:
+                continue
+            if path.crossings and not may_cross:
+                continue
+            self.path, self.first_target = path, first
+            self._reservation = state.loads.reserve_path(path, costs.tokens)
+            return path
+        self._note_waiting(options, costs.tokens, may_cross)
+        return None
 
     def _list_firsts(self) -> frozenset[str] | None:
         """Return the engines that may be first, None when all may.
@@ -320,6 +326,7 @@
                     ran = sent or why.outcome is not errors.Outcome.NOT_RUN
                     if not ran:
                         self._state.health.suspect(target.name, str(why))
+                    self._avoided.add(target.name)
                     raise _BrokenError(str(why), ran) from why
         finally:
             self._scope = None
@@ -504,7 +511,7 @@
         )
 
     def _note_waiting(
-        self, options: list[StageOption], tokens: float, crossing: bool
+        self, options: list[StageOption], tokens: float, may_cross: bool
     ) -> None:
         if self._waited_for == self._runs + self._refusals:
             return
@@ -512,9 +519,9 @@
         self._state.recorder.record(
             "request-waiting",
             request=self.request,
-            why="the pipe between data centres is full"
-            if crossing
-            else "no path has room",
+            why="no path has room"
+            if may_cross
+            else "no path has room, and the pipe between data centres is full",
             tokens=round(tokens),
             room=describe_bottlenecks(options, self.shape.layers),
             waiting=self._state.room.waiting,
--- /dev/null
+++ b/tests/gateway/stubs.py
@@ -0,0 +1,297 @@
+"""A scripted HTTP target over loopback, and a gateway's state around it."""
+
+import contextlib
+from dataclasses import dataclass
+import random
+
+import trio
+
+from magnoliacove import timeline
+from magnoliacove.configuration import routes
+from magnoliacove.directory.health import Health
+from magnoliacove.directory.holdings import Holdings
+from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.targets import TargetList
+from magnoliacove.gateway.callers import CallerConnection
+from magnoliacove.gateway.channels import ChannelPool
+from magnoliacove.gateway.engines import EngineCalls
+from magnoliacove.gateway.relay import Relay
+from magnoliacove.gateway.stalls import StallWatch
+from magnoliacove.gateway.state import GatewayState
+from magnoliacove.limits import LoadBook
+from magnoliacove.limits import RoomQueue
+from magnoliacove.limits import SharedRetryBudget
+from magnoliacove.metrics import Meters
+from magnoliacove.routing.candidates import Candidates
+from magnoliacove.wire import Address
+from tests.shapes import make_shape
+
+OK = b"HTTP/1.1 200 OK\r\nx-response-stamp: s\r\n"
+NOT_RUN = (
+    b"HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\n"
+    b"content-length: 0\r\n\r\n"
+)
+
+
+def make_answer(body, head=OK):
+    """Return a whole answer with a length."""
+    return head + b"content-length: %d\r\n\r\n" % len(body) + body
+
+
+def make_events(first, last):
+    """Return events with ids from first to last."""
+    return b"".join(
+        b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(first, last + 1)
+    )
+
+
+def chunk(data):
+    """Return one chunk of a body."""
+    return b"%x\r\n" % len(data) + data + b"\r\n"
+
+
+STREAM = OK + (
+    b"content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+)
+END = b"0\r\n\r\n"
+
+
+@dataclass
+class Received:
+    """One request that a stub got."""
+
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+
+
+class StubTarget:
+    """Answers requests by a script: a coroutine of the request and stream."""
+
+    def __init__(self, script):
+        self.script = script
+        self.requests = []
+        self.closed = trio.Event()
+        self.address = None
+
+    async def listen(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve on a free port of loopback."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        self.address = Address("127.0.0.1", port)
+        await trio.serve_listeners(
+            self._serve, listeners, task_status=task_status
+        )
+
+    async def _serve(self, stream):
+        try:
+            data = b""
+            while True:
+                while b"\r\n\r\n" not in data:
+                    part = await stream.receive_some()
+                    if not part:
+                        return
+                    data += part
+                head, _, data = data.partition(b"\r\n\r\n")
+                lines = head.decode().split("\r\n")
+                headers = {
+                    name.lower(): value.strip()
+                    for name, _, value in (x.partition(":") for x in lines[1:])
+                }
+                length = int(headers.get("content-length", 0))
+                while len(data) < length:
+                    data += await stream.receive_some()
+                body, data = data[:length], data[length:]
+                method, target, _ = lines[0].split(" ")
+                received = Received(method, target, headers, body)
+                self.requests.append(received)
+                await self.script(received, stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self.closed.set()
+            await trio.aclose_forcefully(stream)
+
+
+def make_table(**changes):
+    """Return a route table with one route of each kind."""
+    base = {
+        "host": "x",
+        "idempotent": False,
+        "streaming": False,
+        "resumable": False,
+        "timeout": 2.0,
+        "latency_objective": 0.3,
+        "gap_objective": 0.2,
+        "priority": 1,
+        "max_attempts": 2,
+        "public": False,
+        "shares": (routes.ServiceShare("desk", 1.0),),
+        **changes,
+    }
+    llm = {"shares": (routes.ServiceShare("llm", 1.0),), "streaming": True}
+    made = (
+        routes.Route(
+            **{**base, "name": "get", "path_prefix": "/get/"}
+            | {"idempotent": True}
+        ),
+        routes.Route(**{**base, "name": "post", "path_prefix": "/post/"}),
+        routes.Route(
+            **{**base, **llm, "name": "s", "path_prefix": "/stream/"}
+            | {"resumable": True}
+        ),
+        routes.Route(
+            **{**base, **llm, "name": "once", "path_prefix": "/once/"}
+        ),
+    )
+    services = {
+        "desk": routes.ServiceSpec("desk", "/health", 52, None),
+        "llm": routes.ServiceSpec(
+            "llm", "/health", 900, make_shape(layer_mb=100)
+        ),
+    }
+    accounts = {"k1": routes.Account("lannoy", 3)}
+    return routes.RouteTable(
+        7, made, services, routes.CallerLimits(header_timeout=0.3), accounts
+    )
+
+
+class Stage:
+    """A gateway's state, its relay, stub targets and a caller."""
+
+    def __init__(self, nursery):
+        self.nursery = nursery
+        self.recorder = timeline.Recorder("gateway")
+        targets = TargetList(self.recorder, grace=1.8)
+        health, holdings = Health(self.recorder), Holdings()
+        loads, pool = LoadBook(), ChannelPool(nursery.start_soon)
+        rng = random.Random(1)
+        self.state = GatewayState(
+            "gateway",
+            "a",
+            self.recorder,
+            Meters(dict, lambda: True),
+            targets,
+            health,
+            holdings,
+            loads,
+            SharedRetryBudget(0.2, 100, 10.0),
+            RoomQueue(),
+            pool,
+            Candidates("a", targets, health, holdings, loads, rng),
+            rng,
+        )
+        self.state.routes = make_table()
+        self.calls = EngineCalls(pool)
+        self.stalls = StallWatch(self.state, self.calls)
+        self.relay = Relay(self.state, self.stalls)
+        nursery.start_soon(self.state.room.run)
+        nursery.start_soon(self.stalls.run)
+
+    async def add(self, name, script, *, layers=None, service="", **changes):
+        """Start a stub target and list it."""
+        stub = StubTarget(script)
+        await self.nursery.start(stub.listen)
+        kind = {"accelerator": "h100"} if layers else {}
+        self.state.targets.apply(
+            ListedTarget(
+                name,
+                service or ("llm" if layers else "desk"),
+                stub.address,
+                "a",
+                layers=LayerRange(*layers) if layers else None,
+                slots=6,
+                revision=1,
+                **{**kind, **changes},
+            )
+        )
+        return stub
+
+    async def connect(self):
+        """Return a caller's end of a new connection."""
+        ours, theirs = await _open_pair()
+        connection = CallerConnection(
+            theirs,
+            lambda: routes.CallerLimits(header_timeout=0.3),
+            self.relay.serve,
+            lambda: self.state.leaving,
+        )
+        self.nursery.start_soon(connection.run)
+        return ours, connection
+
+    async def ask(self, path, *, method="GET", body=b"", **headers):
+        """Send one request and return what comes until the end."""
+        stream, _ = await self.connect()
+        await stream.send_all(make_request(path, method, body, **headers))
+        return await read_all(stream)
+
+    def list_kinds(self):
+        """Return the kinds of the events that were recorded."""
+        return [event.kind for event in self.recorder.list_events()]
+
+
+def make_request(path, method="GET", body=b"", **headers):
+    """Return a caller's request."""
+    values = {
+        "host": "x",
+        "x-request-id": "r1",
+        "authorization": "Token k1",
+        "x-deadline-ms": "1500",
+        "connection": "close",
+        **{name.replace("_", "-"): value for name, value in headers.items()},
+    }
+    if body:
+        values["content-length"] = str(len(body))
+    lines = "".join(f"{name}: {value}\r\n" for name, value in values.items())
+    return f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body
+
+
+async def read_all(stream):
+    """Return everything until the other end closes."""
+    data = b""
+    with (
+        trio.move_on_after(5.0),
+        contextlib.suppress(trio.BrokenResourceError),
+    ):
+        while part := await stream.receive_some():
+            data += part
+    return data
+
+
+async def _open_pair():
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    ours = await trio.open_tcp_stream("127.0.0.1", port)
+    theirs = await listeners[0].accept()
+    await listeners[0].aclose()
+    return ours, theirs
+
+
+@contextlib.asynccontextmanager
+async def open_stage():
+    """Open a stage; everything ends with it."""
+    async with trio.open_nursery() as nursery:
+        yield Stage(nursery)
+        nursery.cancel_scope.cancel()
+
+
+def answer_with(data, after=0.0):
+    """Return a script that answers each request with the same bytes."""
+
+    async def script(_, stream):
+        await trio.sleep(after)
+        await stream.send_all(data)
+
+    return script
+
+
+async def reset(_, stream):
+    """Break the connection off without an answer."""
+    await trio.aclose_forcefully(stream)
+
+
+async def stay_silent(_, stream):
+    """Never answer."""
+    await trio.sleep_forever()
--- /dev/null
+++ b/tests/gateway/test_streams.py
@@ -0,0 +1,298 @@
+"""Streams over paths of engines: whole, in order, once, whatever breaks."""
+
+import json
+import re
+
+import pytest
+import trio
+
+from tests.gateway import stubs
+
+_HEADERS = {"x_token_usage": "100,20", "x_deadline_ms": "5000"}
+
+
+def _read_ids(answer):
+    """Return the ids of the events in an answer's chunks, in order."""
+    body = answer.partition(b"\r\n\r\n")[2]
+    return [int(n) for n in re.findall(rb"^id: (\d+)$", body, re.M)]
+
+
+def _is_whole(answer):
+    return answer.endswith(b"\r\n" + stubs.END)
+
+
+async def _ask(stage, path="/stream/1", **headers):
+    return await stage.ask(path, method="POST", **{**_HEADERS, **headers})
+
+
+def _stream(last=6, *, cut_after=0, cut_inside=False, then=None):
+    """Return a script that streams events, from where it is asked to.
+
+    :param cut_after: break off after this event.
+    :param cut_inside: break off in the middle of the next event.
+    :param then: what to do instead of breaking off.
+    """
+
+    async def script(received, stream):
+        first = int(received.headers.get("last-event-id", 0)) + 1
+        await stream.send_all(stubs.STREAM)
+        for number in range(first, last + 1):
+            if cut_after and number > cut_after:
+                if cut_inside:
+                    part = stubs.make_events(number, number)[:9]
+                    await stream.send_all(stubs.chunk(part))
+                    await trio.sleep(0.02)
+                if then is not None:
+                    await then(received, stream)
+                await trio.aclose_forcefully(stream)
+                return
+            event = stubs.make_events(number, number)
+            await stream.send_all(stubs.chunk(event))
+            await trio.sleep(0.005)
+        await stream.send_all(stubs.END)
+
+    return script
+
+
+async def test_a_stream_passes_along_its_path():
+    async with stubs.open_stage() as stage:
+        first = await stage.add("i-1", _stream(), layers=(0, 40))
+        second = await stage.add("i-2", _stream(), layers=(40, 80))
+        answer = await _ask(stage)
+        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        assert _is_whole(answer)
+        assert not second.requests
+        hops = first.requests[0].headers["x-hops"]
+        assert hops == f"{first.address}=0-40,{second.address}=40-80"
+        assert not stage.state.loads.list_own()
+
+
+@pytest.mark.parametrize("cut_inside", [False, True])
+async def test_a_broken_stream_goes_on_elsewhere(cut_inside):
+    """The first engine dies after three events, or inside the fourth.
+    The stream goes on at another one behind the last whole event, in the
+    same answer: nothing is missing, nothing comes twice.
+    """
+    async with stubs.open_stage() as stage:
+        dying = _stream(cut_after=3, cut_inside=cut_inside)
+        await stage.add("i-1", dying, layers=(0, 80))
+        answer_task = []
+
+        async def ask():
+            answer_task.append(await _ask(stage))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.01)
+            other = await stage.add("i-2", _stream(), layers=(0, 80))
+        assert _read_ids(answer_task[0]) == [1, 2, 3, 4, 5, 6]
+        assert _is_whole(answer_task[0])
+        assert answer_task[0].count(b"HTTP/1.1") == 1
+        assert other.requests[0].headers["last-event-id"] == "3"
+
+
+async def test_a_caller_that_resumes_starts_behind_its_last_event():
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", _stream(), layers=(0, 80))
+        answer = await _ask(stage, last_event_id="4")
+        assert _read_ids(answer) == [5, 6]
+
+
+async def test_a_stream_that_cannot_go_on_does_not_look_whole():
+    """No engine is left.  The answer ends without the end of its body, so
+    the caller knows that it is not complete.
+    """
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", _stream(cut_after=3), layers=(0, 80))
+        answer = await _ask(stage)
+        assert _read_ids(answer)[:3] == [1, 2, 3]
+        assert not _is_whole(answer)
+
+
+async def test_a_stream_that_may_not_be_resumed_runs_once():
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", _stream(cut_after=2), layers=(0, 80))
+        other = await stage.add("i-2", _stream(cut_after=2), layers=(0, 80))
+        answer = await _ask(stage, "/once/1")
+        assert _read_ids(answer) == [1, 2]
+        assert not _is_whole(answer)
+        assert len(other.requests) <= 1
+        assert stage.list_kinds().count("path-chosen") == 1
+
+
+async def test_events_that_skip_some_are_not_passed_on():
+    """An engine goes on behind a gap.  The caller must not get pieces of
+    which one is missing.
+    """
+
+    async def skip(_, stream):
+        events = stubs.make_events(1, 2) + stubs.make_events(4, 5)
+        await stream.send_all(stubs.STREAM + stubs.chunk(events) + stubs.END)
+
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", skip, layers=(0, 80))
+        answer = await _ask(stage)
+        assert 4 not in _read_ids(answer)
+        assert not _is_whole(answer)
+
+
+async def test_events_sent_again_come_once():
+    """The engine that goes on begins earlier than it was asked to."""
+
+    async def again(_, stream):
+        events = stubs.make_events(1, 6)
+        await stream.send_all(stubs.STREAM + stubs.chunk(events) + stubs.END)
+
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", again, layers=(0, 80))
+        answer = await _ask(stage, last_event_id="3")
+        assert _read_ids(answer) == [4, 5, 6]
+
+
+async def test_a_refusal_names_the_engine_to_avoid():
+    """The second engine of the quicker path has no room.  The next path
+    goes around it.
+    """
+    async with stubs.open_stage() as stage:
+        second = await stage.add("i-2", stubs.stay_silent, layers=(40, 80))
+        refusal = (
+            b"HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\nat-server: "
+            + str(second.address).encode()
+            + b"\r\ncontent-length: 0\r\n\r\n"
+        )
+
+        async def script(received, stream):
+            if str(second.address) in received.headers["x-hops"]:
+                await stream.send_all(refusal)
+                return
+            await _stream()(received, stream)
+
+        await stage.add("i-1", script, layers=(0, 40))
+        await stage.add("i-3", stubs.reset, layers=(40, 80), accelerator="l4")
+        answer = await _ask(stage)
+        assert _is_whole(answer)
+        assert "engine-refused" in stage.list_kinds()
+
+
+async def test_no_room_is_refused_before_the_caller_leaves():
+    """No engine holds the layers.  The caller would leave after two
+    seconds; it is told before, and that nothing ran.
+    """
+    async with stubs.open_stage() as stage:
+        began = trio.current_time()
+        answer = await _ask(stage)
+        assert answer.split(b" ")[1] == b"503"
+        assert b"retry-after" in answer.lower()
+        assert trio.current_time() - began < 1.9
+
+
+async def test_a_lost_engine_inside_the_path_is_led_around():
+    """An engine in the middle dies.  The first one waits for it, and its
+    report says so.  It is ordered to go on along another engine, and the
+    stream goes on without a second run.
+    """
+    async with stubs.open_stage() as stage:
+        lost = await stage.add("i-2", stubs.stay_silent, layers=(40, 80))
+        changed = trio.Event()
+        orders = []
+
+        async def script(received, stream):
+            if received.method == "GET":
+                stalled = [{"id": "r1", "address": str(lost.address)}]
+                report = json.dumps({"stalled": stalled}).encode()
+                await stream.send_all(stubs.make_answer(report))
+            elif received.target == "/v1/order":
+                orders.append(json.loads(received.body))
+                await stream.send_all(stubs.make_answer(b"{}"))
+                changed.set()
+            else:
+                await _stream(cut_after=3, then=go_on)(received, stream)
+
+        async def go_on(_, stream):
+            await changed.wait()
+            events = stubs.make_events(4, 6)
+            await stream.send_all(stubs.chunk(events) + stubs.END)
+            await trio.sleep(0.1)
+
+        first = await stage.add("i-1", script, layers=(0, 40))
+        spare = await stage.add(
+            "i-3", stubs.stay_silent, layers=(40, 80), accelerator="l4"
+        )
+        answer = await _ask(stage)
+        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        assert _is_whole(answer)
+        assert orders[0]["id"] == "r1"
+        assert str(spare.address) in orders[0]["path"]
+        assert str(lost.address) not in orders[0]["path"]
+        assert not stage.state.health.is_usable("i-2")
+        assert [r.target for r in first.requests].count("/stream/1") == 1
+
+
+async def test_a_silent_first_engine_is_left():
+    """The first engine falls silent and gives no report.  The stream goes
+    on at another one before the caller's two seconds are over.
+    """
+    async with stubs.open_stage() as stage:
+        silent = _stream(cut_after=3, then=stubs.stay_silent)
+        await stage.add("i-1", silent, layers=(0, 80))
+        began = trio.current_time()
+        answers = []
+
+        async def ask():
+            answers.append(await _ask(stage))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.1)
+            await stage.add("i-2", _stream(), layers=(0, 80))
+        assert _read_ids(answers[0]) == [1, 2, 3, 4, 5, 6]
+        assert _is_whole(answers[0])
+        assert trio.current_time() - began < 2.0
+
+
+async def test_a_path_left_while_its_events_arrive_loses_none():
+    """A stream is told to leave its path again and again, at moments when
+    events have just come in or are being written.  An event that is taken
+    for sent but was not leaves a gap; a write that is broken off leaves
+    bytes that are no answer.
+    """
+    async with stubs.open_stage() as stage:
+        for name in ("i-1", "i-2"):
+            await stage.add(name, _stream(last=120), layers=(0, 80))
+
+        async def disturb():
+            while True:
+                await trio.sleep(0.017)
+                for stream in tuple(stage.stalls.streams):
+                    stream.move("the test says so")
+
+        stage.nursery.start_soon(disturb)
+        answer = await _ask(stage)
+        ids = _read_ids(answer)
+        assert ids == list(range(1, len(ids) + 1))
+        assert stage.list_kinds().count("path-lost") > 3
+
+
+async def test_a_slow_caller_does_not_look_like_a_silent_engine():
+    """The caller reads nothing for a second while the engine goes on.
+    Its path is sound and stays.
+    """
+    big = b"x" * 200_000
+
+    async def script(_, stream):
+        await stream.send_all(stubs.STREAM)
+        for number in range(1, 40):
+            event = b"id: %d\ndata: %s\n\n" % (number, big)
+            await stream.send_all(stubs.chunk(event))
+        await stream.send_all(stubs.END)
+
+    async with stubs.open_stage() as stage:
+        stub = await stage.add("i-1", script, layers=(0, 80))
+        stream, _ = await stage.connect()
+        await stream.send_all(
+            stubs.make_request("/stream/1", "POST", **_HEADERS)
+        )
+        await trio.sleep(1.0)
+        answer = await stubs.read_all(stream)
+        assert _read_ids(answer) == list(range(1, 40))
+        assert len(stub.requests) == 1
--- /dev/null
+++ b/tests/platform/test_routes.py
@@ -0,0 +1,71 @@
+"""The operator's configuration becomes the product's route table."""
+
+import random
+
+import pytest
+
+from magnoliacove import errors
+from magnoliacove.platform.routes import read_routes
+from tests.platform import samples
+
+
+def test_routes_and_accounts():
+    table = read_routes(samples.CONFIGURATION)
+    route = table.find_route("LOTS.example", "/lots/a/b")
+    assert route.name == "r-1"
+    assert route.repeatable
+    assert route.timeout == 20.0
+    assert route.gap_objective == 0.2
+    assert table.find_account("k2").name == "lannoy"
+    assert table.find_account("k3") is None
+    assert table.needs_keys
+
+
+@pytest.mark.parametrize(
+    ("path", "name"),
+    [
+        ("/lots/open/1", "r-2"),
+        ("/lots/open/", "r-2"),
+        ("/lots/open", "r-1"),
+        ("/lots/", "r-1"),
+        ("/lots", None),
+        ("/", None),
+        ("", None),
+        ("/other/lots/", None),
+    ],
+)
+def test_longest_prefix(path, name):
+    """A request takes the route with the longest prefix that begins it."""
+    table = read_routes(samples.CONFIGURATION)
+    found = table.find_route("lots.example", path)
+    assert (found.name if found else None) == name
+
+
+def test_shares_follow_weights():
+    route = read_routes(samples.CONFIGURATION).routes[0]
+    rng = random.Random(1)
+    drawn = [route.draw_service(rng) for _ in range(2000)]
+    assert 0.87 < drawn.count("llm") / len(drawn) < 0.93
+
+
+def test_a_model_has_its_shape():
+    shape = read_routes(samples.CONFIGURATION).services["llm"].model
+    assert shape.layers == 80
+    # 72,000 MB less 40 layers of 1,750, over 1.18 MB / 80 a token-layer.
+    assert shape.count_room("h100", 40) == pytest.approx(135_593, rel=1e-3)
+    assert shape.count_room("l4", 13) == 0.0
+
+
+@pytest.mark.parametrize(
+    ("changes", "named"),
+    [
+        ({"version": None}, "version"),
+        ({"routes": [{**samples.ROUTE, "kind": "new"}]}, "upgraded"),
+        ({"routes": [{**samples.ROUTE, "timeout_ms": "1"}]}, "timeout_ms"),
+        ({"routes": ["r"]}, r"routes\[0\]"),
+        ({"tenants": [{"api_keys": []}]}, "name"),
+    ],
+)
+def test_mistakes_name_the_field(changes, named):
+    with pytest.raises(errors.ProtocolError, match=named):
+        read_routes({**samples.CONFIGURATION, **changes})
