--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -124,6 +124,7 @@
                 ),
                 read_store_silence=self._read_store_silence,
                 is_first_peer=self._is_first_peer,
+                is_done_elsewhere=self._is_done_elsewhere,
                 tell=self._tell_news,
             ),
             self._lease,
@@ -341,6 +342,10 @@
         staying = [p.heartbeat for p in peers if not p.heartbeat.leaving]
         return all(self.state.name < other.name for other in staying)
 
+    def _is_done_elsewhere(self) -> bool:
+        live = [peer.heartbeat for peer in self._heartbeats.list_live()]
+        return any(one.acting and not one.leaving for one in live)
+
     def _read_store_silence(self) -> float:
         return trio.current_time() - self._store.answered_at
 
--- a/magnoliacove/limits/room.py
+++ b/magnoliacove/limits/room.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import itertools
+import random
 
 import trio
 
@@ -27,7 +28,10 @@
 _FILL_EVERY = 0.025
 _SMOOTHING = 0.2
 _FIRST_PAUSE = 0.2
-_LEAST_RETRY_AFTER = 0.3
+# Room is short while a lost engine's layers are placed again, which takes
+# about two seconds.  Callers come back once; one that is sent back sooner
+# is refused again and then gone.  Coming back is spread over as long again.
+_LEAST_RETRY_AFTER = 2.0
 _MOST_RETRY_AFTER = 5.0
 
 
@@ -141,12 +145,14 @@
 
     def _refuse(self) -> errors.RequestError:
         self.refused += 1
-        expected = self._pause * (len(self._waiters) + 1)
+        expected = max(
+            self._pause * (len(self._waiters) + 1), _LEAST_RETRY_AFTER
+        )
         return errors.RequestError(
             "no_room",
             "no path of engines has room for the request; it did not run",
             status=503,
             retry_after=min(
-                max(expected, _LEAST_RETRY_AFTER), _MOST_RETRY_AFTER
+                expected * random.uniform(1.0, 2.0), _MOST_RETRY_AFTER
             ),
         )
--- a/magnoliacove/placement/duty.py
+++ b/magnoliacove/placement/duty.py
@@ -51,6 +51,8 @@
 # died is followed before its engines' requests have all been given up.
 LEASE_SECONDS = 2.5
 _RENEW_EVERY = 0.8
+# How often a lease is looked at whose holder's heartbeats are heard.
+_LOOK_EVERY = 2.0
 # The list of targets fills over some seconds after a start.  A placement
 # on a part of it would be made again, so it is awaited to stand still.
 _SETTLED = 1.5
@@ -72,6 +74,7 @@
     :param is_settled: whether traffic has begun, so nothing is awaited.
     :param read_store_silence: seconds since the store answered last.
     :param is_first_peer: whether no live gateway goes before this one.
+    :param is_done_elsewhere: whether a live peer says that it does it.
     :param tell: called when engines hold other layers than before.
     """
 
@@ -85,6 +88,7 @@
     is_settled: Callable[[], bool]
     read_store_silence: Callable[[], float]
     is_first_peer: Callable[[], bool]
+    is_done_elsewhere: Callable[[], bool]
     tell: Callable[[], None]
 
 
@@ -146,8 +150,19 @@
             except errors.PlatformError:
                 # The follower of the store says that it is away.
                 pass
-            pause = _RENEW_EVERY if self._lease.held else _RENEW_EVERY / 2
-            await trio.sleep(pause)
+            await trio.sleep(self._choose_pause())
+
+    def _choose_pause(self) -> float:
+        """Return the seconds until the lease is looked at again.
+
+        While a peer says that it does the duty there is little to see;
+        looks of all others were half of all calls to the store.
+        """
+        if self._lease.held:
+            return _RENEW_EVERY
+        if self._sources.is_done_elsewhere():
+            return _LOOK_EVERY
+        return _RENEW_EVERY / 2
 
     def _decide_acting(self) -> None:
         sources = self._sources
--- a/magnoliacove/timeline/render.py
+++ b/magnoliacove/timeline/render.py
@@ -89,10 +89,38 @@
                 f"sent {detail.get('steps')} kept outputs again, from step "
                 f"{detail.get('from_step')}; ran no layer again"
             )
+        case "path-chosen":
+            return (
+                f"sent along {detail.get('path')} after waiting "
+                f"{detail.get('waited')} s; expected to take "
+                f"{detail.get('seconds')} s"
+            )
+        case "path-changed":
+            return f"led along {detail.get('path')} because {why}"
+        case "path-lost":
+            return (
+                f"left its path after event {detail.get('last_event') or 0} "
+                f"because {why}"
+            )
+        case "request-waiting":
+            return (
+                f"waits: {why}; layer and tokens of room in each data "
+                f"centre: {detail.get('room')}"
+            )
         case "call-sent":
-            return f"sent try {detail.get('attempt')} to {event.target}"
+            number = detail.get("attempt", detail.get("number"))
+            return f"sent try {number} to {event.target}"
+        case "request-answered" if "first_event" in detail:
+            return (
+                f"answered in full after {detail.get('seconds')} s; first "
+                f"event after {detail['first_event']} s, longest pause "
+                f"{detail.get('longest_gap')} s"
+            )
         case "request-answered":
-            return f"answered in full after {detail.get('milliseconds')} ms"
+            took = detail.get("milliseconds")
+            spent = f"{detail.get('seconds')} s" if took is None else took
+            unit = "" if took is None else " ms"
+            return f"answered in full after {spent}{unit}"
         case "request-failed":
             return f"gave up: {why} (outcome {detail.get('outcome')})"
         case _:
@@ -110,6 +138,13 @@
         if e.kind == "outputs-replayed"
     )
     fed = sum(int(e.detail.get("fed_again", 0)) for e in resumed)
+    changed = sum(e.kind == "path-changed" for e in own)
+    lost = sum(e.kind == "path-lost" for e in own)
+    if changed or lost:
+        return (
+            f"  cost: led around lost engines {changed} times, begun anew "
+            f"on another path {lost} times"
+        )
     if not resumed:
         return "  cost: no recovery was needed"
     return (
--- a/tests/timeline/test_timeline.py
+++ b/tests/timeline/test_timeline.py
@@ -100,3 +100,26 @@
     assert {e["process"] for e in events} == {*fleet.entries, *fleet.agents}
     assert "answered in full" in explained.stdout
     assert "llm-0-0" in target.stdout
+
+
+def test_a_gateway_s_lines_explain_a_request():
+    """A stream waited for room, lost an engine and was led around it.  The
+    lines that its gateway logged say so in words, whoever reads them.
+    """
+    recorder = timeline.Recorder("gateway-1")
+    for kind, why, detail in (
+        ("request-arrived", "", {"account": "lannoy", "service": "llm"}),
+        ("request-waiting", "no path has room", {"room": {"a": "17: 0"}}),
+        ("path-chosen", "", {"path": "i-1:0-80", "waited": 0.4}),
+        ("path-changed", "i-2 is lost to the path", {"path": "i-1 i-3"}),
+        ("request-answered", "", {"seconds": 3.1, "first_event": 0.5}),
+    ):
+        recorder.record(kind, request="abc", why=why, **detail)
+    lines = [event.to_json() for event in recorder.list_events()]
+    events = gather.read_log(["12.5 not an event", *lines])
+    told = render.explain_request(events, "abc")
+    assert "waits: no path has room" in told
+    assert "17: 0" in told
+    assert "led along i-1 i-3 because i-2 is lost" in told
+    assert "first event after 0.5 s" in told
+    assert "led around lost engines 1 times" in told
