--- a/magnoliacove/gateway/detours.py
+++ b/magnoliacove/gateway/detours.py
@@ -35,9 +35,18 @@
 
     request: str
     service: str
-    shape: ModelShape
-    path: Path | None
-    first_target: ListedTarget | None
+
+    @property
+    def shape(self) -> ModelShape:
+        """The shape of the model that the stream runs on."""
+
+    @property
+    def path(self) -> Path | None:
+        """The present path, or None between two."""
+
+    @property
+    def first_target(self) -> ListedTarget | None:
+        """The first engine of the present path."""
 
     def read_tokens(self) -> tuple[float, float]:
         """Return the tokens of the prompt and those still to be written."""
--- /dev/null
+++ b/magnoliacove/gateway/holds.py
@@ -0,0 +1,143 @@
+"""The path that one stream holds, and its room on the engines."""
+
+from magnoliacove import errors
+from magnoliacove.configuration.routes import ModelShape
+from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.gateway.requests import RoutedRequest
+from magnoliacove.gateway.state import GatewayState
+from magnoliacove.limits.load import Reservation
+from magnoliacove.routing.paths import Path
+from magnoliacove.routing.paths import StageOption
+from magnoliacove.routing.paths import describe_bottlenecks
+from magnoliacove.routing.paths import find_path
+
+__all__ = ["PathHold"]
+
+# The part of the answer's likely length that is reserved: streams in
+# progress have written half of theirs on the mean.
+_ANSWER_PART = 0.8
+
+
+class PathHold:
+    """Finds, reserves and gives back the paths of one stream.
+
+    :param path: the present path, or None between two.
+    :param first_target: the first engine of the path.
+    """
+
+    def __init__(self, state: GatewayState, routed: RoutedRequest) -> None:
+        self.path: Path | None = None
+        self.first_target: ListedTarget | None = None
+        self.shape = _require_shape(routed)
+        self._state = state
+        self._routed = routed
+        self._answer_tokens = _guess_answer(routed, self.shape)
+        self._reservation: Reservation | None = None
+        self._avoided: set[str] = set()
+        self._firsts: set[str] = set()
+        self._told = False
+
+    def read_tokens(self) -> tuple[float, float]:
+        """Return the tokens of the prompt and those to be written."""
+        prompt = self._routed.marks.prompt_tokens or self.shape.usual_prompt
+        return prompt, self._answer_tokens * _ANSWER_PART
+
+    def avoid(self, target: str) -> None:
+        """Use an engine only where there is no path without it."""
+        self._avoided.add(target)
+
+    def reserve(self) -> Path | None:
+        """Find a path with room and reserve it; None when there is none.
+
+        Engines on which this stream broke off or was refused are used only
+        where there is no path without them.
+        """
+        state = self._state
+        costs = state.candidates.make_costs(self.shape, *self.read_tokens())
+        may_cross = state.candidates.may_cross(self.shape)
+        options: list[StageOption] = []
+        for avoided in (self._avoided, ()) if self._avoided else ((),):
+            options = state.candidates.list_options(
+                self._routed.service.name, self.shape, avoided
+            )
+            path = find_path(options, costs, self._list_firsts())
+            first = state.targets.find(path.targets[0]) if path else None
+            if path is None or first is None:
+                continue
+            if path.crossings and not may_cross:
+                continue
+            self.path, self.first_target = path, first
+            self._reservation = state.loads.reserve_path(path, costs.tokens)
+            return path
+        self._note_waiting(options, costs.tokens, may_cross)
+        return None
+
+    def use(self) -> None:
+        """Count the first engine as one that the request runs on."""
+        if self.first_target is not None:
+            self._firsts.add(self.first_target.name)
+
+    def take(self, path: Path, reservation: Reservation) -> None:
+        """Hold another path after the same first stage."""
+        if self._reservation is not None:
+            self._state.loads.release(self._reservation)
+        self.path, self._reservation = path, reservation
+        self._state.room.fill()
+
+    def leave(self) -> None:
+        """Give the path and its room back."""
+        if self._reservation is not None:
+            self._state.loads.release(self._reservation)
+            self._reservation = None
+        self.path = self.first_target = None
+        self._told = False
+        self._state.room.fill()
+
+    def _list_firsts(self) -> frozenset[str] | None:
+        """Return the engines that may be first, None when all may.
+
+        A request runs on as many engines as its route allows, counted by
+        the first of each path; one that it ran on may run it once more.
+        """
+        used = frozenset(
+            name
+            for name in self._firsts
+            if self._state.targets.find(name) is not None
+        )
+        return used if len(used) >= self._routed.route.max_attempts else None
+
+    def _note_waiting(
+        self, options: list[StageOption], tokens: float, may_cross: bool
+    ) -> None:
+        if self._told:
+            return
+        self._told = True
+        self._state.recorder.record(
+            "request-waiting",
+            request=self._routed.marks.request,
+            why="no path has room"
+            if may_cross
+            else "no path has room, and the pipe between data centres is full",
+            tokens=round(tokens),
+            room=describe_bottlenecks(options, self.shape.layers),
+            waiting=self._state.room.waiting,
+            avoided=sorted(self._avoided),
+        )
+
+
+def _require_shape(routed: RoutedRequest) -> ModelShape:
+    shape = routed.service.model
+    if shape is None:
+        raise errors.RequestError(
+            "no_model",
+            f"service {routed.service.name} has no model; route streams to "
+            "a service with engines",
+        )
+    return shape
+
+
+def _guess_answer(routed: RoutedRequest, shape: ModelShape) -> float:
+    """Return the likely number of tokens of the answer."""
+    marks = routed.marks
+    likely = marks.likely_tokens or shape.usual_answer
+    return min(likely, marks.most_tokens) if marks.most_tokens else likely
--- /dev/null
+++ b/magnoliacove/gateway/peering.py
@@ -0,0 +1,200 @@
+"""What one gateway tells its peers and takes from them."""
+
+from collections.abc import Callable
+
+import trio
+
+from magnoliacove import wire
+from magnoliacove.gateway.state import GatewayState
+from magnoliacove.gateway.store import StoreFollower
+from magnoliacove.peers import Heartbeat
+from magnoliacove.peers import Heartbeats
+from magnoliacove.peers import ReportedHolding
+from magnoliacove.peers import ReportedSuspicion
+from magnoliacove.peers.snapshots import PeerSnapshot
+from magnoliacove.peers.snapshots import ask_snapshot
+from magnoliacove.peers.snapshots import serve_snapshots
+from magnoliacove.platform.settings import NodeSettings
+
+__all__ = ["PeerExchange"]
+
+# A peer's configuration or list is asked for after our own view has been
+# behind for so long; the store's own answer mostly comes first.
+_BEHIND = 0.4
+# The store is taken for away after so long without an answer, seconds.
+STORE_AWAY = 1.5
+
+
+class PeerExchange:
+    """The heartbeats and snapshots of one gateway.
+
+    :param is_acting: whether this gateway does the placement duty.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        store: StoreFollower,
+        settings: NodeSettings,
+        incarnation: int,
+        is_acting: Callable[[], bool],
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._incarnation = incarnation
+        self._is_acting = is_acting
+        self._address = wire.Address(settings.host, settings.peer_port)
+        self._network = wire.Network()
+        self._behind_since: float | None = None
+        self.heartbeats = Heartbeats(
+            self._address,
+            settings.seeds,
+            state.recorder,
+            self._make_heartbeat,
+            self._take_heartbeat,
+            self._lose_peers,
+        )
+        state.health.listen(lambda _: self.heartbeats.send_soon())
+        state.listen_routes(self.heartbeats.send_soon)
+
+    async def serve(self) -> None:
+        """Answer peers that ask for a snapshot, until cancelled."""
+        await serve_snapshots(
+            self._address,
+            self._state.name,
+            self._network,
+            self._state.recorder,
+            self._make_snapshot,
+        )
+
+    def _make_heartbeat(
+        self, sequence: int, peers: tuple[str, ...]
+    ) -> Heartbeat:
+        state = self._state
+        now = trio.current_time()
+        table = state.routes
+        return Heartbeat(
+            name=state.name,
+            address=str(self._address),
+            incarnation=self._incarnation,
+            sequence=sequence,
+            data_centre=state.data_centre,
+            configuration_version=table.version if table else 0,
+            leaving=state.leaving,
+            store_reachable=self._store.reachable,
+            crossings=state.loads.crossings,
+            loads=dict(state.loads.list_own()),
+            suspicions=tuple(
+                ReportedSuspicion(
+                    s.target, max(0.0, now - s.since), s.why, s.leaving
+                )
+                for s in state.health.list_suspicions()
+            ),
+            holdings=tuple(
+                ReportedHolding(target, age, holding)
+                for target, age, holding in state.holdings.list_fresh()
+            )
+            if self._is_acting()
+            else (),
+            services=state.budget.list_counts(),
+            peers=peers,
+            acting=self._is_acting(),
+        )
+
+    def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
+        state = self._state
+        state.loads.take_others(
+            heartbeat.name, heartbeat.loads, heartbeat.crossings
+        )
+        state.budget.take_others(heartbeat.name, heartbeat.services)
+        for found in heartbeat.suspicions:
+            state.health.suspect(
+                found.target,
+                found.why,
+                age=found.age,
+                source=heartbeat.name,
+                leaving=found.leaving,
+            )
+        for item in heartbeat.holdings:
+            state.holdings.note(item.target, item.holding, item.age)
+        state.room.fill()
+
+    def _lose_peers(self, names: list[str]) -> None:
+        self._state.loads.forget(names)
+        self._state.budget.forget(names)
+
+    def tell_news(self) -> None:
+        """Tell the others at once, and try who waits for room."""
+        self.heartbeats.send_soon()
+        self._state.room.fill()
+
+    def is_first(self) -> bool:
+        """Return whether this gateway is to act while the store is away."""
+        peers = self.heartbeats.list_live()
+        if not peers:
+            # It is more likely that this gateway is cut off from all
+            # others than that they are gone with the store.
+            return False
+        known = [peer.heartbeat for peer in peers]
+        if any(one.store_reachable or one.acting for one in known):
+            return False
+        staying = [p.heartbeat for p in peers if not p.heartbeat.leaving]
+        return all(self._state.name < other.name for other in staying)
+
+    def is_done_elsewhere(self) -> bool:
+        """Return whether a live peer does the placement duty."""
+        live = [peer.heartbeat for peer in self.heartbeats.list_live()]
+        return any(one.acting and not one.leaving for one in live)
+
+    def read_store_silence(self) -> float:
+        """Return seconds since the store answered last."""
+        return trio.current_time() - self._store.answered_at
+
+    def _make_snapshot(self) -> PeerSnapshot:
+        return PeerSnapshot(
+            self._store.configuration,
+            tuple(self._state.targets.list_all()),
+            self._state.targets.revision,
+        )
+
+    async def catch_up(self) -> None:
+        """Take from a peer what the store does not give."""
+        while True:
+            await trio.sleep(_BEHIND / 2)
+            peers = self.heartbeats.list_live()
+            table = self._state.routes
+            own = table.version if table else 0
+            newest = max(
+                peers,
+                key=lambda p: p.heartbeat.configuration_version,
+                default=None,
+            )
+            away = self.read_store_silence() > 1.5
+            better = [p for p in peers if p.heartbeat.store_reachable]
+            now = trio.current_time()
+            if newest and newest.heartbeat.configuration_version > own:
+                self._behind_since = self._behind_since or now
+                if now - self._behind_since >= _BEHIND:
+                    await self._ask(newest.heartbeat)
+                continue
+            self._behind_since = None
+            if away and better:
+                await self._ask(self._state.rng.choice(better).heartbeat)
+                await trio.sleep(_BEHIND)
+
+    async def _ask(self, peer: Heartbeat) -> None:
+        found = await ask_snapshot(
+            wire.Address.parse(peer.address),
+            self._state.name,
+            self._network,
+            self._state.recorder,
+        )
+        if found is None:
+            return
+        source = f"the gateway {peer.name}"
+        if found.configuration:
+            self._store.take_configuration(found.configuration, source)
+        if found.revision > self._state.targets.revision:
+            self._state.targets.replace(
+                found.targets, found.revision, after_outage=False
+            )
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -20,6 +20,7 @@
 from magnoliacove.gateway.callers import Exchange
 from magnoliacove.gateway.channels import ChannelPool
 from magnoliacove.gateway.engines import EngineCalls
+from magnoliacove.gateway.peering import PeerExchange
 from magnoliacove.gateway.relay import Relay
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.gateway.state import GatewayState
@@ -27,14 +28,8 @@
 from magnoliacove.gateway.supervision import run_supervised
 from magnoliacove.metrics import Meters
 from magnoliacove.metrics import serve_meters
-from magnoliacove.peers import Heartbeat
-from magnoliacove.peers import Heartbeats
-from magnoliacove.peers import ReportedHolding
-from magnoliacove.peers import ReportedSuspicion
-from magnoliacove.peers.snapshots import PeerSnapshot
-from magnoliacove.peers.snapshots import ask_snapshot
-from magnoliacove.peers.snapshots import serve_snapshots
 from magnoliacove.placement import duty
+from magnoliacove.placement import leadership
 from magnoliacove.platform.settings import NodeSettings
 from magnoliacove.routing.candidates import Candidates
 from magnoliacove.timeline import Recorder
@@ -50,9 +45,6 @@
 # What is left of the grace time for the last bytes and the log.
 _STOP_RESERVE = 0.7
 _TIDY_EVERY = 1.0
-# A peer's configuration or list is asked for after our own view has been
-# behind, or the store silent, for so long.
-_BEHIND = 0.4
 
 
 class Gateway:
@@ -65,8 +57,6 @@
         self._api = api
         self._meters_port = meters_port
         self._incarnation = time.time_ns() // 1_000_000
-        self._address = wire.Address(settings.host, settings.peer_port)
-        self._network = wire.Network()
         recorder = Recorder(settings.name)
         self.recorder = recorder
         rng = random.Random()
@@ -96,19 +86,31 @@
         )
         self._calls = EngineCalls(pool)
         self._store = StoreFollower(self.state, api)
-        self._heartbeats = Heartbeats(
-            self._address,
-            settings.seeds,
-            recorder,
-            self._make_heartbeat,
-            self._take_heartbeat,
-            self._lose_peers,
+        self._peers = PeerExchange(
+            self.state,
+            self._store,
+            settings,
+            self._incarnation,
+            lambda: self._leadership.acting,
         )
         self._stalls = StallWatch(self.state, self._calls)
         self._relay = Relay(self.state, self._stalls)
         owner = f"{settings.name}/{self._incarnation}"
-        self._lease = Lease(
-            api, recorder, duty.LEASE, owner, duration=duty.LEASE_SECONDS
+        lease = Lease(
+            api,
+            recorder,
+            leadership.LEASE,
+            owner,
+            duration=leadership.LEASE_SECONDS,
+        )
+        self._leadership = leadership.Leadership(
+            leadership.LeadershipSources(
+                self._peers.read_store_silence,
+                self._peers.is_first,
+                self._peers.is_done_elsewhere,
+            ),
+            lease,
+            recorder,
         )
         self._duty = duty.PlacementDuty(
             duty.DutySources(
@@ -122,18 +124,12 @@
                 is_settled=lambda: (
                     self.state.seen_traffic or not settings.first_start
                 ),
-                read_store_silence=self._read_store_silence,
-                is_first_peer=self._is_first_peer,
-                is_done_elsewhere=self._is_done_elsewhere,
-                tell=self._tell_news,
+                tell=self._peers.tell_news,
             ),
-            self._lease,
+            self._leadership,
         )
         self._connections: set[CallerConnection] = set()
-        self._behind_since: float | None = None
         targets.listen(self.state.room.fill)
-        health.listen(lambda _: self._heartbeats.send_soon())
-        self.state.listen_routes(self._heartbeats.send_soon)
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -141,14 +137,14 @@
         async with trio.open_nursery() as nursery:
             state.pool.start_soon = nursery.start_soon
             tasks = {
-                "heartbeats": self._heartbeats.run,
+                "heartbeats": self._peers.heartbeats.run,
                 "store": self._store.run,
-                "snapshots": self._serve_snapshots,
+                "snapshots": self._peers.serve,
                 "placement": self._duty.run,
                 "stalls": self._stalls.run,
                 "room": self.state.room.run,
                 "tidy": self._tidy,
-                "catch-up": self._catch_up,
+                "catch-up": self._peers.catch_up,
                 "readiness": self._serve_readiness,
                 "meters": self._serve_meters,
                 "callers": self._serve_callers,
@@ -169,8 +165,8 @@
         state.leaving = True
         began = trio.current_time()
         self.recorder.record("stopping", open_requests=state.open_requests)
-        self._heartbeats.send_soon()
-        await self._duty.release()
+        self._peers.heartbeats.send_soon()
+        await self._leadership.release()
         limit = began + self._settings.bounds.grace - _STOP_RESERVE
         while trio.current_time() < limit:
             noticed = trio.current_time() - began >= _BALANCER_NOTICES
@@ -192,7 +188,7 @@
         known = self._settings
         changed = fixed != (known.name, known.callers, known.peer_port)
         for seed in settings.seeds:
-            self._heartbeats.add_address(seed)
+            self._peers.heartbeats.add_address(seed)
         self._settings = settings
         self.recorder.record(
             "reloaded",
@@ -203,15 +199,6 @@
 
     # Listening.
 
-    async def _serve_snapshots(self) -> None:
-        await serve_snapshots(
-            self._address,
-            self._settings.name,
-            self._network,
-            self.recorder,
-            self._make_snapshot,
-        )
-
     async def _serve_callers(self) -> None:
         address = self._settings.callers
         listener = _listen(address)
@@ -267,137 +254,6 @@
         table = self.state.routes
         return table.limits if table else CallerLimits()
 
-    # Peers.
-
-    def _make_heartbeat(
-        self, sequence: int, peers: tuple[str, ...]
-    ) -> Heartbeat:
-        state = self.state
-        now = trio.current_time()
-        table = state.routes
-        return Heartbeat(
-            name=state.name,
-            address=str(self._address),
-            incarnation=self._incarnation,
-            sequence=sequence,
-            data_centre=state.data_centre,
-            configuration_version=table.version if table else 0,
-            leaving=state.leaving,
-            store_reachable=self._store.reachable,
-            crossings=state.loads.crossings,
-            loads=dict(state.loads.list_own()),
-            suspicions=tuple(
-                ReportedSuspicion(
-                    s.target, max(0.0, now - s.since), s.why, s.leaving
-                )
-                for s in state.health.list_suspicions()
-            ),
-            holdings=tuple(
-                ReportedHolding(target, age, holding)
-                for target, age, holding in state.holdings.list_fresh()
-            )
-            if self._duty.acting
-            else (),
-            services=state.budget.list_counts(),
-            peers=peers,
-            acting=self._duty.acting,
-        )
-
-    def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
-        state = self.state
-        state.loads.take_others(
-            heartbeat.name, heartbeat.loads, heartbeat.crossings
-        )
-        state.budget.take_others(heartbeat.name, heartbeat.services)
-        for found in heartbeat.suspicions:
-            state.health.suspect(
-                found.target,
-                found.why,
-                age=found.age,
-                source=heartbeat.name,
-                leaving=found.leaving,
-            )
-        for item in heartbeat.holdings:
-            state.holdings.note(item.target, item.holding, item.age)
-        state.room.fill()
-
-    def _lose_peers(self, names: list[str]) -> None:
-        self.state.loads.forget(names)
-        self.state.budget.forget(names)
-
-    def _tell_news(self) -> None:
-        self._heartbeats.send_soon()
-        self.state.room.fill()
-
-    def _is_first_peer(self) -> bool:
-        """Return whether this gateway is to act while the store is away."""
-        peers = self._heartbeats.list_live()
-        if not peers:
-            # It is more likely that this gateway is cut off from all
-            # others than that they are gone with the store.
-            return False
-        known = [peer.heartbeat for peer in peers]
-        if any(one.store_reachable or one.acting for one in known):
-            return False
-        staying = [p.heartbeat for p in peers if not p.heartbeat.leaving]
-        return all(self.state.name < other.name for other in staying)
-
-    def _is_done_elsewhere(self) -> bool:
-        live = [peer.heartbeat for peer in self._heartbeats.list_live()]
-        return any(one.acting and not one.leaving for one in live)
-
-    def _read_store_silence(self) -> float:
-        return trio.current_time() - self._store.answered_at
-
-    def _make_snapshot(self) -> PeerSnapshot:
-        return PeerSnapshot(
-            self._store.configuration,
-            tuple(self.state.targets.list_all()),
-            self.state.targets.revision,
-        )
-
-    async def _catch_up(self) -> None:
-        """Take from a peer what the store does not give."""
-        while True:
-            await trio.sleep(_BEHIND / 2)
-            peers = self._heartbeats.list_live()
-            table = self.state.routes
-            own = table.version if table else 0
-            newest = max(
-                peers,
-                key=lambda p: p.heartbeat.configuration_version,
-                default=None,
-            )
-            away = self._read_store_silence() > 1.5
-            better = [p for p in peers if p.heartbeat.store_reachable]
-            now = trio.current_time()
-            if newest and newest.heartbeat.configuration_version > own:
-                self._behind_since = self._behind_since or now
-                if now - self._behind_since >= _BEHIND:
-                    await self._ask(newest.heartbeat)
-                continue
-            self._behind_since = None
-            if away and better:
-                await self._ask(self.state.rng.choice(better).heartbeat)
-                await trio.sleep(_BEHIND)
-
-    async def _ask(self, peer: Heartbeat) -> None:
-        found = await ask_snapshot(
-            wire.Address.parse(peer.address),
-            self.state.name,
-            self._network,
-            self.recorder,
-        )
-        if found is None:
-            return
-        source = f"the gateway {peer.name}"
-        if found.configuration:
-            self._store.take_configuration(found.configuration, source)
-        if found.revision > self.state.targets.revision:
-            self.state.targets.replace(
-                found.targets, found.revision, after_outage=False
-            )
-
     # Housekeeping.
 
     def _list_models(self) -> dict[str, ModelShape]:
@@ -429,7 +285,9 @@
             if state.routes
             else 0,
             "configuration_age_seconds": now - state.routes_at,
-            "store_silence_seconds": min(1e6, self._read_store_silence()),
+            "store_silence_seconds": min(
+                1e6, self._peers.read_store_silence()
+            ),
             "store_calls": getattr(self._api, "calls", 0),
             "targets_listed": len(state.targets.list_all()),
             "targets_suspected": len(state.health.list_suspicions()),
@@ -440,8 +298,8 @@
             "connections_opened": state.pool.opened,
             "engine_reports": self._calls.reports,
             "engine_orders": self._calls.orders,
-            "peers_live": len(self._heartbeats.list_live()),
-            "placement_duty": float(self._duty.acting),
+            "peers_live": len(self._peers.heartbeats.list_live()),
+            "placement_duty": float(self._leadership.acting),
         }
 
 
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -36,7 +36,9 @@
 class WatchedStream(PathUser, Protocol):
     """A stream as the watch sees it."""
 
-    began: bool
+    @property
+    def began(self) -> bool:
+        """Whether the caller has an event of this answer."""
 
     def read_wait(self, now: float) -> float:
         """Return seconds since the caller got an event, 0 if not due."""
--- a/magnoliacove/placement/duty.py
+++ b/magnoliacove/placement/duty.py
@@ -11,10 +11,8 @@
 
 import trio
 
-from magnoliacove import defaults
 from magnoliacove import errors
 from magnoliacove.configuration.routes import ModelShape
-from magnoliacove.directory import Lease
 from magnoliacove.directory.health import Health
 from magnoliacove.directory.holdings import Holding
 from magnoliacove.directory.holdings import Holdings
@@ -25,6 +23,7 @@
 from magnoliacove.gateway.engines import EngineCalls
 from magnoliacove.limits.load import LoadBook
 from magnoliacove.placement.balance import find_better
+from magnoliacove.placement.leadership import Leadership
 from magnoliacove.placement.plan import EngineState
 from magnoliacove.placement.plan import PlacedLayers
 from magnoliacove.placement.plan import make_plan
@@ -34,7 +33,6 @@
 
 __all__ = ["DutySources", "PlacementDuty"]
 
-LEASE = "placement"
 _ROUND = 0.1
 # Each engine is asked twice a second: a lost one is found out within about
 # a second even where no stream passes, and a report is cheap.
@@ -46,13 +44,6 @@
 # Reports that fail in a row before an engine is suspected; one may be
 # lost on a bad link.
 _FAILURES = 2
-# A lease that is not renewed for LEASE_SECONDS may be taken.  Four renewals
-# fit in, so one lost answer of the store costs nothing, and a holder that
-# died is followed before its engines' requests have all been given up.
-LEASE_SECONDS = 2.5
-_RENEW_EVERY = 0.8
-# How often a lease is looked at whose holder's heartbeats are heard.
-_LOOK_EVERY = 2.0
 # The list of targets fills over some seconds after a start.  A placement
 # on a part of it would be made again, so it is awaited to stand still.
 _SETTLED = 1.5
@@ -62,8 +53,6 @@
 # How often a placement without gaps is looked at for a better one; the
 # search takes some 10 ms.
 _BALANCE_EVERY = 1.0
-# The store is taken for away after so long without an answer.
-_STORE_AWAY = 1.5
 
 
 @dataclass(frozen=True)
@@ -72,9 +61,6 @@
 
     :param list_models: the services that run on engines, by name.
     :param is_settled: whether traffic has begun, so nothing is awaited.
-    :param read_store_silence: seconds since the store answered last.
-    :param is_first_peer: whether no live gateway goes before this one.
-    :param is_done_elsewhere: whether a live peer says that it does it.
     :param tell: called when engines hold other layers than before.
     """
 
@@ -86,9 +72,6 @@
     recorder: Recorder
     list_models: Callable[[], dict[str, ModelShape]]
     is_settled: Callable[[], bool]
-    read_store_silence: Callable[[], float]
-    is_first_peer: Callable[[], bool]
-    is_done_elsewhere: Callable[[], bool]
     tell: Callable[[], None]
 
 
@@ -117,74 +100,24 @@
 class PlacementDuty:
     """Takes part in the duty and does it while it is held."""
 
-    def __init__(self, sources: DutySources, lease: Lease) -> None:
-        self.acting = False
+    def __init__(self, sources: DutySources, leadership: Leadership) -> None:
         self._sources = sources
-        self._lease = lease
+        self._leadership = leadership
         self._engines: dict[str, _Engine] = {}
         self._started = trio.current_time()
-        self._acting_since = 0.0
         self._balanced_at = 0.0
 
     async def run(self) -> None:
         """Take part until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._keep_lease)
+            nursery.start_soon(self._leadership.run)
             while True:
-                self._decide_acting()
-                if self.acting:
+                if self._leadership.decide():
+                    self._engines.clear()
+                if self._leadership.acting:
                     await self._do_round(nursery)
                 await trio.sleep(_ROUND)
 
-    async def release(self) -> None:
-        """Give the duty up, so that another can take it at once."""
-        self.acting = False
-        with trio.move_on_after(defaults.STORE_TIMEOUT):
-            await self._lease.release()
-
-    async def _keep_lease(self) -> None:
-        while True:
-            try:
-                with trio.move_on_after(_RENEW_EVERY):
-                    await self._lease.try_take()
-            except errors.PlatformError:
-                # The follower of the store says that it is away.
-                pass
-            await trio.sleep(self._choose_pause())
-
-    def _choose_pause(self) -> float:
-        """Return the seconds until the lease is looked at again.
-
-        While a peer says that it does the duty there is little to see;
-        looks of all others were half of all calls to the store.
-        """
-        if self._lease.held:
-            return _RENEW_EVERY
-        if self._sources.is_done_elsewhere():
-            return _LOOK_EVERY
-        return _RENEW_EVERY / 2
-
-    def _decide_acting(self) -> None:
-        sources = self._sources
-        away = sources.read_store_silence() > _STORE_AWAY
-        acting = self._lease.held or (
-            away and (self.acting or sources.is_first_peer())
-        )
-        if acting == self.acting:
-            return
-        self.acting = acting
-        self._acting_since = trio.current_time()
-        self._engines.clear()
-        sources.recorder.record(
-            "placement-taken" if acting else "placement-left",
-            why="the lease is held"
-            if self._lease.held
-            else "the store is away"
-            if acting
-            else "the lease is not held",
-            fence=self._lease.fence,
-        )
-
     # One round.
 
     async def _do_round(self, nursery: trio.Nursery) -> None:
@@ -217,7 +150,7 @@
         answered = [
             t for t in targets if self._engines[t.name].report is not None
         ]
-        asked_for = now - self._acting_since
+        asked_for = now - self._leadership.since
         if len(answered) < len(targets) and asked_for < _REPORT_EVERY * 2:
             return False
         if sources.is_settled():
@@ -388,7 +321,7 @@
             requests=passing,
             orders=report.orders if report else None,
             result=str(result),
-            fence=self._lease.fence,
+            fence=self._leadership.fence,
         )
         if result in (OrderResult.CONFLICT, OrderResult.REFUSED):
             # Another order came first; the next report tells which.
--- /dev/null
+++ b/magnoliacove/placement/leadership.py
@@ -0,0 +1,116 @@
+"""Who does the placement duty: the holder of a lease, or a stand-in."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+
+from magnoliacove import defaults
+from magnoliacove import errors
+from magnoliacove.directory import Lease
+from magnoliacove.timeline import Recorder
+
+__all__ = ["LEASE", "LEASE_SECONDS", "Leadership", "LeadershipSources"]
+
+LEASE = "placement"
+# A lease that is not renewed for LEASE_SECONDS may be taken.  Three renewals
+# fit in, so one lost answer of the store costs nothing, and a holder that
+# died is followed before its engines' requests have all been given up.
+LEASE_SECONDS = 2.5
+_RENEW_EVERY = 0.8
+# How often a lease is looked at whose holder's heartbeats are heard.
+_LOOK_EVERY = 2.0
+# The store is taken for away after so long without an answer, seconds.
+_STORE_AWAY = 1.5
+
+
+@dataclass(frozen=True)
+class LeadershipSources:
+    """What decides who does the duty, beside the lease.
+
+    :param read_store_silence: seconds since the store answered last.
+    :param is_first_peer: whether no live gateway goes before this one.
+    :param is_done_elsewhere: whether a live peer says that it does it.
+    """
+
+    read_store_silence: Callable[[], float]
+    is_first_peer: Callable[[], bool]
+    is_done_elsewhere: Callable[[], bool]
+
+
+class Leadership:
+    """One gateway's part in who does the duty.
+
+    :param acting: whether this gateway does it now.
+    :param since: by trio's clock, when that changed last.
+    """
+
+    def __init__(
+        self, sources: LeadershipSources, lease: Lease, recorder: Recorder
+    ) -> None:
+        self.acting = False
+        self.since = 0.0
+        self._sources = sources
+        self._lease = lease
+        self._recorder = recorder
+        self._leaving = False
+
+    @property
+    def fence(self) -> int:
+        """The fencing number of the lease while it is held, else 0."""
+        return self._lease.fence
+
+    async def run(self) -> None:
+        """Take or renew the lease until this process leaves."""
+        while not self._leaving:
+            try:
+                with trio.move_on_after(_RENEW_EVERY):
+                    await self._lease.try_take()
+            except errors.PlatformError:
+                # The follower of the store says that it is away.
+                pass
+            await trio.sleep(self._choose_pause())
+        await trio.sleep_forever()
+
+    async def release(self) -> None:
+        """Give the duty up for good, so that another takes it at once."""
+        self._leaving = True
+        self.acting = False
+        with trio.move_on_after(defaults.STORE_TIMEOUT):
+            await self._lease.release()
+
+    def decide(self) -> bool:
+        """Find out whether to act; return whether that has changed."""
+        sources = self._sources
+        away = sources.read_store_silence() > _STORE_AWAY
+        acting = not self._leaving and (
+            self._lease.held
+            or (away and (self.acting or sources.is_first_peer()))
+        )
+        if acting == self.acting:
+            return False
+        self.acting = acting
+        self.since = trio.current_time()
+        why = "the lease is not held"
+        if acting:
+            why = "the store is away"
+        if self._lease.held:
+            why = "the lease is held"
+        self._recorder.record(
+            "placement-taken" if acting else "placement-left",
+            why=why,
+            fence=self.fence,
+        )
+        return True
+
+    def _choose_pause(self) -> float:
+        """Return the seconds until the lease is looked at again.
+
+        While a peer says that it does the duty there is little to see;
+        looks of all others were half of all calls to the store.
+        """
+        if self._lease.held:
+            return _RENEW_EVERY
+        if self._sources.is_done_elsewhere():
+            return _LOOK_EVERY
+        return _RENEW_EVERY / 2
