Keep lapsed targets after an outage, whichever watch recovers first

Cause: a test of an outage, the first for the store's follower: both targets were gone at once when the store returned. The watch of the configuration recovered first and cleared the mark by which the list of targets knew of the outage. Found beside it: in the first five seconds of trio's clock a refusal paused an engine for no time.

Change: the list has a mark of its own; an engine never refused is long ago.

Before: 2 tests fail. After: they pass.

--- a/magnoliacove/gateway/store.py
+++ b/magnoliacove/gateway/store.py
@@ -45,8 +45,10 @@
         self.configuration = b""
         self._state = state
         self._api = api
-        self._lost_since: float | None = trio.current_time()
-        self._wake = trio.Event()
+        # Whether the list of targets may lack some that live: the store was
+        # away since it was read last.  The two watches fail and recover one
+        # after the other, so the other one's success says nothing of it.
+        self._list_lapsed = True
         self._unreadable = ""
 
     async def run(self) -> None:
@@ -84,6 +86,7 @@
                 self._state.recorder.record("store-compacted")
                 await backoff.pause()
             except errors.PlatformError as why:
+                self._list_lapsed = True
                 self._note_lost(str(why))
                 await backoff.pause()
 
@@ -108,14 +111,14 @@
 
     async def _follow_targets(self, backoff: Backoff) -> None:
         kind = f"{SERVERS}/"
-        lost = self._lost_since is not None
         listing = await self._api.list_records(kind)
         self._note_answered()
         self._state.targets.replace(
             self._read_targets(listing.records),
             listing.revision,
-            after_outage=lost,
+            after_outage=self._list_lapsed,
         )
+        self._list_lapsed = False
         backoff.reset()
         revision = listing.revision
         while True:
@@ -150,14 +153,11 @@
 
     def _note_answered(self) -> None:
         self.answered_at = trio.current_time()
-        self._lost_since = None
         if not self.reachable:
             self._state.recorder.record("store-regained")
         self.reachable = True
 
     def _note_lost(self, why: str) -> None:
-        if self._lost_since is None:
-            self._lost_since = trio.current_time()
         if self.reachable:
             self._state.recorder.record("store-lost", why=why)
         self.reachable = False
--- a/magnoliacove/routing/candidates.py
+++ b/magnoliacove/routing/candidates.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection
 from collections.abc import Sequence
 from dataclasses import dataclass
+import math
 import random
 
 import trio
@@ -30,6 +31,7 @@
 _FIRST_PAUSE = 0.3
 _MOST_PAUSE = 2.4
 _REFUSAL_FORGIVEN = 5.0
+_NEVER_REFUSED = (0.0, -math.inf)
 # What one failure adds to a target's expected time, in seconds, and how
 # fast that fades.
 _FAILURE_SECONDS = 1.0
@@ -106,7 +108,7 @@
                 continue
             load = self._loads.read(target.name)
             room = shape.count_room(target.accelerator, holding.layers.count)
-            if self._refused.get(target.name, (0.0, 0.0))[1] > now:
+            if self._refused.get(target.name, _NEVER_REFUSED)[1] > now:
                 continue
             options.append(
                 StageOption(
@@ -156,7 +158,7 @@
         alone for twice as long.
         """
         now = trio.current_time()
-        pause, until = self._refused.get(target, (0.0, 0.0))
+        pause, until = self._refused.get(target, _NEVER_REFUSED)
         if until > now:
             return
         again = now - until < _REFUSAL_FORGIVEN
--- /dev/null
+++ b/tests/gateway/test_store.py
@@ -0,0 +1,115 @@
+"""Following the store through outages, lost watches and bad input."""
+
+import json
+
+import trio
+
+from magnoliacove.gateway.store import StoreFollower
+from magnoliacove.standins import object_api
+from tests.gateway import stubs
+from tests.platform import samples
+
+_ENTRY = {"service": "llm", "address": "10.0.0.1:80", "zone": "a"}
+
+
+def _write(version, **changes):
+    return json.dumps(
+        {**samples.CONFIGURATION, "version": version, **changes}
+    ).encode()
+
+
+async def _start(nursery):
+    stage = stubs.Stage(nursery)
+    stage.state.routes = None
+    store = object_api.ObjectStore()
+    follower = StoreFollower(stage.state, store)
+    nursery.start_soon(follower.run)
+    return stage.state, store, follower
+
+
+async def test_a_new_version_is_in_force_at_once(autojump_clock, nursery):
+    state, store, _ = await _start(nursery)
+    await store.put("config/main", _write(7))
+    await trio.sleep(0.5)
+    assert state.routes.version == 7
+    await store.put("config/main", _write(12))
+    await trio.sleep(0.1)
+    assert state.routes.version == 12
+
+
+async def test_an_older_version_never_comes_back(autojump_clock, nursery):
+    """A peer that is behind, or a late read, brings an older version."""
+    state, store, follower = await _start(nursery)
+    await store.put("config/main", _write(12))
+    await trio.sleep(0.5)
+    follower.take_configuration(_write(7), "a peer")
+    assert state.routes.version == 12
+
+
+async def test_bad_input_leaves_the_last_good_state(autojump_clock, nursery):
+    """An operator's version cannot be read, and an engine's entry is
+    wrong.  Each is told once, naming the field; the last good version
+    stays in force and the other engines are listed.
+    """
+    state, store, _ = await _start(nursery)
+    await store.put("config/main", _write(7))
+    await store.put("servers/i-1", json.dumps(_ENTRY).encode())
+    await trio.sleep(0.5)
+    bad = [{**samples.ROUTE, "timeout_ms": "soon"}]
+    await store.put("config/main", _write(8, routes=bad))
+    await store.put("servers/i-2", b'{"service": 5}')
+    await trio.sleep(6.0)
+    assert state.routes.version == 7
+    assert [t.name for t in state.targets.list_all()] == ["i-1"]
+    told = [
+        event.why
+        for event in state.recorder.list_events()
+        if event.kind in ("configuration-unreadable", "target-unreadable")
+    ]
+    assert len(told) == 2
+    assert any("timeout_ms" in why for why in told)
+    await store.put("config/main", _write(9))
+    await trio.sleep(0.5)
+    assert state.routes.version == 9
+
+
+async def test_an_outage_changes_no_belief(autojump_clock, nursery):
+    """The store is away for eight seconds.  Routes and targets stay; an
+    entry that lapsed meanwhile and comes back within two seconds was never
+    gone, one that does not is.
+    """
+    state, store, follower = await _start(nursery)
+    await store.put("config/main", _write(7))
+    for name in ("i-1", "i-2"):
+        await store.put(f"servers/{name}", json.dumps(_ENTRY).encode())
+    await trio.sleep(0.5)
+    store.faults.outage = True
+    store.wake_watches()
+    await trio.sleep(8.0)
+    assert not follower.reachable
+    assert len(state.targets.list_all()) == 2
+    store.faults.outage = False
+    for name in ("i-1", "i-2"):
+        await store.delete(f"servers/{name}")
+    await trio.sleep(1.0)
+    assert len(state.targets.list_all()) == 2
+    await store.put("servers/i-1", json.dumps(_ENTRY).encode())
+    await trio.sleep(3.0)
+    assert [t.name for t in state.targets.list_all()] == ["i-1"]
+
+
+async def test_a_history_that_is_gone_is_read_anew(autojump_clock, nursery):
+    """Changes are made and the history is dropped before a watch saw
+    them.  Everything is read again, so nothing is missed.
+    """
+    state, store, _ = await _start(nursery)
+    await store.put("config/main", _write(7))
+    await store.put("servers/i-1", json.dumps(_ENTRY).encode())
+    await trio.sleep(0.5)
+    store.faults.dropped_watches = 2
+    await store.put("config/main", _write(9))
+    await store.delete("servers/i-1")
+    store.compact()
+    await trio.sleep(4.0)
+    assert state.routes.version == 9
+    assert not state.targets.list_all()
--- /dev/null
+++ b/tests/peers/test_heartbeats.py
@@ -0,0 +1,172 @@
+"""Heartbeats and snapshots among gateways."""
+
+import pytest
+import trio
+
+from magnoliacove import errors
+from magnoliacove import peers
+from magnoliacove import timeline
+from magnoliacove import wire
+from magnoliacove.directory.holdings import Holding
+from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.limits import TargetLoad
+from magnoliacove.peers import snapshots
+
+
+def _make(name="g-1", sequence=1, named=(), **changes):
+    values = {
+        "name": name,
+        "address": "127.0.0.1:1",
+        "incarnation": 7,
+        "sequence": sequence,
+        "data_centre": "a",
+        "configuration_version": 12,
+        "leaving": False,
+        "store_reachable": True,
+        "crossings": 3,
+        "loads": {"i-1": TargetLoad(2, 9000.0)},
+        "suspicions": (
+            peers.ReportedSuspicion("i-2", 0.25, "no report", True),
+        ),
+        "holdings": (
+            peers.ReportedHolding(
+                "i-1", 0.5, Holding(LayerRange(0, 34), True, 2.0, 10.0, True)
+            ),
+            peers.ReportedHolding("i-3", 0.0, Holding(None)),
+        ),
+        "services": {"llm": (30, 2)},
+        "peers": tuple(named),
+        "acting": True,
+    }
+    return peers.Heartbeat(**{**values, **changes})
+
+
+def test_a_heartbeat_survives_its_datagram():
+    sent = _make(named=["10.0.0.1:7340"])
+    assert peers.Heartbeat.decode(sent.encode()) == sent
+
+
+@pytest.mark.parametrize("data", [b"", b"x", b"\xff" * 64])
+def test_what_is_no_heartbeat(data):
+    with pytest.raises(errors.ProtocolError):
+        peers.Heartbeat.decode(data)
+
+
+class _Gateway:
+    def __init__(self, name, address, seeds):
+        self.taken = []
+        self.lost = []
+        self.recorder = timeline.Recorder(name)
+
+        def make(sequence, named):
+            return _make(name, sequence, named, address=str(address))
+
+        self.heartbeats = peers.Heartbeats(
+            address,
+            seeds,
+            self.recorder,
+            make,
+            self.taken.append,
+            self.lost.extend,
+        )
+
+    def list_live(self):
+        return [p.heartbeat.name for p in self.heartbeats.list_live()]
+
+
+def _free_port():
+    with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as s:
+        s._sock.bind(("127.0.0.1", 0))
+        return wire.Address("127.0.0.1", s.getsockname()[1])
+
+
+async def test_gateways_find_each_other_through_one_seed(nursery):
+    """Three gateways start; two know the first one only.  All hear all.
+    One falls silent, and the others notice.
+    """
+    addresses = [_free_port() for _ in range(3)]
+    gateways = [
+        _Gateway(f"g-{n}", address, addresses[:1])
+        for n, address in enumerate(addresses)
+    ]
+    scopes = []
+    for gateway in gateways:
+        scope = trio.CancelScope()
+        scopes.append(scope)
+
+        async def run(gateway=gateway, scope=scope):
+            with scope:
+                await gateway.heartbeats.run()
+
+        nursery.start_soon(run)
+    with trio.fail_after(3.0):
+        while any(len(g.list_live()) < 2 for g in gateways):
+            await trio.sleep(0.02)
+    scopes[2].cancel()
+    with trio.fail_after(3.0):
+        while "g-2" not in gateways[0].lost:
+            await trio.sleep(0.02)
+    assert gateways[0].list_live() == ["g-1"]
+    nursery.cancel_scope.cancel()
+
+
+async def test_old_and_foreign_datagrams_change_nothing(nursery):
+    """A datagram comes late, after a newer one; another holds no
+    heartbeat at all.  Neither is taken for news.
+    """
+    address = _free_port()
+    gateway = _Gateway("g-1", address, [])
+    nursery.start_soon(gateway.heartbeats.run)
+    await trio.sleep(0.05)
+    with trio.socket.socket(
+        trio.socket.AF_INET, trio.socket.SOCK_DGRAM
+    ) as socket:
+        for data in (
+            _make("g-2", 5).encode(),
+            _make("g-2", 4).encode(),
+            b"nonsense",
+            _make("g-2", 6).encode(),
+        ):
+            await socket.sendto(data, (address.host, address.port))
+            await trio.sleep(0.02)
+    assert [taken.sequence for taken in gateway.taken] == [5, 6]
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_snapshot_is_given_to_who_asks(nursery):
+    """A gateway starts while the store is away.  A peer gives it the
+    configuration and the targets that it knows.
+    """
+    known = snapshots.PeerSnapshot(
+        b'{"version":7}',
+        (
+            ListedTarget(
+                "i-1",
+                "llm",
+                wire.Address("10.0.0.1", 80),
+                "a",
+                layers=LayerRange(0, 9),
+                revision=4,
+            ),
+        ),
+        9,
+    )
+    address = _free_port()
+    network, recorder = wire.Network(), timeline.Recorder("g-1")
+    nursery.start_soon(
+        snapshots.serve_snapshots,
+        address,
+        "g-1",
+        network,
+        recorder,
+        lambda: known,
+    )
+    await trio.sleep(0.05)
+    found = await snapshots.ask_snapshot(address, "g-2", network, recorder)
+    assert found == known
+    nobody = _free_port()
+    assert (
+        await snapshots.ask_snapshot(nobody, "g-2", network, recorder) is None
+    )
+    nursery.cancel_scope.cancel()
