Cut no begun answer for silence; let its caller leave by itself

The caller would have waited.

Change: an answer that has begun waits for a path until its caller leaves or its deadline ends, and a silent path is left only where there is another. Tries after the second pause, since a test showed an engine that breaks off at once tried until the budget of repeats was gone. The codec of our own messages has a module of its own.

Before: three tests fail or spin.

--- a/magnoliacove/gateway/holds.py
+++ b/magnoliacove/gateway/holds.py
@@ -72,6 +72,20 @@
         self._note_waiting(options, costs.tokens, may_cross)
         return None
 
+    def has_other_path(self) -> bool:
+        """Return whether there is a path without the present first engine."""
+        first = self.first_target
+        avoided = {first.name} if first is not None else set()
+        state = self._state
+        costs = state.candidates.make_costs(self.shape, *self.read_tokens())
+        options = state.candidates.list_options(
+            self._routed.service.name, self.shape, avoided
+        )
+        path = find_path(options, costs, self._list_firsts())
+        return path is not None and (
+            not path.crossings or state.candidates.may_cross(self.shape)
+        )
+
     def use(self) -> None:
         """Count the first engine as one that the request runs on."""
         if self.first_target is not None:
--- a/magnoliacove/gateway/requests.py
+++ b/magnoliacove/gateway/requests.py
@@ -8,7 +8,14 @@
 from magnoliacove.gateway.callers import Request
 from magnoliacove.platform.headers import CallerMarks
 
-__all__ = ["RoutedRequest", "make_timeout"]
+__all__ = ["RoutedRequest", "make_timeout", "read_caller_patience"]
+
+# A caller of a stream leaves after the longest of these without an event: a
+# fixed time in seconds, so many times the latency objective, so many times
+# the longest pause.  The figures are the platform's.
+_CALLER_PATIENCE = 2.0
+_CALLER_OBJECTIVES = 4.0
+_CALLER_GAPS = 8.0
 
 
 @dataclass(frozen=True)
@@ -49,3 +56,12 @@
         status=503,
         retry_after=1.0,
     )
+
+
+def read_caller_patience(route: Route) -> float:
+    """Return the seconds after which a caller of a stream leaves."""
+    return max(
+        _CALLER_PATIENCE,
+        _CALLER_OBJECTIVES * route.latency_objective,
+        _CALLER_GAPS * route.gap_objective,
+    )
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -25,8 +25,9 @@
 # Events come every 20 to 100 ms; a stream that is silent for so long is
 # looked into.  Earlier looks cost reports on every busy pass.
 SILENCE = 0.4
-# A stream silent for so long moves whatever the report says.  Callers
-# leave after 2 s, and reading the prompt again takes part of that.
+# A stream silent for so long moves whatever the report says, if there is
+# another path.  Callers leave after 2 s, and reading the prompt again takes
+# part of that.
 HOPELESS_SILENCE = 1.4
 # Between two questions to the same first engine.
 _ASK_AGAIN = 0.4
@@ -43,6 +44,9 @@
     def read_wait(self, now: float) -> float:
         """Return seconds since the caller got an event, 0 if not due."""
 
+    def has_other_path(self) -> bool:
+        """Return whether there is a path without the present first engine."""
+
 
 class StallWatch:
     """Looks after all streams of one gateway."""
@@ -97,8 +101,12 @@
     def _check_silence(self, nursery: trio.Nursery) -> None:
         now = trio.current_time()
         for stream in tuple(self.streams):
-            if stream.read_wait(now) >= HOPELESS_SILENCE and stream.began:
-                stream.move("it was silent for too long")
+            waited = stream.read_wait(now)
+            if waited >= HOPELESS_SILENCE and stream.began:
+                # Without another path the present one is all there is: it
+                # may go on, and its caller leaves by itself.
+                if stream.has_other_path():
+                    stream.move("it was silent for too long")
                 continue
             target = stream.first_target
             if target is None or stream.read_silence(now) < SILENCE:
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -22,6 +22,7 @@
 from magnoliacove.gateway.holds import PathHold
 from magnoliacove.gateway.requests import RoutedRequest
 from magnoliacove.gateway.requests import make_timeout
+from magnoliacove.gateway.requests import read_caller_patience
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.limits.load import Reservation
@@ -33,15 +34,14 @@
 # Engines that refuse without running a request cost it nothing but time;
 # after so many refusals there is no room, whatever the books say.
 _MOST_REFUSALS = 4
-# A caller leaves after the longest of these without an event: a fixed time,
-# so many times the latency objective, so many times the longest pause.
-_CALLER_PATIENCE = 2.0
-_CALLER_OBJECTIVES = 4.0
-_CALLER_GAPS = 8.0
-# What is left of that for the path to bring the first event, once it is
-# found: reading a usual prompt on a busy path, twice.
+# What is left of a caller's patience for the path to bring the first event,
+# once it is found: reading a usual prompt on a busy path, twice.
 _FIRST_EVENT_TIME = 0.5
 _RETRY_AFTER = 0.5
+# Pauses between tries of one request, in seconds: a first one of about the
+# time that a usual first event takes, and one that fits a caller's patience.
+_FIRST_PAUSE = 0.05
+_MOST_PAUSE = 0.4
 
 
 class StreamCall:
@@ -118,6 +118,10 @@
             return 0.0
         return now - max(self._delivery.sent_at, self._path_at)
 
+    def has_other_path(self) -> bool:
+        """Return whether there is a path without the present first engine."""
+        return self._hold.has_other_path()
+
     def read_tokens(self) -> tuple[float, float]:
         """Return the tokens of the prompt and those to be written."""
         return self._hold.read_tokens()
@@ -153,24 +157,23 @@
                 failure = why
             finally:
                 self._hold.leave()
-            if not await self._may_go_on(failure):
+            if not self._may_go_on(failure):
                 await self._give_up(failure)
                 return
+            await self._pause()
 
     async def _find_path(self) -> None:
         """Wait until a path has room, and reserve it."""
         routed = self._routed
         now = trio.current_time()
         objective = routed.route.latency_objective
-        leaves = max(
-            _CALLER_PATIENCE,
-            _CALLER_OBJECTIVES * objective,
-            _CALLER_GAPS * routed.route.gap_objective,
-        )
+        leaves = read_caller_patience(routed.route)
         arrived = routed.request.arrived
-        since = self._delivery.sent_at if self.began else arrived
-        patience = since + leaves - _FIRST_EVENT_TIME - now
-        left = min(patience, routed.deadline - now)
+        left = routed.deadline - now
+        if not self.began:
+            left = min(left, arrived + leaves - _FIRST_EVENT_TIME - now)
+        # An answer that has begun cannot be refused any more, only cut.  Its
+        # caller leaves by itself; until then a path may still come.
         if left <= 0:
             raise self._make_hopeless()
         await self._state.room.wait_path(
@@ -195,7 +198,7 @@
             retry_after=None if ran else _RETRY_AFTER,
         )
 
-    async def _may_go_on(self, failure: BrokenRunError) -> bool:
+    def _may_go_on(self, failure: BrokenRunError) -> bool:
         """Return whether another path may be tried."""
         state, route = self._state, self._routed.route
         state.recorder.record(
@@ -216,6 +219,16 @@
                 return False
         return state.budget.try_spend(self._routed.service.name)
 
+    async def _pause(self) -> None:
+        """Wait before a third try, and longer before each further one.
+
+        An engine that breaks off at once would else be tried hundreds of
+        times a second, and use up the budget of repeats of all others.
+        """
+        further = self._runs + self._refusals - 2
+        if further >= 0:
+            await trio.sleep(min(_FIRST_PAUSE * 2**further, _MOST_PAUSE))
+
     async def _give_up(self, failure: BrokenRunError) -> None:
         """Answer with the engine's own failure, or say what is known."""
         answer = failure.answer
@@ -377,9 +390,7 @@
     def _note_answered(self) -> None:
         now = trio.current_time()
         arrived = self._routed.request.arrived
-        first = (
-            self._delivery.first_at - arrived if self._delivery.count else 0.0
-        )
+        first = self._delivery.read_first(arrived)
         self._state.meters.observe("first_event_seconds", first)
         self._state.recorder.record(
             "request-answered",
--- a/magnoliacove/wire/connection.py
+++ b/magnoliacove/wire/connection.py
@@ -15,6 +15,7 @@
 from magnoliacove import defaults
 from magnoliacove import errors
 from magnoliacove.timeline import Clock
+from magnoliacove.wire import codec
 from magnoliacove.wire import messages
 
 __all__ = ["Connection", "Handler"]
@@ -208,7 +209,7 @@
                 f"a peer announced a frame of {size} bytes; the most is "
                 f"{defaults.MAX_FRAME}"
             )
-        message, clock = messages.decode(await self._read_exactly(size))
+        message, clock = codec.decode(await self._read_exactly(size))
         self._clock.observe(clock)
         return message
 
@@ -240,7 +241,7 @@
     async def _send_now(self, batch: list[messages.Message]) -> None:
         parts = []
         for message in batch:
-            data = messages.encode(message, self._clock.now())
+            data = codec.encode(message, self._clock.now())
             parts.append(len(data).to_bytes(_LENGTH, "big"))
             parts.append(data)
         joined = b"".join(parts)
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -26,6 +26,7 @@
 from magnoliacove import timeline
 from magnoliacove import wire
 from magnoliacove.agent.runner import StageRunner
+from magnoliacove.wire import codec
 from magnoliacove.wire import messages
 from measure import common
 
@@ -144,7 +145,7 @@
     recorder = timeline.Recorder("p")
     budget = limits.RetryBudget()
     hello = messages.Hello(1, "entry-1", 1, "entry", "gent-a", 1, "10.0.0.1:7")
-    ping = messages.encode(messages.Ping(1), 1)
+    ping = codec.encode(messages.Ping(1), 1)
     return [
         {
             "what": "record an event",
@@ -152,15 +153,15 @@
         },
         {
             "what": "write a heartbeat",
-            "us": _time(lambda: messages.encode(messages.Ping(1), 1), 2000),
+            "us": _time(lambda: codec.encode(messages.Ping(1), 1), 2000),
         },
         {
             "what": "read a heartbeat",
-            "us": _time(lambda: messages.decode(ping), 2000),
+            "us": _time(lambda: codec.decode(ping), 2000),
         },
         {
             "what": "write a hello",
-            "us": _time(lambda: messages.encode(hello, 1), 2000),
+            "us": _time(lambda: codec.encode(hello, 1), 2000),
         },
         {"what": "count a request", "us": _time(budget.note_request, 2000)},
     ]
@@ -261,8 +262,8 @@
 
     def flush(self) -> None:
         if self.waiting:
-            data = messages.encode(messages.Steps(tuple(self.waiting)), 1)
-            messages.decode(data)
+            data = codec.encode(messages.Steps(tuple(self.waiting)), 1)
+            codec.decode(data)
             self.waiting.clear()
 
 
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -187,6 +187,7 @@
         self.calls = EngineCalls(pool)
         self.stalls = StallWatch(self.state, self.calls)
         self.relay = Relay(self.state, self.stalls)
+        targets.listen(self.state.room.fill)
         nursery.start_soon(self.state.room.run)
         nursery.start_soon(self.stalls.run)
 
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -250,6 +250,50 @@
         assert trio.current_time() - began < 2.0
 
 
+async def test_silence_alone_ends_no_answer():
+    """An engine pauses for 1.7 s in the middle of a stream, and there is
+    no other one.  The caller waits two seconds by itself; the answer must
+    not be cut before, and goes on when the engine does.
+    """
+
+    async def script(received, stream):
+        if received.method == "GET":
+            await stream.send_all(stubs.make_answer(b"{}"))
+            return
+        first = stubs.make_events(1, 3)
+        await stream.send_all(stubs.STREAM + stubs.chunk(first))
+        await trio.sleep(1.7)
+        rest = stubs.make_events(4, 6)
+        await stream.send_all(stubs.chunk(rest) + stubs.END)
+
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", script, layers=(0, 80))
+        answer = await _ask(stage)
+        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        assert _is_whole(answer)
+
+
+async def test_a_broken_stream_waits_for_a_path_until_its_caller_leaves():
+    """The only engine dies.  Another one comes 1.7 s later, and the caller
+    is still there: the stream goes on.
+    """
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", _stream(cut_after=3), layers=(0, 80))
+        answers = []
+
+        async def ask():
+            answers.append(await _ask(stage))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.1)
+            stage.state.targets.remove("i-1", 2)
+            await trio.sleep(1.7)
+            await stage.add("i-2", _stream(), layers=(0, 80))
+        assert _read_ids(answers[0]) == [1, 2, 3, 4, 5, 6]
+        assert _is_whole(answers[0])
+
+
 async def test_a_path_left_while_its_events_arrive_loses_none():
     """A stream is told to leave its path again and again, at moments when
     events have just come in or are being written.  An event that is taken
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -11,6 +11,7 @@
 from magnoliacove import timeline
 from magnoliacove import wire
 from magnoliacove.standins import network
+from magnoliacove.wire import codec
 from magnoliacove.wire import messages
 
 
@@ -30,17 +31,17 @@
     return len(data).to_bytes(4, "big") + data
 
 
-_GOOD = _frame(messages.encode(_hello("far")(), 1))
+_GOOD = _frame(codec.encode(_hello("far")(), 1))
 _BAD_PEERS = {
     "no frame": (b"GET / HTTP/1.1\r\n\r\n", errors.ProtocolError),
     "a giant": ((2**31).to_bytes(4, "big"), errors.ProtocolError),
     "no capnp": (_frame(b"\x00\x00\x00\x00\xff\xff\xff\xff"), errors.Error),
     "no hello": (
-        _frame(messages.encode(messages.Ping(1), 1)),
+        _frame(codec.encode(messages.Ping(1), 1)),
         errors.ProtocolError,
     ),
     "another version": (
-        _frame(messages.encode(_hello("far", 9)(), 1)),
+        _frame(codec.encode(_hello("far", 9)(), 1)),
         errors.ProtocolError,
     ),
     "half a frame": (_GOOD[:-3], errors.PeerError),
@@ -219,13 +220,13 @@
 
 @given(_MESSAGES, st.integers(0, 2**64 - 1))
 def test_messages_survive_the_wire(message, clock):
-    assert messages.decode(messages.encode(message, clock)) == (message, clock)
+    assert codec.decode(codec.encode(message, clock)) == (message, clock)
 
 
 @given(st.binary(max_size=200))
 def test_any_bytes_are_a_frame_or_a_typed_error(data):
     try:
-        messages.decode(data)
+        codec.decode(data)
     except errors.ProtocolError as why:
         assert "same release" in str(why)
 
