--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -129,6 +129,7 @@
             self._leadership,
         )
         self._connections: set[CallerConnection] = set()
+        self._accepting = trio.CancelScope()
         targets.listen(self.state.room.fill)
 
     async def run(self) -> None:
@@ -171,6 +172,11 @@
         while trio.current_time() < limit:
             noticed = trio.current_time() - began >= _BALANCER_NOTICES
             if noticed:
+                # A balancer without another gateway in this data centre
+                # goes on sending callers here.  One that is refused tries
+                # elsewhere; one that is taken now would be cut off when the
+                # grace time ends.
+                self._accepting.cancel()
                 for connection in tuple(self._connections):
                     connection.close_if_idle()
             if noticed and not state.open_requests and not self._connections:
@@ -200,12 +206,14 @@
     # Listening.
 
     async def _serve_callers(self) -> None:
-        address = self._settings.callers
-        listener = _listen(address)
+        listener = _listen(self._settings.callers)
         async with trio.open_nursery() as nursery:
-            await trio.serve_listeners(
-                self._serve_caller, [listener], handler_nursery=nursery
-            )
+            with self._accepting:
+                await trio.serve_listeners(
+                    self._serve_caller, [listener], handler_nursery=nursery
+                )
+            # It stopped listening for good; what is open goes on.
+            await trio.sleep_forever()
 
     async def _serve_caller(self, stream: trio.SocketStream) -> None:
         connection = CallerConnection(
--- /dev/null
+++ b/tests/gateway/test_process.py
@@ -0,0 +1,101 @@
+"""One whole gateway over loopback: ready, serving, leaving."""
+
+import json
+
+import pytest
+import trio
+
+from magnoliacove.gateway import Gateway
+from magnoliacove.gateway import process
+from magnoliacove.platform import settings
+from magnoliacove.standins import object_api
+from tests.gateway import stubs
+from tests.platform import samples
+
+
+async def _free_port():
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    await listeners[0].aclose()
+    return port
+
+
+async def _start(nursery, tmp_path, script):
+    """Start a gateway and one target of a plain service."""
+    ports = [await _free_port() for _ in range(3)]
+    path = samples.write_settings(
+        tmp_path / "s.json",
+        ip="127.0.0.1",
+        listen={
+            "front": f"127.0.0.1:{ports[0]}",
+            "ready_addr": f"127.0.0.1:{ports[1]}",
+        },
+        internal_ports=[ports[2]],
+        seeds=[],
+    )
+    stub = stubs.StubTarget(script)
+    await nursery.start(stub.listen)
+    store = object_api.ObjectStore()
+    route = {
+        **samples.ROUTE,
+        "kind": "idempotent",
+        "traffic_split": [],
+        "service": "desk",
+    }
+    table = {**samples.CONFIGURATION, "routes": [route]}
+    await store.put("config/main", json.dumps(table).encode())
+    entry = {"service": "desk", "address": str(stub.address), "zone": "a"}
+    await store.put("servers/d-1", json.dumps(entry).encode())
+    gateway = Gateway(settings.read_settings(path), store, 0)
+    nursery.start_soon(gateway.run)
+    with trio.fail_after(5.0):
+        while not gateway.state.targets.list_all():
+            await trio.sleep(0.02)
+    return gateway, ports
+
+
+async def _ask(port, path="/lots/1"):
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    request = stubs.make_request(path, host="lots.example")
+    await stream.send_all(request)
+    return await stubs.read_all(stream)
+
+
+async def test_a_gateway_serves_and_says_that_it_is_ready(nursery, tmp_path):
+    answer = stubs.answer_with(stubs.make_answer(b"ok"))
+    _, ports = await _start(nursery, tmp_path, answer)
+    assert (await _ask(ports[0])).endswith(b"ok")
+    assert (await _ask(ports[1], "/v1/readiness")).split(b" ")[1] == b"200"
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_gateway_that_leaves_takes_nothing_it_cannot_end(
+    nursery, tmp_path, monkeypatch
+):
+    """The only gateway of a data centre is told to stop.  The balancer has
+    no other one there and goes on sending callers.  What came at first is
+    answered in full; later connections are refused, so that their callers
+    go elsewhere instead of being cut off at the end of the grace time.
+    """
+    monkeypatch.setattr(process, "_BALANCER_NOTICES", 0.4)
+    slow = stubs.answer_with(stubs.make_answer(b"ok"), after=1.0)
+    gateway, ports = await _start(nursery, tmp_path, slow)
+    answers = []
+
+    async def ask():
+        answers.append(await _ask(ports[0]))
+
+    async with trio.open_nursery() as inner:
+        inner.start_soon(ask)
+        await trio.sleep(0.1)
+        inner.start_soon(gateway.drain)
+        await trio.sleep(0.1)
+        ready = await _ask(ports[1], "/v1/readiness")
+        assert ready.split(b" ")[1] == b"503"
+        inner.start_soon(ask)
+        await trio.sleep(0.5)
+        with pytest.raises(OSError):
+            await trio.open_tcp_stream("127.0.0.1", ports[0])
+    assert [answer.endswith(b"ok") for answer in answers] == [True, True]
+    assert gateway.state.open_requests == 0
+    nursery.cancel_scope.cancel()
