Hold a target's connection in one place

Cause: reading the whole change. Calls, streams and engine calls each held a connection with the same lines and read a body with the same loop; the time after which the store counts as away stood twice, once as a bare figure.

Change: ChannelPool.use and Channel.read_rest serve all three; one constant.

--- a/magnoliacove/gateway/calls.py
+++ b/magnoliacove/gateway/calls.py
@@ -199,11 +199,8 @@
         request = routed.request
         # On a used connection a request may meet its closing, and whether
         # it ran is then unknown; one that may not run again gets its own.
-        channel = await state.pool.acquire(
-            target, fresh=not routed.route.repeatable
-        )
-        whole = False
-        try:
+        fresh = not routed.route.repeatable
+        async with state.pool.use(target, fresh=fresh) as channel:
             await channel.send(
                 request.method,
                 request.target,
@@ -218,15 +215,7 @@
                 ),
                 request.body,
             )
-            result = await self._read_answer(target, channel)
-            whole = True
-        finally:
-            if whole:
-                await state.pool.release(channel)
-            else:
-                with trio.CancelScope(shield=True):
-                    await state.pool.discard(channel)
-        return result
+            return await self._read_answer(target, channel)
 
     async def _read_answer(
         self, target: ListedTarget, channel: Channel
@@ -235,9 +224,7 @@
             self._routed.marks.request,
             lambda a: headers.read_answer(a.status, a.headers).request,
         )
-        body = bytearray()
-        while (part := await channel.read_body()) is not None:
-            body += part
+        body = await channel.read_rest()
         marks = headers.read_answer(answer.status, answer.headers)
         encoded = any(n == b"content-encoding" for n, _ in answer.headers)
         if answer.status < 300 and (encoded or not marks.stamped):
@@ -245,7 +232,7 @@
                 "the answer is not one of the service's targets",
                 errors.Outcome.MAY_HAVE_RUN,
             )
-        return _Result(target, answer, bytes(body), marks)
+        return _Result(target, answer, body, marks)
 
     def _note_failure(self, result: _Result) -> None:
         state, why = self._state, ""
--- a/magnoliacove/gateway/channels.py
+++ b/magnoliacove/gateway/channels.py
@@ -7,8 +7,10 @@
 """
 
 from collections import defaultdict
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Sequence
+import contextlib
 from dataclasses import dataclass
 import select
 import socket
@@ -146,6 +148,16 @@
             if isinstance(event, h11.EndOfMessage):
                 return None
 
+    async def read_rest(self) -> bytes:
+        """Return the body up to its proper end.
+
+        :raises TargetError: when the answer breaks off.
+        """
+        body = bytearray()
+        while (part := await self.read_body()) is not None:
+            body += part
+        return bytes(body)
+
     async def close(self) -> None:
         """Close the connection at once."""
         self._reusable = False
@@ -285,6 +297,30 @@
         """Return how many connections to a target are open."""
         return self._counts[target]
 
+    @contextlib.asynccontextmanager
+    async def use(
+        self, target: ListedTarget, *, fresh: bool = False
+    ) -> AsyncIterator[Channel]:
+        """Hold a connection for one exchange; close it if that breaks.
+
+        Closing is also what ends a target's work when its caller left.
+
+        :param fresh: as for :meth:`acquire`.
+        :raises TargetError: when the target cannot be reached; the
+            request did not run.
+        """
+        channel = await self.acquire(target, fresh=fresh)
+        whole = False
+        try:
+            yield channel
+            whole = True
+        finally:
+            if whole:
+                await self.release(channel)
+            else:
+                with trio.CancelScope(shield=True):
+                    await self.discard(channel)
+
     async def acquire(
         self, target: ListedTarget, *, fresh: bool = False
     ) -> Channel:
--- a/magnoliacove/gateway/engines.py
+++ b/magnoliacove/gateway/engines.py
@@ -1,7 +1,5 @@
 """Calls to model engines beside requests: reports and orders."""
 
-import trio
-
 from magnoliacove import errors
 from magnoliacove.directory.targets import LayerRange
 from magnoliacove.directory.targets import ListedTarget
@@ -112,25 +110,14 @@
         body: bytes,
         fresh: bool,
     ) -> tuple[int, Headers, bytes]:
-        channel = await self._pool.acquire(target, fresh=fresh)
-        whole = False
-        try:
-            sent = [(b"host", str(target.address).encode())]
-            if body:
-                sent += [
-                    (b"content-type", b"application/json"),
-                    (b"content-length", b"%d" % len(body)),
-                ]
+        sent = [(b"host", str(target.address).encode())]
+        if body:
+            sent += [
+                (b"content-type", b"application/json"),
+                (b"content-length", b"%d" % len(body)),
+            ]
+        async with self._pool.use(target, fresh=fresh) as channel:
             await channel.send(method, path.encode(), sent, body)
             answer = await channel.read_head("", lambda _: "")
-            parts = []
-            while (part := await channel.read_body()) is not None:
-                parts.append(part)
-            whole = True
-        finally:
-            if whole:
-                await self._pool.release(channel)
-            else:
-                with trio.CancelScope(shield=True):
-                    await self._pool.discard(channel)
-        return answer.status, answer.headers, b"".join(parts)
+            rest = await channel.read_rest()
+        return answer.status, answer.headers, rest
--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -14,6 +14,7 @@
 from magnoliacove.peers.snapshots import PeerSnapshot
 from magnoliacove.peers.snapshots import ask_snapshot
 from magnoliacove.peers.snapshots import serve_snapshots
+from magnoliacove.placement.leadership import STORE_AWAY
 from magnoliacove.platform.settings import NodeSettings
 
 __all__ = ["PeerExchange"]
@@ -21,8 +22,6 @@
 # A peer's configuration or list is asked for after our own view has been
 # behind for so long; the store's own answer mostly comes first.
 _BEHIND = 0.4
-# The store is taken for away after so long without an answer, seconds.
-STORE_AWAY = 1.5
 
 
 class PeerExchange:
@@ -169,7 +168,7 @@
                 key=lambda p: p.heartbeat.configuration_version,
                 default=None,
             )
-            away = self.read_store_silence() > 1.5
+            away = self.read_store_silence() > STORE_AWAY
             better = [p for p in peers if p.heartbeat.store_reachable]
             now = trio.current_time()
             if newest and newest.heartbeat.configuration_version > own:
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -288,9 +288,7 @@
         """Send the request on a connection that is closed if it breaks."""
         state, routed = self._state, self._routed
         request = routed.request
-        channel = await state.pool.acquire(target)
-        whole = False
-        try:
+        async with state.pool.use(target) as channel:
             await channel.send(
                 request.method,
                 request.target,
@@ -307,14 +305,6 @@
                 request.body,
             )
             yield channel
-            whole = True
-        finally:
-            # Closing is what ends the engine's work when the caller left.
-            if whole:
-                await state.pool.release(channel)
-            else:
-                with trio.CancelScope(shield=True):
-                    await state.pool.discard(channel)
 
     async def _read_stream(self, channel: Channel) -> None:
         answer = await channel.read_head(
@@ -340,9 +330,7 @@
 
         :raises BrokenRunError: always.
         """
-        body = bytearray()
-        while (part := await channel.read_body()) is not None:
-            body += part
+        body = await channel.read_rest()
         if marks.not_run:
             await self._note_refusal(answer.status, marks.faulty)
             raise BrokenRunError(
@@ -352,7 +340,7 @@
             )
         passed = answer if marks.stamped and answer.status >= 400 else None
         raise BrokenRunError(
-            f"the engine answered {answer.status}", True, passed, bytes(body)
+            f"the engine answered {answer.status}", True, passed, body
         )
 
     async def _note_refusal(self, status: int, faulty: str) -> None:
--- a/magnoliacove/placement/leadership.py
+++ b/magnoliacove/placement/leadership.py
@@ -10,7 +10,13 @@
 from magnoliacove.directory import Lease
 from magnoliacove.timeline import Recorder
 
-__all__ = ["LEASE", "LEASE_SECONDS", "Leadership", "LeadershipSources"]
+__all__ = [
+    "LEASE",
+    "LEASE_SECONDS",
+    "STORE_AWAY",
+    "Leadership",
+    "LeadershipSources",
+]
 
 LEASE = "placement"
 # A lease that is not renewed for LEASE_SECONDS may be taken.  Three renewals
@@ -21,7 +27,7 @@
 # How often a lease is looked at whose holder's heartbeats are heard.
 _LOOK_EVERY = 2.0
 # The store is taken for away after so long without an answer, seconds.
-_STORE_AWAY = 1.5
+STORE_AWAY = 1.5
 
 
 @dataclass(frozen=True)
@@ -82,7 +88,7 @@
     def decide(self) -> bool:
         """Find out whether to act; return whether that has changed."""
         sources = self._sources
-        away = sources.read_store_silence() > _STORE_AWAY
+        away = sources.read_store_silence() > STORE_AWAY
         acting = not self._leaving and (
             self._lease.held
             or (away and (self.acting or sources.is_first_peer()))
