--- a/magnoliacove/entry/callers.py
+++ b/magnoliacove/entry/callers.py
@@ -13,21 +13,19 @@
 import trio
 
 from magnoliacove import configuration
-from magnoliacove import defaults
 from magnoliacove import errors
 from magnoliacove import limits
 from magnoliacove import routing
 from magnoliacove import web
 from magnoliacove.directory import View
 from magnoliacove.entry import openai
-from magnoliacove.entry.calls import PlainCall
 from magnoliacove.entry.claims import KeyClaim
 from magnoliacove.entry.exchange import Exchange
 from magnoliacove.entry.exchange import read_key
 from magnoliacove.entry.exchange import run_while_connected
+from magnoliacove.entry.pipelines import Pipelines
 from magnoliacove.entry.pool import TargetPool
-from magnoliacove.entry.streams import Stream
-from magnoliacove.entry.streams import StreamRequest
+from magnoliacove.entry.runs import ServiceRuns
 from magnoliacove.metrics import Meters
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire import messages
@@ -37,7 +35,6 @@
 _EVENT_STREAM = (b"content-type", b"text/event-stream; charset=utf-8")
 _SERVICES = "/services/"
 _PIPELINES = "/pipelines/"
-_DROPPED_HEADERS = frozenset([b"authorization", b"idempotency-key"])
 
 
 def make_request_name() -> bytes:
@@ -67,14 +64,15 @@
         self.start_soon: Callable[..., object] = (
             trio.lowlevel.spawn_system_task
         )
-        self.budget = limits.RetryBudget()
         self._view = view
         self._pool = pool
-        self._chooser = chooser
         self._recorder = recorder
         self._meters = meters
-        self._admission = admission
-        self._rates = rates
+        self._runs = ServiceRuns(
+            view, pool, chooser, recorder, meters, admission, rates
+        )
+        self.budget = self._runs.budget
+        self._pipelines = Pipelines(view, self._runs, self._find_service)
         self._is_leaving = is_leaving
         self._keys: dict[str, configuration.ClientAccount] = {}
         self._keys_version = -1
@@ -120,7 +118,8 @@
         elif path.startswith(_SERVICES):
             await self._serve_plain(exchange, account)
         elif path.startswith(_PIPELINES) and method == "POST":
-            await self._serve_pipeline(exchange, account)
+            name = path.removeprefix(_PIPELINES)
+            await self._pipelines.serve(name, exchange, account)
         else:
             raise errors.RequestError(
                 "not_found",
@@ -280,7 +279,7 @@
         key = read_key(exchange)
         path = exchange.scope["path"]
         if not key or service.is_idempotent("POST", path):
-            await self._run_model(
+            await self._runs.run_model(
                 exchange.name, account, service, request, emit
             )
             return
@@ -352,7 +351,7 @@
 
         record = b""
         try:
-            await self._run_model(
+            await self._runs.run_model(
                 exchange.name, account, service, request, note
             )
             record = json.dumps(texts).encode()
@@ -363,85 +362,6 @@
         finally:
             claim.finish(outcome, record)
 
-    async def _run_model(
-        self,
-        name: bytes,
-        account: configuration.ClientAccount,
-        service: configuration.Service,
-        request: openai.ModelRequest,
-        emit: Callable[[bytes, bool], Awaitable[None]],
-    ) -> None:
-        began = trio.current_time()
-        deadline = began + service.deadline
-        first = True
-
-        async def time_first(text: bytes, end: bool) -> None:
-            nonlocal first
-            if first:
-                first = False
-                self._meters.observe(
-                    "first_token_seconds",
-                    trio.current_time() - began,
-                    service=service.name,
-                )
-            await emit(text, end)
-
-        self._note_arrival(name, account, service)
-        stream_request = StreamRequest(
-            name,
-            service.name,
-            service.layers,
-            account.name,
-            request.prompt,
-            request.max_tokens,
-            service.priority,
-            deadline,
-            self._view.version,
-        )
-        async with self._admission.admit(
-            account.name, account.weight, service.priority, service.deadline
-        ):
-            stream = Stream(
-                stream_request,
-                self._pool,
-                self._chooser,
-                self.budget,
-                self._recorder,
-                self._find_address,
-            )
-            await stream.run(time_first)
-        self._meters.count(
-            "tokens_total", len(stream.tokens), service=service.name
-        )
-        if stream.resumed:
-            self._meters.count("streams_resumed_total", stream.resumed)
-        self._recorder.record(
-            "request-answered",
-            request=name,
-            tokens=len(stream.tokens),
-            attempts=stream.attempt,
-            milliseconds=round((trio.current_time() - began) * 1000, 1),
-        )
-
-    def _note_arrival(
-        self,
-        name: bytes,
-        account: configuration.ClientAccount,
-        service: configuration.Service,
-    ) -> None:
-        self._recorder.record(
-            "request-arrived",
-            request=name,
-            account=account.name,
-            service=service.name,
-        )
-        self._rates.check(account.name, account.requests_per_second)
-        self.budget.note_request()
-
-    def _find_address(self, name: str) -> str:
-        instance = self._view.find_instance(name)
-        return instance.address if instance else ""
-
     # Plain services.
 
     async def _serve_plain(
@@ -463,127 +383,8 @@
             await exchange.write(part.body, more=part.more)
 
         async def run() -> None:
-            await self._run_plain(
+            await self._runs.run_plain(
                 exchange, account, service, full_path, body, send
             )
 
         await run_while_connected(exchange, run)
-
-    async def _run_plain(
-        self,
-        exchange: Exchange,
-        account: configuration.ClientAccount,
-        service: configuration.Service,
-        path: str,
-        body: bytes,
-        send: Callable[[messages.Answer], Awaitable[None]],
-    ) -> None:
-        self._note_arrival(exchange.name, account, service)
-        began = trio.current_time()
-        deadline = began + service.deadline
-        method = exchange.scope["method"]
-        headers = tuple(
-            messages.Header(key, value)
-            for key, value in exchange.scope["headers"]
-            if key not in _DROPPED_HEADERS
-        )
-        call = messages.Call(
-            exchange.name,
-            service.name,
-            account.name,
-            method,
-            path,
-            headers,
-            body,
-            0,
-            service.is_idempotent(method, path),
-            read_key(exchange),
-            service.priority,
-            self._view.version,
-        )
-        async with self._admission.admit(
-            account.name, account.weight, service.priority, service.deadline
-        ):
-            await PlainCall(
-                call,
-                deadline,
-                self._pool,
-                self._view,
-                self.budget,
-                self._recorder,
-            ).run(send)
-        self._recorder.record(
-            "request-answered",
-            request=exchange.name,
-            milliseconds=round((trio.current_time() - began) * 1000, 1),
-        )
-
-    # Pipelines.
-
-    async def _serve_pipeline(
-        self, exchange: Exchange, account: configuration.ClientAccount
-    ) -> None:
-        """Run a pipeline's services in turn, each on the one's before."""
-        name = exchange.scope["path"].removeprefix(_PIPELINES)
-        pipeline = self._view.document.find(configuration.Pipeline, name)
-        if pipeline is None:
-            raise errors.RequestError(
-                "not_found", f"there is no pipeline {name!r}", status=404
-            )
-        # All are looked up before any runs: an account that may not use a
-        # later step must not have the earlier ones run for nothing.
-        services = [self._find_step(account, step) for step in pipeline.steps]
-        value = await exchange.read_body()
-
-        async def run() -> None:
-            nonlocal value
-            for index, service in enumerate(services):
-                # Each step is a request of its own on the time line.
-                part = exchange.name[:-2] + bytes([index + 1, 0])
-                value = await self._run_step(
-                    part, exchange, account, service, value
-                )
-
-        await run_while_connected(exchange, run)
-        await exchange.answer(200, value)
-
-    def _find_step(
-        self, account: configuration.ClientAccount, step: str
-    ) -> configuration.Service:
-        service = self._view.document.find(configuration.Service, step)
-        form = service.form if service is not None else "plain"
-        return self._find_service(account, step, form)
-
-    async def _run_step(
-        self,
-        name: bytes,
-        exchange: Exchange,
-        account: configuration.ClientAccount,
-        service: configuration.Service,
-        value: bytes,
-    ) -> bytes:
-        parts: list[bytes] = []
-        if service.form == "model":
-
-            async def emit(text: bytes, end: bool) -> None:
-                parts.append(text)
-
-            request = openai.ModelRequest(
-                service.name, value, defaults.MAX_TOKENS, False, False, False
-            )
-            await self._run_model(name, account, service, request, emit)
-            return b"".join(parts)
-
-        async def send(part: messages.Answer) -> None:
-            if part.status >= 400:
-                raise errors.RequestError(
-                    "step_failed",
-                    f"step {service.name} answered {part.status}",
-                    status=502,
-                    outcome=errors.Outcome.RAN,
-                )
-            parts.append(part.body)
-
-        inner = Exchange(exchange.scope, exchange.receive, exchange.send, name)
-        await self._run_plain(inner, account, service, "/", value, send)
-        return b"".join(parts)
