Soak real gateway processes under random faults

The duty that nobody held for eight seconds would have shown in one.

Change: python -m soak starts gateways as processes on loopback addresses, targets and a store behind proxies, and callers. Processes are killed, frozen, stopped and reloaded by signals; connections are delayed, reset, silenced or cut one way; the store refuses calls, loses answers, forgets its history, is slow; targets crash and leave; configurations change. All come in series and overlap. Checked: an answer that is whole is the request's own; events come in order and once; what may not be repeated runs once; what was refused as not run did not run; processes do not end by themselves; 8 s after the last fault every gateway serves every kind, and the newest route.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A soak: real gateways as processes, with random faults from outside."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,51 @@
+"""``python -m soak``: random faults against real gateway processes."""
+
+import pathlib
+import tempfile
+
+import click
+import trio
+
+from soak.play import Soak
+
+__all__ = ["main"]
+
+
+@click.command()
+@click.option(
+    "--seed", "seeds", type=int, multiple=True, help="May be repeated."
+)
+@click.option("--first", type=int, default=1, show_default=True)
+@click.option("--count", type=int, default=0, help="Seeds from --first on.")
+@click.option(
+    "--seconds", type=float, default=12.0, show_default=True, help="A seed."
+)
+@click.option("--gateways", type=int, default=3, show_default=True)
+@click.option("--logs", type=click.Path(), default="", help="Kept there.")
+def main(
+    seeds: tuple[int, ...],
+    first: int,
+    count: int,
+    seconds: float,
+    gateways: int,
+    logs: str,
+) -> None:
+    """Play seeds and report broken promises; fail if there are any."""
+    failed = []
+    for seed in [*seeds, *range(first, first + count)]:
+        with tempfile.TemporaryDirectory() as temporary:
+            folder = pathlib.Path(logs or temporary) / f"seed-{seed}"
+            folder.mkdir(parents=True, exist_ok=True)
+            soak = Soak(seed, gateways, folder)
+            broken = trio.run(soak.play, seconds)
+        click.echo(f"seed {seed}: {soak.describe()}")
+        for line in broken:
+            click.echo(f"  BROKEN {line}")
+        if broken:
+            failed.append(seed)
+    if failed:
+        raise click.ClickException(f"seeds with broken promises: {failed}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/gateways.py
@@ -0,0 +1,115 @@
+"""The gateways of a soak: real processes, stopped and started by signals."""
+
+import json
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+
+import trio
+
+__all__ = ["GatewayProcess", "find_port"]
+
+_START_WITHIN = 15.0
+
+
+def find_port(rng: random.Random) -> int:
+    """Return a port for a gateway; each has an address of its own."""
+    return rng.randrange(20_000, 30_000)
+
+
+class GatewayProcess:
+    """One gateway on a loopback address of its own.
+
+    :param stopping: whether it was told to end and has not yet.
+    :param unplanned: how often it ended by itself.
+    """
+
+    def __init__(
+        self, number: int, ports: tuple[int, int, int], folder: pathlib.Path
+    ) -> None:
+        self.name = f"g-{number}"
+        self.host = f"127.0.0.{10 + number}"
+        self.callers_port, self.ready_port, self.peer_port = ports
+        self.stopping = False
+        self.unplanned = 0
+        self._log = folder / f"{self.name}.log"
+        self._settings = folder / f"{self.name}.json"
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def write_settings(self, store: str, hosts: list[str]) -> None:
+        """Write the settings file."""
+        seeds = [f"{host}:{self.peer_port}" for host in hosts]
+        settings = {
+            "node_name": self.name,
+            "ip": self.host,
+            "zone": "a",
+            "listen": {
+                "front": f"{self.host}:{self.callers_port}",
+                "ready_addr": f"{self.host}:{self.ready_port}",
+            },
+            "internal_ports": [self.peer_port],
+            "seeds": seeds,
+            "bootstrap": True,
+            "bounds": {
+                "drain_ms": 2000,
+                "grace_s": 4,
+                "retry_budget_ratio": 0.2,
+                "budget_slack": 200,
+                "budget_window_s": 10,
+            },
+            "platform": {"address": store},
+        }
+        self._settings.write_text(json.dumps(settings))
+
+    def start(self) -> None:
+        """Start the process."""
+        program = [sys.executable, "-m", "magnoliacove.commands.gateway"]
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [*program, "--settings", str(self._settings)],
+                stdout=log,
+                stderr=log,
+            )
+        self.stopping = False
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process that this object started."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def check_alive(self) -> None:
+        """Start the process again if it ended by itself."""
+        if self._process is None or self._process.poll() is None:
+            return
+        if not self.stopping:
+            self.unplanned += 1
+        self.start()
+
+    async def end(self, number: signal.Signals) -> None:
+        """Stop the process and wait until it is gone."""
+        self.stopping = True
+        self.send(number)
+        self.send(signal.SIGCONT)
+        while self._process is not None and self._process.poll() is None:
+            await trio.sleep(0.02)
+
+    async def wait_ready(self) -> None:
+        """Wait until the process says that it is ready."""
+        with trio.fail_after(_START_WITHIN):
+            while not await self._is_ready():
+                await trio.sleep(0.1)
+
+    async def _is_ready(self) -> bool:
+        try:
+            stream = await trio.open_tcp_stream(self.host, self.ready_port)
+            async with stream:
+                await stream.send_all(
+                    b"GET /v1/readiness HTTP/1.1\r\nhost: x\r\n"
+                    b"connection: close\r\n\r\n"
+                )
+                return b" 200 " in await stream.receive_some(64)
+        except (OSError, trio.BrokenResourceError):
+            # Nobody listens yet, or it ended just now.
+            return False
--- /dev/null
+++ b/soak/play.py
@@ -0,0 +1,350 @@
+"""One soak: a fleet, its callers, and faults that come and overlap."""
+
+from collections import Counter
+from collections.abc import Awaitable
+from collections.abc import Callable
+import json
+import pathlib
+import random
+import signal
+
+import trio
+
+from magnoliacove import web
+from magnoliacove.standins import object_api
+from soak.callers import KINDS
+from soak.callers import Callers
+from soak.gateways import GatewayProcess
+from soak.gateways import find_port
+from soak.proxy import Proxy
+from soak.targets import Ledger
+from soak.targets import Target
+
+__all__ = ["Soak"]
+
+_CALLERS = 12
+# Pauses between two faults, seconds; a fault lasts up to four, so several
+# are there at a time.
+_PAUSES = (0.2, 1.5)
+# After the last fault everything must serve again within so many seconds.
+_RECOVERY = 8.0
+_ENGINE = {
+    "slots": 96,
+    "kv_token_bytes": 1_180_000,
+    "models": [{"name": "m", "load_time_s": 2.0}],
+    "step_ms": 0.85,
+    "per_seq_ms": 0.007,
+    "context_per_k": 0.01,
+    "read_per_s": 196_000.0,
+    "loads_at_once": 6,
+    "usual": {"prompt": 100, "answer": 60},
+    "layers": 80,
+    "layer_mb": 1750.0,
+    "activation_bytes": 59_000,
+    "pipe_mbps": 11_000.0,
+    "kinds": [{"name": "big", "mb": 1e6, "pace": 1.0, "read_x": 1.0}],
+}
+
+
+class Soak:
+    """A fleet of gateways and targets, and what befalls it.
+
+    :param folder: where settings and logs of the gateways are written.
+    """
+
+    def __init__(self, seed: int, gateways: int, folder: pathlib.Path) -> None:
+        self._rng = random.Random(seed)
+        ports = (
+            find_port(self._rng),
+            find_port(self._rng),
+            find_port(self._rng),
+        )
+        self._gateways = [
+            GatewayProcess(n, ports, folder) for n in range(gateways)
+        ]
+        self._store = object_api.ObjectStore()
+        self._ledger = Ledger()
+        self._targets = {
+            f"{service}-{n}": Target(f"{service}-{n}", self._ledger, seed + n)
+            for service in ("desk", "llm")
+            for n in range(3)
+        }
+        self._proxies: dict[str, Proxy] = {}
+        self._store_proxy: Proxy | None = None
+        self._version = 7
+        self._callers = Callers(self._gateways, self._ledger, seed)
+        self._busy: set[str] = set()
+        self._faults: Counter[str] = Counter()
+
+    def describe(self) -> str:
+        """Return in one line what happened."""
+        ends = Counter(status for (_, status) in self._callers.seen.elements())
+        answers = " ".join(
+            f"{s or 'cut'}:{n}" for s, n in sorted(ends.items())
+        )
+        faults = " ".join(f"{k}:{n}" for k, n in sorted(self._faults.items()))
+        return f"answers {answers}; faults {faults}"
+
+    async def play(self, seconds: float) -> list[str]:
+        """Play the soak; return a line for each broken promise."""
+        async with trio.open_nursery() as nursery:
+            await self._start_outside(nursery)
+            for gateway in self._gateways:
+                hosts = [other.host for other in self._gateways]
+                gateway.write_settings(self._store_proxy.address, hosts)
+                gateway.start()
+            try:
+                for gateway in self._gateways:
+                    await gateway.wait_ready()
+                await self._spoil(seconds)
+                await self._check_recovery()
+            finally:
+                with trio.CancelScope(shield=True):
+                    for gateway in self._gateways:
+                        await gateway.end(signal.SIGKILL)
+            nursery.cancel_scope.cancel()
+        self._callers.check_refused()
+        self._callers.check_runs()
+        ended = [g.name for g in self._gateways if g.unplanned]
+        if ended:
+            self._callers.broken.append(f"{ended} ended by themselves")
+        return self._callers.broken
+
+    async def _start_outside(self, nursery: trio.Nursery) -> None:
+        """Start the store, the targets and the proxies before them."""
+        listener = web.bind_socket("127.0.0.1", 0)
+        port = listener.getsockname()[1]
+        app = object_api.make_app(self._store)
+        await nursery.start(_serve_app, app, listener)
+        self._store_proxy = Proxy("127.0.0.1", port)
+        await nursery.start(self._store_proxy.run)
+        for name, target in self._targets.items():
+            await nursery.start(target.run)
+            proxy = self._proxies[name] = Proxy("127.0.0.1", target.port)
+            await nursery.start(proxy.run)
+            await self._write_entry(name, "ready")
+        await self._write_configuration()
+
+    async def _write_entry(self, name: str, state: str) -> None:
+        entry = {
+            "service": name.partition("-")[0],
+            "address": self._proxies[name].address,
+            "zone": "a",
+            "state": state,
+            "slots": 6,
+        }
+        if name.startswith("llm"):
+            entry["kind"] = "big"
+            entry["layers"] = {"from": 0, "to": 80, "version": 1}
+        await self._store.put(f"servers/{name}", json.dumps(entry).encode())
+
+    async def _write_configuration(self) -> None:
+        self._version += self._rng.randrange(1, 5)
+        base = {
+            "host": "soak",
+            "timeout_ms": 6000,
+            "target_latency_ms": 300,
+            "target_gap_ms": 200,
+            "priority": 1,
+            "max_attempts": 2,
+            "public": True,
+            "resumable": False,
+        }
+        kinds = {
+            "/get/": ("idempotent", "desk"),
+            "/post/": ("non_idempotent", "desk"),
+            "/stream/": ("streaming", "llm"),
+            f"/v{self._version}/": ("idempotent", "desk"),
+        }
+        routes = [
+            {
+                **base,
+                "name": f"r{path}",
+                "path_prefix": path,
+                "kind": kind,
+                "service": service,
+                "resumable": kind == "streaming",
+            }
+            for path, (kind, service) in kinds.items()
+        ]
+        value = {
+            "version": self._version,
+            "routes": routes,
+            "services": [
+                {"name": "llm", "health_path": "/health", "engine": _ENGINE},
+                {"name": "desk", "health_path": "/health"},
+            ],
+            "limits": {},
+        }
+        await self._store.put("config/main", json.dumps(value).encode())
+
+    # Faults.
+
+    async def _spoil(self, seconds: float) -> None:
+        """Let callers call and faults come for so long."""
+        faults: list[Callable[[], Awaitable[None]]] = [
+            self._kill,
+            self._freeze,
+            self._stop,
+            self._reload,
+            self._lose_store,
+            self._spoil_store,
+            self._silence_store,
+            self._spoil_target,
+            self._silence_target,
+            self._lose_target,
+            self._change_configuration,
+        ]
+        async with trio.open_nursery() as callers:
+            for _ in range(_CALLERS):
+                callers.start_soon(self._callers.run)
+            async with trio.open_nursery() as nursery:
+                end = trio.current_time() + seconds
+                while trio.current_time() < end:
+                    fault = self._rng.choice(faults)
+                    self._faults[fault.__name__.strip("_")] += 1
+                    nursery.start_soon(fault)
+                    await trio.sleep(self._rng.uniform(*_PAUSES))
+                    for gateway in self._gateways:
+                        if gateway.name not in self._busy:
+                            gateway.check_alive()
+            callers.cancel_scope.cancel()
+
+    def _take_gateway(self) -> GatewayProcess | None:
+        """Return a gateway that nothing happens to, None if there is none."""
+        free = [g for g in self._gateways if g.name not in self._busy]
+        if not free:
+            return None
+        gateway = self._rng.choice(free)
+        self._busy.add(gateway.name)
+        return gateway
+
+    async def _kill(self) -> None:
+        await self._restart(signal.SIGKILL)
+
+    async def _stop(self) -> None:
+        await self._restart(signal.SIGTERM)
+
+    async def _restart(self, number: signal.Signals) -> None:
+        gateway = self._take_gateway()
+        if gateway is None:
+            return
+        await gateway.end(number)
+        await trio.sleep(self._rng.uniform(0.1, 1.0))
+        gateway.start()
+        self._busy.discard(gateway.name)
+
+    async def _freeze(self) -> None:
+        gateway = self._take_gateway()
+        if gateway is None:
+            return
+        gateway.send(signal.SIGSTOP)
+        await trio.sleep(self._rng.uniform(0.3, 4.0))
+        gateway.send(signal.SIGCONT)
+        self._busy.discard(gateway.name)
+
+    async def _reload(self) -> None:
+        self._rng.choice(self._gateways).send(signal.SIGHUP)
+
+    async def _lose_store(self) -> None:
+        self._store.faults.outage = True
+        self._store.wake_watches()
+        await trio.sleep(self._rng.uniform(0.5, 4.0))
+        self._store.faults.outage = False
+
+    async def _spoil_store(self) -> None:
+        self._store.faults.lost_answers = 2
+        self._store.faults.delay = self._rng.choice([0.0, 0.05, 0.3])
+        self._store.compact()
+        await trio.sleep(self._rng.uniform(0.5, 3.0))
+        self._store.faults.delay = 0.0
+
+    async def _silence_store(self) -> None:
+        await self._silence(self._store_proxy)
+
+    async def _silence_target(self) -> None:
+        name = self._rng.choice(sorted(self._proxies))
+        await self._silence(self._proxies[name])
+
+    async def _silence(self, proxy: Proxy) -> None:
+        """Cut open connections one way or both, or reset them."""
+        if self._rng.random() < 0.3:
+            proxy.reset_all()
+            return
+        up = self._rng.random() < 0.6
+        proxy.silence_all(up=up, down=not up or self._rng.random() < 0.5)
+
+    async def _spoil_target(self) -> None:
+        proxy = self._proxies[self._rng.choice(sorted(self._proxies))]
+        proxy.delay = self._rng.choice([0.05, 0.3, 1.0])
+        await trio.sleep(self._rng.uniform(0.5, 3.0))
+        proxy.delay = 0.0
+
+    async def _lose_target(self) -> None:
+        """Let a target crash, or leave in order, and come back."""
+        name = self._rng.choice(sorted(self._proxies))
+        proxy = self._proxies[name]
+        if self._rng.random() < 0.5:
+            await self._try_write(name, "draining")
+            await trio.sleep(self._rng.uniform(0.5, 2.0))
+        proxy.refuse = True
+        proxy.reset_all()
+        await trio.sleep(self._rng.uniform(0.5, 3.0))
+        proxy.refuse = False
+        await self._try_write(name, "ready")
+
+    async def _try_write(self, name: str, state: str) -> None:
+        """Write a target's entry, whatever the store's faults are."""
+        outage, self._store.faults.outage = self._store.faults.outage, False
+        lost, self._store.faults.lost_answers = (
+            self._store.faults.lost_answers,
+            0,
+        )
+        await self._write_entry(name, state)
+        self._store.faults.outage = outage
+        self._store.faults.lost_answers = lost
+
+    async def _change_configuration(self) -> None:
+        if not self._store.faults.outage:
+            self._store.faults.lost_answers = 0
+            await self._write_configuration()
+
+    # After the faults.
+
+    async def _check_recovery(self) -> None:
+        """Check that every gateway serves every kind again."""
+        self._store.faults = object_api.Faults()
+        for name in self._proxies:
+            await self._write_entry(name, "ready")
+        await self._write_configuration()
+        for gateway in self._gateways:
+            gateway.send(signal.SIGCONT)
+            gateway.check_alive()
+        await trio.sleep(_RECOVERY)
+        newest = f"/v{self._version}/"
+        for gateway in self._gateways:
+            for kind in (*KINDS, newest):
+                if not await self._is_served(gateway, kind):
+                    self._callers.broken.append(
+                        f"{gateway.name} does not serve {kind} "
+                        f"{_RECOVERY:.0f} s after the last fault"
+                    )
+
+    async def _is_served(self, gateway: GatewayProcess, kind: str) -> bool:
+        """Return whether one of a few requests is answered."""
+        for _ in range(4):
+            try:
+                reply = await self._callers.ask(gateway, kind)
+            except OSError:
+                # Nobody listens; asked again below.
+                await trio.sleep(0.3)
+                continue
+            if reply.status == 200 and reply.whole:
+                return True
+        return False
+
+
+async def _serve_app(
+    app: web.App, listener, task_status=trio.TASK_STATUS_IGNORED
+) -> None:
+    await web.run_server(app, listener, task_status=task_status)
