--- a/magnoliacove/entry/streams.py
+++ b/magnoliacove/entry/streams.py
@@ -14,7 +14,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
-from dataclasses import field
 
 import trio
 
@@ -25,6 +24,9 @@
 from magnoliacove.directory import Backoff
 from magnoliacove.entry.pool import PeerChanged
 from magnoliacove.entry.pool import TargetPool
+from magnoliacove.entry.replanning import ChainLost
+from magnoliacove.entry.replanning import ChainPlanner
+from magnoliacove.entry.replanning import HeldChain
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire import messages
 
@@ -59,49 +61,10 @@
     configuration_version: int
 
 
-class _Lost(Exception):
-    """The chain cannot go on as it is.
-
-    :param names: the targets to be replaced; none when the same chain is
-        only to be told a new attempt.
-    :param movable: those of them that still hold their KV cache.
-    :param whole: nothing of the chain can be used any longer.
-    :param reconnect: the targets may be there again on a new connection.
-    """
-
-    def __init__(
-        self,
-        reason: str,
-        names: frozenset[str] = frozenset(),
-        movable: frozenset[str] = frozenset(),
-        *,
-        whole: bool = False,
-        reconnect: bool = False,
-    ) -> None:
-        super().__init__(reason)
-        self.names = names
-        self.movable = movable
-        self.whole = whole
-        self.reconnect = reconnect
-
-
 class _Stalled:
     """Tells a stream that its token is overdue."""
 
 
-@dataclass
-class _Chain:
-    """The present chain, and which of its stages are held already."""
-
-    stages: routing.Chain = ()
-    held: set[str] = field(default_factory=set)
-    imports: dict[str, str] = field(default_factory=dict)
-
-    @property
-    def names(self) -> tuple[str, ...]:
-        return tuple(stage.target for stage in self.stages)
-
-
 class Stream:
     """Runs one stream and gives its tokens to the caller, each once."""
 
@@ -119,18 +82,19 @@
         self.resumed = 0
         self._request = request
         self._pool = pool
-        self._chooser = chooser
+        self._planner = ChainPlanner(
+            request.service, request.layers, pool, chooser, address_of
+        )
         self._budget = budget
         self._recorder = recorder
         self._address_of = address_of
-        self._chain = _Chain()
+        self._chain = HeldChain()
         self._inbox: deque[tuple[str, object]] = deque()
         self._arrived = trio.Event()
         self._fed_at = 0.0
         self._feeding = False
         self._ended = False
         self._counted: set[str] = set()
-        self._avoided: dict[str, float] = {}
         self._leaving_since: dict[str, float] = {}
 
     # What the pool calls.
@@ -172,7 +136,7 @@
             )
 
     async def _run_to_end(self, emit: Emit) -> None:
-        loss: _Lost | None = _Lost("a new request", whole=True)
+        loss: ChainLost | None = ChainLost("a new request", whole=True)
         backoff = Backoff(0.02, 1.0)
         while not self._ended:
             try:
@@ -181,17 +145,17 @@
                     loss = None
                 await self._take_token(emit)
                 backoff.reset()
-            except _Lost as why:
+            except ChainLost as why:
                 loss = self._merge(loss, why)
                 self._note_loss(loss)
                 if self.attempt > 1:
                     await backoff.pause()
 
-    def _merge(self, before: _Lost | None, now: _Lost) -> _Lost:
+    def _merge(self, before: ChainLost | None, now: ChainLost) -> ChainLost:
         """Return both losses as one: a second may come amid the first."""
         if before is None or not before.names | now.names:
             return now
-        return _Lost(
+        return ChainLost(
             str(now),
             before.names | now.names,
             (before.movable | now.movable) - (now.names - now.movable),
@@ -199,7 +163,7 @@
             reconnect=now.reconnect,
         )
 
-    def _note_loss(self, loss: _Lost) -> None:
+    def _note_loss(self, loss: ChainLost) -> None:
         self._recorder.record(
             "stream-interrupted",
             request=self._request.name,
@@ -210,7 +174,7 @@
         )
         avoided = frozenset() if loss.reconnect else loss.names
         for name in avoided - loss.movable:
-            self._avoided[name] = trio.current_time()
+            self._planner.avoid(name)
         if self.attempt >= defaults.MAX_ATTEMPTS:
             raise errors.RequestError(
                 "no_stage",
@@ -226,7 +190,7 @@
 
     # Opening and resuming.
 
-    async def _open_chain(self, loss: _Lost) -> None:
+    async def _open_chain(self, loss: ChainLost) -> None:
         started = trio.current_time()
         if loss.reconnect:
             loss = await self._try_reconnect(loss)
@@ -254,7 +218,7 @@
             milliseconds=round((trio.current_time() - started) * 1000, 1),
         )
 
-    async def _try_reconnect(self, loss: _Lost) -> _Lost:
+    async def _try_reconnect(self, loss: ChainLost) -> ChainLost:
         """Tell a dead connection from a dead target.
 
         A connection may be dead while its target lives.  Replacing the
@@ -265,9 +229,9 @@
             while any(self._pool.is_reconnecting(n) for n in loss.names):
                 await trio.sleep(_RECONNECT_POLL)
         gone = frozenset(n for n in loss.names if not self._pool.find(n))
-        return _Lost(str(loss), gone, loss.movable, whole=loss.whole)
+        return ChainLost(str(loss), gone, loss.movable, whole=loss.whole)
 
-    async def _plan(self, loss: _Lost) -> _Chain:
+    async def _plan(self, loss: ChainLost) -> HeldChain:
         """Return the chain for the next attempt.
 
         :raises magnoliacove.errors.RequestError: when no targets hold the
@@ -275,7 +239,7 @@
         """
         waiting = False
         while True:
-            chain = self._replace(loss)
+            chain = self._planner.replace(self._chain, loss)
             if chain is not None:
                 return chain
             if not self.tokens and not self._fed_at:
@@ -300,58 +264,6 @@
             with trio.move_on_after(0.2):
                 await self._pool.wait_came_up()
 
-    def _replace(self, loss: _Lost) -> _Chain | None:
-        if loss.whole:
-            return self._choose_whole()
-        present = self._chain
-        names = loss.names & set(present.names)
-        if not names:
-            return _Chain(present.stages, present.held)
-        stages: list[routing.ChainStage] = []
-        imports: dict[str, str] = {}
-        for gap, kept in _split(present.stages, names):
-            if kept is not None:
-                stages.append(kept)
-                continue
-            first, end = gap[0].first_layer, gap[-1].end_layer
-            kept_names = frozenset(present.names)
-            found = self._choose(first, end, kept_names) or self._choose(
-                # A lost target that is usable again has started anew.  It
-                # goes before a whole new chain, on which the stages that
-                # lived would run all their steps again.
-                first,
-                end,
-                kept_names - names,
-            )
-            if found is None:
-                return self._choose_whole()
-            imports.update(_match_imports(gap, found, loss.movable))
-            stages.extend(found)
-        return _Chain(
-            tuple(stages),
-            present.held - names,
-            {n: self._address_of(src) for n, src in imports.items()},
-        )
-
-    def _choose_whole(self) -> _Chain | None:
-        chain = self._choose(0, self._request.layers, frozenset())
-        return _Chain(chain) if chain else None
-
-    def _choose(
-        self, first: int, end: int, without: frozenset[str]
-    ) -> routing.Chain | None:
-        now = trio.current_time()
-        recent = {n for n, at in self._avoided.items() if now - at < 5.0}
-        service = self._request.service
-        for excluded in (without | recent, without):
-            options = self._pool.list_options(service, excluded)
-            chain = self._chooser.choose(
-                options, first, end, self._pool.estimates
-            )
-            if chain is not None:
-                return chain
-        return None
-
     def _drop_old_messages(self) -> None:
         """Drop what arrived before this attempt was sent.
 
@@ -392,7 +304,7 @@
             try:
                 self._pool.post(name, message)
             except errors.PeerError as why:
-                raise _Lost(str(why), frozenset([name])) from why
+                raise ChainLost(str(why), frozenset([name])) from why
 
     async def _collect_opened(self) -> list[int]:
         """Return the step that each stage expects next."""
@@ -414,7 +326,7 @@
         if silent:
             # The connection lives but the stage does not answer: its
             # engine hangs.  Waiting longer would only delay the caller.
-            raise _Lost("a stage did not answer in time", silent)
+            raise ChainLost("a stage did not answer in time", silent)
         return [steps[name] for name in names]
 
     def _take_refusal(self, source: str, message: messages.Refused) -> None:
@@ -425,7 +337,7 @@
             after = names[names.index(source) + 1]
             self._pool.estimates.note_link_failure(source, after)
             movable = frozenset([after] if after in self._chain.held else [])
-            raise _Lost(message.reason, frozenset([after]), movable)
+            raise ChainLost(message.reason, frozenset([after]), movable)
         fresh = not self._fed_at
         if fresh and not self._budget.try_spend():
             raise errors.RequestError(
@@ -435,7 +347,9 @@
                 status=503,
                 retry_after=max(1.0, message.retry_after / 1000),
             )
-        raise _Lost(f"{source} refused: {message.code}", frozenset([source]))
+        raise ChainLost(
+            f"{source} refused: {message.code}", frozenset([source])
+        )
 
     def _send_replays(self, steps: list[int]) -> None:
         names = self._chain.names
@@ -467,7 +381,7 @@
         try:
             self._pool.post(name, message)
         except errors.PeerError as why:
-            raise _Lost(str(why), frozenset([name])) from why
+            raise ChainLost(str(why), frozenset([name])) from why
 
     async def _take_token(self, emit: Emit) -> None:
         source, message = await self._next()
@@ -488,12 +402,12 @@
         self.tokens.append(message.text)
         full = len(self.tokens) >= self._request.max_tokens
         last = message.end or full
-        trouble: _Lost | None = None
+        trouble: ChainLost | None = None
         if not last:
             try:
                 self._check_leaving()
                 self._feed_from(len(self.tokens))
-            except _Lost as why:
+            except ChainLost as why:
                 trouble = why
         await emit(message.text, message.end)
         self._ended = last
@@ -538,9 +452,11 @@
         for name in leaving:
             stage = next(s for s in self._chain.stages if s.target == name)
             others = frozenset(self._chain.names)
-            if not self._choose(stage.first_layer, stage.end_layer, others):
+            if not self._planner.choose(
+                stage.first_layer, stage.end_layer, others
+            ):
                 return
-        raise _Lost("the instance leaves", leaving, leaving)
+        raise ChainLost("the instance leaves", leaving, leaving)
 
     # Trouble.
 
@@ -549,24 +465,24 @@
         if isinstance(message, _Stalled):
             # Nothing failed and nothing comes.  A new attempt makes every
             # stage answer, and those that do not are replaced.
-            raise _Lost("no token came in time")
+            raise ChainLost("no token came in time")
         if isinstance(message, PeerChanged) and message.name in names:
             if message.lost:
                 names_lost = frozenset([message.name])
-                raise _Lost(message.reason, names_lost, reconnect=True)
+                raise ChainLost(message.reason, names_lost, reconnect=True)
             self._leaving_since.setdefault(message.name, trio.current_time())
         if not isinstance(message, messages.StageLost):
             return
         if message.attempt != self.attempt or source not in names:
             return
         if not message.name:
-            raise _Lost(message.reason, whole=True)
+            raise ChainLost(message.reason, whole=True)
         if message.name == source:
-            raise _Lost(message.reason, frozenset([source]))
+            raise ChainLost(message.reason, frozenset([source]))
         # The link between two agents broke.  Both may live, so the same
         # chain is tried again first; if the link stays broken the stage
         # before it refuses, and the one after it is moved.
-        raise _Lost(f"link {source} to {message.name}: {message.reason}")
+        raise ChainLost(f"link {source} to {message.name}: {message.reason}")
 
     async def _next(self) -> tuple[str, object]:
         while not self._inbox:
@@ -592,39 +508,3 @@
             except errors.PeerError:
                 # It forgets the stage by itself.
                 continue
-
-
-def _split(
-    stages: routing.Chain, names: frozenset[str] | set[str]
-) -> list[tuple[list[routing.ChainStage], routing.ChainStage | None]]:
-    """Return the stages in order: runs of lost ones, and kept ones."""
-    parts: list[
-        tuple[list[routing.ChainStage], routing.ChainStage | None]
-    ] = []
-    gap: list[routing.ChainStage] = []
-    for stage in stages:
-        if stage.target in names:
-            gap.append(stage)
-            continue
-        if gap:
-            parts.append((gap, None))
-            gap = []
-        parts.append(([], stage))
-    if gap:
-        parts.append((gap, None))
-    return parts
-
-
-def _match_imports(
-    gap: list[routing.ChainStage],
-    found: routing.Chain,
-    movable: frozenset[str],
-) -> dict[str, str]:
-    """Return, for each new stage, the old one with the same layers."""
-    old = {(s.first_layer, s.end_layer): s.target for s in gap}
-    matched = {}
-    for stage in found:
-        source = old.get((stage.first_layer, stage.end_layer))
-        if source in movable and source is not None:
-            matched[stage.target] = source
-    return matched
