Let a reload during the start not end a gateway

A SIGHUP came while it loaded its modules, before its handlers stood; the signal's default ends a process. On a small instance that takes a second.

Change: the program's first step is to ignore the signal. The rest of the command is loaded after it, and reads the settings then.

Test first red: the launcher, with a signal sent while the command is loaded.

--- a/magnoliacove/commands/gateway_command.py
+++ b/magnoliacove/commands/gateway_command.py
@@ -1,4 +1,4 @@
-"""``magnoliacove-gateway``: callers' HTTP on the platform."""
+"""The gateway's command: its settings, its signals, its end."""
 
 import signal
 
@@ -98,7 +98,3 @@
 def main() -> None:
     """Run the program."""
     _command(auto_envvar_prefix=settings.PREFIX)
-
-
-if __name__ == "__main__":
-    main()
--- a/tests/commands/test_gateway.py
+++ b/tests/commands/test_gateway.py
@@ -7,7 +7,7 @@
 
 from click.testing import CliRunner
 
-from magnoliacove.commands import gateway
+from magnoliacove.commands import gateway_command
 from tests.platform import samples
 
 _ROOT = pathlib.Path(__file__).parents[2]
@@ -16,7 +16,7 @@
 def test_settings_can_be_checked(tmp_path):
     path = samples.write_settings(tmp_path / "s.json")
     result = CliRunner().invoke(
-        gateway._command, ["--settings", path, "--check"]
+        gateway_command._command, ["--settings", path, "--check"]
     )
     assert result.exit_code == 0
     assert "in order" in result.output
@@ -24,7 +24,7 @@
 
 def test_a_mistake_is_one_friendly_line(tmp_path):
     path = samples.write_settings(tmp_path / "s.json", bounds={})
-    result = CliRunner().invoke(gateway._command, ["--settings", path])
+    result = CliRunner().invoke(gateway_command._command, ["--settings", path])
     assert result.exit_code == 2
     assert "drain_ms" in result.output
     assert "Traceback" not in result.output
@@ -48,6 +48,8 @@
     """
     code = (
         "import sys, magnoliacove.commands.gateway;"
+        "import magnoliacove.commands.gateway_command;"
+        "import hypercorn.config, hypercorn.trio;"
         "print('\\n'.join({m.partition('.')[0] for m in sys.modules}))"
     )
     loaded = subprocess.run(
@@ -59,3 +61,28 @@
     ).stdout.split()
     absent = {"grpc", "openai", "httpx2", "connectrpc", "pydantic", "pytest"}
     assert not absent & set(loaded)
+
+
+def test_a_reload_during_the_start_does_not_end_the_process():
+    """The settings change just after a gateway was started, while it still
+    loads its modules.  The signal's default ends the process: it was gone
+    without a line in its log, and its callers found no connection.
+    """
+    code = (
+        "import os, signal, sys, types;"
+        "import magnoliacove.commands as package;"
+        "fake = types.ModuleType('magnoliacove.commands.gateway_command');"
+        "fake.main = lambda: ("
+        "os.kill(os.getpid(), signal.SIGHUP), print('alive'));"
+        "package.gateway_command = fake;"
+        "sys.modules[fake.__name__] = fake;"
+        "from magnoliacove.commands import gateway;"
+        "gateway.main()"
+    )
+    result = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        cwd=_ROOT,
+    )
+    assert (result.returncode, result.stdout) == (0, "alive\n")
