Close a kept connection once what follows could not be ended

A stream that had begun before ended at 12.5 s; its head had been sent before the stop and did not say that the connection would close. The caller sent its next request on it at once, within the 50 ms in which idle connections are looked at. It ran at an engine and was cut when the grace time ended.

Ruled out: new connections; the listener had been closed since 9.6 s.

Change: from the moment at which the listener is closed a connection ends with its present answer. A request that crosses that is not passed on.

Test first red: a stream that begins before the stop, and a request right behind it. A first version of the test used a whole answer, which says that the connection closes, and passed without the change.

--- a/magnoliacove/directory/targets.py
+++ b/magnoliacove/directory/targets.py
@@ -65,6 +65,7 @@
 
     :param grace: seconds that an entry which vanished during an outage of
         the store is kept.
+    :param known: set once there is a list, or a first entry.
     :param newest_change: the store's revision of the newest change of an
         entry that is known.
     """
@@ -78,6 +79,7 @@
     ) -> None:
         self.revision = 0
         self.newest_change = 0
+        self.known = trio.Event()
         self.changed_at = read_time()
         self._recorder = recorder
         self._grace = grace
@@ -118,6 +120,7 @@
         :param after_outage: the store was away before it, so an entry may
             be missing although its target lives.
         """
+        self.known.set()
         if revision < self.revision:
             return
         listed = {target.name: target for target in targets}
@@ -170,6 +173,7 @@
         )
 
     def _put(self, target: ListedTarget) -> None:
+        self.known.set()
         self._missing_since.pop(target.name, None)
         self.newest_change = max(self.newest_change, target.revision)
         known = self._targets.get(target.name)
--- a/magnoliacove/gateway/callers.py
+++ b/magnoliacove/gateway/callers.py
@@ -124,6 +124,8 @@
     :param read_limits: returns the limits that are in force.
     :param handle: answers one request; cancelled when the caller leaves.
     :param is_leaving: whether this process is about to stop.
+    :param is_closing: whether what comes now could no longer be answered
+        before it stops.
     """
 
     def __init__(
@@ -132,12 +134,14 @@
         read_limits: Callable[[], CallerLimits],
         handle: Handler,
         is_leaving: Callable[[], bool],
+        is_closing: Callable[[], bool] = lambda: False,
     ) -> None:
         self.busy = False
         self._stream = stream
         self._read_limits = read_limits
         self._handle = handle
         self._is_leaving = is_leaving
+        self._is_closing = is_closing
         self._parser = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=read_limits().header_bytes,
@@ -183,7 +187,11 @@
         if not await self._answer(exchange):
             return False
         self.busy = False
-        if self._parser.our_state is not h11.DONE:
+        if self._parser.our_state is not h11.DONE or self._is_closing():
+            # An answer that began before the stop did not tell the caller
+            # that the connection would close.  Its next request follows at
+            # once, and would be cut off in the middle when the grace time
+            # ends; one that meets a closed connection goes elsewhere.
             await self._linger()
             return False
         if self._parser.their_state is not h11.DONE:
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -183,6 +183,7 @@
                 # goes on sending callers here.  One that is refused tries
                 # elsewhere; one that is taken now would be cut off when the
                 # grace time ends.
+                state.closing = True
                 self._accepting.cancel()
                 for connection in tuple(self._connections):
                     connection.close_if_idle()
@@ -228,6 +229,7 @@
             self._read_limits,
             self._relay.serve,
             lambda: self.state.leaving,
+            lambda: self.state.closing,
         )
         self._connections.add(connection)
         try:
--- a/magnoliacove/gateway/relay.py
+++ b/magnoliacove/gateway/relay.py
@@ -22,9 +22,9 @@
 # A caller that comes before the configuration may try again this soon,
 # seconds.
 _NOT_READY_RETRY = 1.0
-# It is kept waiting for the configuration for so long before that, seconds.
-# A process that starts has one within half a second of its first call to the
-# store or to a peer, and callers come back once only.
+# It is kept waiting for the configuration and the targets for so long before
+# that, seconds.  A process that starts has them within half a second of its
+# first call to the store or to a peer, and callers come back once only.
 _NOT_READY_PATIENCE = 0.7
 _DEFAULT_PATIENCE = 60.0
 
--- a/magnoliacove/gateway/state.py
+++ b/magnoliacove/gateway/state.py
@@ -28,6 +28,8 @@
 
     :param routes: the configuration in force, None before the first.
     :param seen_traffic: whether a caller's request has come yet.
+    :param closing: whether this process stops so soon that new requests
+        could not be answered any more.
     :param open_requests: requests that are being answered.
     """
 
@@ -47,6 +49,7 @@
     routes: RouteTable | None = None
     routes_at: float = 0.0
     leaving: bool = False
+    closing: bool = False
     seen_traffic: bool = False
     open_requests: int = 0
     _route_listeners: list[Callable[[], None]] = field(default_factory=list)
@@ -73,10 +76,12 @@
         return True
 
     async def wait_routes(self, patience: float) -> None:
-        """Wait until a configuration is known, or patience has ended."""
-        if self.routes is None:
-            with trio.move_on_after(patience):
-                await self._routes_known.wait()
+        """Wait until routes and targets are known, or patience has ended."""
+        if self.routes is not None and self.targets.known.is_set():
+            return
+        with trio.move_on_after(patience):
+            await self._routes_known.wait()
+            await self.targets.known.wait()
 
     def listen_routes(self, listener: Callable[[], None]) -> None:
         """Call a function after each new configuration."""
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -222,6 +222,7 @@
             lambda: routes.CallerLimits(header_timeout=0.3),
             self.relay.serve,
             lambda: self.state.leaving,
+            lambda: self.state.closing,
         )
         self.nursery.start_soon(connection.run)
         return ours, connection
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -93,3 +93,34 @@
         answer = await stubs.read_all(busy)
         assert b"connection: close" in answer.lower()
         assert answer.endswith(b"ok")
+
+
+async def test_a_kept_connection_takes_nothing_just_before_the_end():
+    """A caller's answer began before the gateway was told to stop, so it did
+    not say that the connection would close.  It ends seconds later, and the
+    caller sends its next request at once, which ran at an engine and was cut
+    off in the middle when the grace time ended.
+    """
+
+    async def write_slowly(_, stream):
+        first = stubs.chunk(stubs.make_events(1, 1))
+        await stream.send_all(stubs.STREAM + first)
+        await trio.sleep(0.3)
+        await stream.send_all(stubs.chunk(stubs.make_events(2, 2)))
+        await stream.send_all(stubs.END)
+
+    async with stubs.open_stage() as stage:
+        stub = await stage.add("i-1", write_slowly, layers=(0, 80))
+        stream, _ = await stage.connect()
+        request = stubs.make_request(
+            "/stream/1", "POST", b"x", connection="keep-alive"
+        )
+        await stream.send_all(request)
+        data = await stream.receive_some()
+        stage.state.leaving = stage.state.closing = True
+        while not data.endswith(stubs.END):
+            data += await stream.receive_some()
+        await stream.send_all(request)
+        with trio.fail_after(2.0):
+            assert await stream.receive_some() == b""
+        assert len(stub.requests) == 1
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -70,6 +70,22 @@
         assert (await stage.ask("/get/1")).endswith(b"ok")
 
 
+async def test_a_caller_waits_for_the_first_list_of_targets():
+    """A process has just started and knows the routes, but no targets yet;
+    the list follows a moment later.  Refusing the caller for want of a
+    target would be the second refusal of many, which is final for them.
+    """
+    async with stubs.open_stage() as stage:
+
+        async def list_target():
+            await trio.sleep(0.2)
+            answer = stubs.make_answer(b"ok")
+            await stage.add("i-1", stubs.answer_with(answer))
+
+        stage.nursery.start_soon(list_target)
+        assert (await stage.ask("/get/1")).endswith(b"ok")
+
+
 async def test_an_idempotent_request_runs_elsewhere_after_a_reset():
     """The first target runs the request and its answer is lost.  Another
     one is asked, and the caller sees one whole answer.
