--- a/soak/play.py
+++ b/soak/play.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from magnoliacove import errors
 from magnoliacove import web
 from magnoliacove.standins import object_api
 from soak.callers import KINDS
@@ -26,6 +27,7 @@
 # Pauses between two faults, seconds; a fault lasts up to four, so several
 # are there at a time.
 _PAUSES = (0.2, 1.5)
+_WRITE_AGAIN = 0.05
 # After the last fault everything must serve again within so many seconds.
 _RECOVERY = 8.0
 _ENGINE = {
@@ -136,7 +138,7 @@
         if name.startswith("llm"):
             entry["kind"] = "big"
             entry["layers"] = {"from": 0, "to": 80, "version": 1}
-        await self._store.put(f"servers/{name}", json.dumps(entry).encode())
+        await self._write(f"servers/{name}", entry)
 
     async def _write_configuration(self) -> None:
         self._version += self._rng.randrange(1, 5)
@@ -176,7 +178,18 @@
             ],
             "limits": {},
         }
-        await self._store.put("config/main", json.dumps(value).encode())
+        await self._write("config/main", value)
+
+    async def _write(self, name: str, value: dict[str, object]) -> None:
+        """Write an object, again and again while the store is away."""
+        while True:
+            try:
+                await self._store.put(name, json.dumps(value).encode())
+                return
+            except errors.PlatformError:
+                # Refused, or done without an answer: a second write of the
+                # same value does no harm.
+                await trio.sleep(_WRITE_AGAIN)
 
     # Faults.
 
@@ -285,29 +298,16 @@
         name = self._rng.choice(sorted(self._proxies))
         proxy = self._proxies[name]
         if self._rng.random() < 0.5:
-            await self._try_write(name, "draining")
+            await self._write_entry(name, "draining")
             await trio.sleep(self._rng.uniform(0.5, 2.0))
         proxy.refuse = True
         proxy.reset_all()
         await trio.sleep(self._rng.uniform(0.5, 3.0))
         proxy.refuse = False
-        await self._try_write(name, "ready")
-
-    async def _try_write(self, name: str, state: str) -> None:
-        """Write a target's entry, whatever the store's faults are."""
-        outage, self._store.faults.outage = self._store.faults.outage, False
-        lost, self._store.faults.lost_answers = (
-            self._store.faults.lost_answers,
-            0,
-        )
-        await self._write_entry(name, state)
-        self._store.faults.outage = outage
-        self._store.faults.lost_answers = lost
+        await self._write_entry(name, "ready")
 
     async def _change_configuration(self) -> None:
-        if not self._store.faults.outage:
-            self._store.faults.lost_answers = 0
-            await self._write_configuration()
+        await self._write_configuration()
 
     # After the faults.
 
