Let the soak ask for reloads only once a process has begun

A SIGHUP in the interpreter's own start ends the process with -1 (tried after 5 and 20 ms), before any line of ours; after 0.4 s the program goes on.

Change: the soak reads from the process's signal masks whether it has taken its first step, and names the exit code of a process that ended by itself. The check itself is as strict.

--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -23,7 +23,7 @@
     """One gateway on a loopback address of its own.
 
     :param stopping: whether it was told to end and has not yet.
-    :param unplanned: how often it ended by itself.
+    :param unplanned: the exit codes with which it ended by itself.
     """
 
     def __init__(
@@ -33,7 +33,7 @@
         self.host = f"127.0.0.{10 + number}"
         self.callers_port, self.ready_port, self.peer_port = ports
         self.stopping = False
-        self.unplanned = 0
+        self.unplanned: list[int] = []
         self._log = folder / f"{self.name}.log"
         self._settings = folder / f"{self.name}.json"
         self._process: subprocess.Popen[bytes] | None = None
@@ -79,12 +79,30 @@
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
 
+    def reload(self) -> None:
+        """Ask the process to read its settings again.
+
+        Not before its first own step: until then the interpreter starts,
+        and the signal's default ends it whatever the program does.
+        """
+        if self._process is None or self._process.poll() is not None:
+            return
+        status = pathlib.Path(f"/proc/{self._process.pid}/status")
+        masks = dict(
+            line.split(":\t", 1)
+            for line in status.read_text().splitlines()
+            if line.startswith(("SigIgn", "SigCgt"))
+        )
+        hangup = 1 << (signal.SIGHUP - 1)
+        if any(int(mask, 16) & hangup for mask in masks.values()):
+            self.send(signal.SIGHUP)
+
     def check_alive(self) -> None:
         """Start the process again if it ended by itself."""
         if self._process is None or self._process.poll() is None:
             return
         if not self.stopping:
-            self.unplanned += 1
+            self.unplanned.append(self._process.returncode)
         self.start()
 
     async def end(self, number: signal.Signals) -> None:
--- a/soak/play.py
+++ b/soak/play.py
@@ -107,9 +107,11 @@
             nursery.cancel_scope.cancel()
         self._callers.check_refused()
         self._callers.check_runs()
-        ended = [g.name for g in self._gateways if g.unplanned]
-        if ended:
-            self._callers.broken.append(f"{ended} ended by themselves")
+        for gateway in self._gateways:
+            if gateway.unplanned:
+                self._callers.broken.append(
+                    f"{gateway.name} ended by itself with {gateway.unplanned}"
+                )
         return self._callers.broken
 
     async def _start_outside(self, nursery: trio.Nursery) -> None:
@@ -257,7 +259,7 @@
         self._busy.discard(gateway.name)
 
     async def _reload(self) -> None:
-        self._rng.choice(self._gateways).send(signal.SIGHUP)
+        self._rng.choice(self._gateways).reload()
 
     async def _lose_store(self) -> None:
         self._store.faults.outage = True
