Leave an engine alone that breaks off streams while its reports are good

From 6.3 s on the quickest engine reset every stream while its reports and its health check were good. 1,179 paths of six seconds began there; each was led elsewhere for its one request only, and when the budget of repeats was used up (860 times "the connection was reset") streams failed.

Ruled out: a lost engine; its reports came, and others' streams passed it.

Test first red: resets and failures of the quicker of two engines; 12 of 12 streams were sent there, at most 3 now.

--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -274,7 +274,7 @@
                     ran = sent or why.outcome is not errors.Outcome.NOT_RUN
                     if not ran:
                         self._state.health.suspect(target.name, str(why))
-                    self._hold.avoid(target.name)
+                    self._note_trouble(target)
                     raise BrokenRunError(str(why), ran) from why
         finally:
             self._scope = None
@@ -338,18 +338,25 @@
                 f"{marks.faulty or 'the first engine'}",
                 False,
             )
+        if self.first_target is not None:
+            self._note_trouble(self.first_target)
         passed = answer if marks.stamped and answer.status >= 400 else None
         raise BrokenRunError(
             f"the engine answered {answer.status}", True, passed, body
         )
 
+    def _note_trouble(self, target: ListedTarget) -> None:
+        """Keep this stream, and new ones for a while, off an engine."""
+        self._hold.avoid(target.name)
+        self._state.candidates.note_trouble(target.name)
+
     async def _note_refusal(self, status: int, faulty: str) -> None:
         """Keep new requests off the engine that a refusal names."""
         state = self._state
         for target in state.targets.list_all():
             if str(target.address) == faulty:
                 self._hold.avoid(target.name)
-                state.candidates.note_refusal(target.name)
+                state.candidates.note_trouble(target.name)
                 state.recorder.record(
                     "engine-refused",
                     request=self.request,
--- a/magnoliacove/routing/candidates.py
+++ b/magnoliacove/routing/candidates.py
@@ -150,12 +150,15 @@
         """Return whether the pipe between data centres has room."""
         return self._loads.all_crossings < self.count_crossings(shape)
 
-    def note_refusal(self, target: str) -> None:
-        """Keep new requests off an engine that refused one for a while.
+    def note_trouble(self, target: str) -> None:
+        """Keep new requests off an engine that refused or broke off one.
 
         It had no room after all, or gives layers up, or leaves, and the
-        news of that is still on its way.  One that refuses again is left
-        alone for twice as long.
+        news of that is still on its way; or it resets requests while its
+        reports are good.  Nearly all paths begin at the quickest engine: a
+        thousand streams were sent to one that reset each of them, and used
+        up the budget of repeats.  One that does so again is left alone for
+        twice as long, so each gateway loses a few requests to it at most.
         """
         now = trio.current_time()
         pause, until = self._refused.get(target, _NEVER_REFUSED)
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -174,6 +174,25 @@
         assert "engine-refused" in stage.list_kinds()
 
 
+@pytest.mark.parametrize("failure", ["reset", "error"])
+async def test_an_engine_that_fails_streams_is_left_alone(failure):
+    """The quickest engine resets each stream, or answers 500, while its
+    reports and its health check are good.  Every path began there, and the
+    budget of repeats was used up within a second; then all streams failed.
+    """
+    error = b"HTTP/1.1 500 Oops\r\nx-response-stamp: s\r\n"
+    failing = {
+        "reset": stubs.reset,
+        "error": stubs.answer_with(stubs.make_answer(b"", error)),
+    }[failure]
+    async with stubs.open_stage() as stage:
+        quick = await stage.add("i-1", failing, layers=(0, 80))
+        await stage.add("i-2", _stream(), layers=(0, 80), accelerator="a100s")
+        for _ in range(12):
+            assert _is_whole(await _ask(stage))
+        assert 1 <= len(quick.requests) <= 3
+
+
 async def test_no_room_is_refused_before_the_caller_leaves():
     """No engine holds the layers.  The caller would leave after two
     seconds; it is told before, and that nothing ran.
--- a/tests/routing/test_candidates.py
+++ b/tests/routing/test_candidates.py
@@ -81,7 +81,7 @@
     world.add("i-1", layers=(0, 8))
     pauses = []
     for _ in range(4):
-        world.candidates.note_refusal("i-1")
+        world.candidates.note_trouble("i-1")
         began = trio.current_time()
         while not world.list_names():
             await trio.sleep(0.05)
