Send a request and judge its answer in one place

Cause: calls and streams each wrote the same request to a target, read the head of its answer and checked that a target gave it; a path was searched for in two places with the same steps; the error of a stream that may have run stood twice; an engine that refused was kept away by a copy of the lines that keep one away which broke off.

Behaviour and tests are unchanged.

Checked: linter, types, the tests of the gateway and of routing.

--- a/magnoliacove/gateway/calls.py
+++ b/magnoliacove/gateway/calls.py
@@ -10,6 +10,9 @@
 from magnoliacove.gateway.channels import Answer
 from magnoliacove.gateway.channels import Channel
 from magnoliacove.gateway.channels import TargetError
+from magnoliacove.gateway.exchanges import is_genuine
+from magnoliacove.gateway.exchanges import read_answer
+from magnoliacove.gateway.exchanges import send_request
 from magnoliacove.gateway.requests import RoutedRequest
 from magnoliacove.gateway.requests import make_timeout
 from magnoliacove.gateway.state import GatewayState
@@ -120,7 +123,7 @@
         receive: "trio.MemoryReceiveChannel[_Result]",
     ) -> _Result:
         """Return the next result; ask a second target when it takes long."""
-        if self._may_hedge():
+        if self._may_run_again(self._routed.route.max_attempts):
             record = self._state.candidates.read_record(self._tried[-1])
             objective = self._routed.route.latency_objective
             delay = max(
@@ -132,15 +135,10 @@
                 self._start(nursery, send)
         return await receive.receive()
 
-    def _may_hedge(self) -> bool:
-        route = self._routed.route
+    def _may_run_again(self, most: int) -> bool:
+        """Return whether one more run may be begun, up to so many in all."""
         runs = len(self._ran) + len(self._working)
-        return route.repeatable and runs < route.max_attempts
-
-    def _may_run_again(self) -> bool:
-        """Return whether one more run may follow one that failed."""
-        runs = len(self._ran) + len(self._working)
-        return self._routed.route.repeatable and runs < _MOST_RUNS
+        return self._routed.route.repeatable and runs < most
 
     def _may_repeat(self, result: _Result) -> bool:
         """Return whether another target may be tried after this result."""
@@ -149,7 +147,7 @@
         if result.not_run:
             if len(self._tried) >= _MOST_REFUSALS + len(self._ran):
                 return False
-        elif not self._may_run_again():
+        elif not self._may_run_again(_MOST_RUNS):
             return False
         if result.error is not None and result.not_run:
             # Nothing arrived anywhere, so it counts as no repeat.
@@ -218,38 +216,21 @@
 
     async def _exchange_with(self, target: ListedTarget) -> _Result:
         state, routed = self._state, self._routed
-        request = routed.request
         # On a used connection a request may meet its closing, and whether
         # it ran is then unknown; one that may not run again gets its own.
         fresh = not routed.route.repeatable
         async with state.pool.use(target, fresh=fresh) as channel:
-            await channel.send(
-                request.method,
-                request.target,
-                headers.write_request(
-                    request.headers,
-                    target=target,
-                    account=routed.account,
-                    patience=routed.deadline - trio.current_time(),
-                    priority=routed.priority,
-                    last_event=routed.marks.last_event,
-                    body_length=len(request.body),
-                ),
-                request.body,
+            await send_request(
+                channel, target, routed, routed.marks.last_event
             )
             return await self._read_answer(target, channel)
 
     async def _read_answer(
         self, target: ListedTarget, channel: Channel
     ) -> _Result:
-        answer = await channel.read_head(
-            self._routed.marks.request,
-            lambda a: headers.read_answer(a.status, a.headers).request,
-        )
+        answer, marks = await read_answer(channel, self._routed.marks.request)
         body = await channel.read_rest()
-        marks = headers.read_answer(answer.status, answer.headers)
-        encoded = any(n == b"content-encoding" for n, _ in answer.headers)
-        if answer.status < 300 and (encoded or not marks.stamped):
+        if answer.status < 300 and not is_genuine(answer, marks):
             raise TargetError(
                 "the answer is not one of the service's targets",
                 errors.Outcome.MAY_HAVE_RUN,
--- /dev/null
+++ b/magnoliacove/gateway/exchanges.py
@@ -0,0 +1,64 @@
+"""Sending a caller's request to a target, and the head of its answer."""
+
+import trio
+
+from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.gateway.channels import Answer
+from magnoliacove.gateway.channels import Channel
+from magnoliacove.gateway.requests import RoutedRequest
+from magnoliacove.platform import headers
+from magnoliacove.routing.paths import Path
+
+__all__ = ["is_genuine", "read_answer", "send_request"]
+
+
+async def send_request(
+    channel: Channel,
+    target: ListedTarget,
+    routed: RoutedRequest,
+    last_event: str,
+    path: Path | None = None,
+) -> None:
+    """Send a request with what is left of its time.
+
+    :param last_event: the last event that the caller has, or "".
+    :param path: the engines that it is to pass through.
+    :raises magnoliacove.gateway.channels.TargetError: when the connection
+        breaks.
+    """
+    request = routed.request
+    await channel.send(
+        request.method,
+        request.target,
+        headers.write_request(
+            request.headers,
+            target=target,
+            account=routed.account,
+            patience=routed.deadline - trio.current_time(),
+            priority=routed.priority,
+            last_event=last_event,
+            path=path,
+            body_length=len(request.body),
+        ),
+        request.body,
+    )
+
+
+async def read_answer(
+    channel: Channel, request: str
+) -> tuple[Answer, headers.AnswerMarks]:
+    """Return the head of the answer to a request, and what it says.
+
+    :param request: the id of the request.
+    :raises magnoliacove.gateway.channels.TargetError: when none comes.
+    """
+    answer = await channel.read_head(
+        request, lambda a: headers.read_answer(a.status, a.headers).request
+    )
+    return answer, headers.read_answer(answer.status, answer.headers)
+
+
+def is_genuine(answer: Answer, marks: headers.AnswerMarks) -> bool:
+    """Return whether a target gave an answer, and its body unchanged."""
+    encoded = any(name == b"content-encoding" for name, _ in answer.headers)
+    return marks.stamped and not encoded
--- a/magnoliacove/gateway/holds.py
+++ b/magnoliacove/gateway/holds.py
@@ -1,5 +1,7 @@
 """The path that one stream holds, and its room on the engines."""
 
+from collections.abc import Collection
+
 from magnoliacove import errors
 from magnoliacove.configuration.routes import ModelShape
 from magnoliacove.directory.targets import ListedTarget
@@ -7,6 +9,7 @@
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.limits.load import Reservation
 from magnoliacove.routing.paths import Path
+from magnoliacove.routing.paths import PathCosts
 from magnoliacove.routing.paths import StageOption
 from magnoliacove.routing.paths import describe_bottlenecks
 from magnoliacove.routing.paths import find_path
@@ -54,37 +57,24 @@
         """
         state = self._state
         costs = state.candidates.make_costs(self.shape, *self.read_tokens())
-        may_cross = state.candidates.may_cross(self.shape)
-        options: list[StageOption] = []
         for avoided in (self._avoided, ()) if self._avoided else ((),):
-            options = state.candidates.list_options(
-                self._routed.service.name, self.shape, avoided
-            )
-            path = find_path(options, costs, self._list_firsts())
+            path = self._search(costs, avoided)
             first = state.targets.find(path.targets[0]) if path else None
             if path is None or first is None:
                 continue
-            if path.crossings and not may_cross:
-                continue
             self.path, self.first_target = path, first
             self._reservation = state.loads.reserve_path(path, costs.tokens)
             return path
-        self._note_waiting(options, costs.tokens, may_cross)
+        self._note_waiting(costs.tokens)
         return None
 
     def has_other_path(self) -> bool:
         """Return whether there is a path without the present first engine."""
         first = self.first_target
         avoided = {first.name} if first is not None else set()
-        state = self._state
-        costs = state.candidates.make_costs(self.shape, *self.read_tokens())
-        options = state.candidates.list_options(
-            self._routed.service.name, self.shape, avoided
-        )
-        path = find_path(options, costs, self._list_firsts())
-        return path is not None and (
-            not path.crossings or state.candidates.may_cross(self.shape)
-        )
+        candidates = self._state.candidates
+        costs = candidates.make_costs(self.shape, *self.read_tokens())
+        return self._search(costs, avoided) is not None
 
     def use(self) -> None:
         """Count the first engine as one that the request runs on."""
@@ -107,6 +97,24 @@
         self._told = False
         self._state.room.fill()
 
+    def _search(
+        self, costs: PathCosts, avoided: Collection[str]
+    ) -> Path | None:
+        """Return the best path that has room and may be taken, or None."""
+        options = self._list_options(avoided)
+        path = find_path(options, costs, self._list_firsts())
+        if path is None or not path.crossings:
+            return path
+        return path if self._may_cross() else None
+
+    def _list_options(self, avoided: Collection[str]) -> list[StageOption]:
+        return self._state.candidates.list_options(
+            self._routed.service.name, self.shape, avoided
+        )
+
+    def _may_cross(self) -> bool:
+        return self._state.candidates.may_cross(self.shape)
+
     def _list_firsts(self) -> frozenset[str] | None:
         """Return the engines that may be first, None when all may.
 
@@ -120,9 +128,7 @@
         )
         return used if len(used) >= self._routed.route.max_attempts else None
 
-    def _note_waiting(
-        self, options: list[StageOption], tokens: float, may_cross: bool
-    ) -> None:
+    def _note_waiting(self, tokens: float) -> None:
         if self._told:
             return
         self._told = True
@@ -130,10 +136,12 @@
             "request-waiting",
             request=self._routed.marks.request,
             why="no path has room"
-            if may_cross
+            if self._may_cross()
             else "no path has room, and the pipe between data centres is full",
             tokens=round(tokens),
-            room=describe_bottlenecks(options, self.shape.layers),
+            room=describe_bottlenecks(
+                self._list_options(()), self.shape.layers
+            ),
             waiting=self._state.room.waiting,
             avoided=sorted(self._avoided),
         )
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -19,6 +19,9 @@
 from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.delivery import BrokenRunError
 from magnoliacove.gateway.delivery import EventDelivery
+from magnoliacove.gateway.exchanges import is_genuine
+from magnoliacove.gateway.exchanges import read_answer
+from magnoliacove.gateway.exchanges import send_request
 from magnoliacove.gateway.holds import PathHold
 from magnoliacove.gateway.requests import RoutedRequest
 from magnoliacove.gateway.requests import make_timeout
@@ -187,16 +190,10 @@
 
     def _make_hopeless(self) -> errors.RequestError:
         """Return the error for a caller that leaves before any event."""
-        ran = self._runs > 0
-        return errors.RequestError(
-            "too_late",
-            "no path could bring an event before the caller leaves",
-            status=504 if ran else 503,
-            outcome=errors.Outcome.MAY_HAVE_RUN
-            if ran
-            else errors.Outcome.NOT_RUN,
-            retry_after=None if ran else _RETRY_AFTER,
-        )
+        why = "no path could bring an event before the caller leaves"
+        if self._runs:
+            return _make_uncertain("too_late", why, 504)
+        return errors.RequestError("too_late", why, retry_after=_RETRY_AFTER)
 
     def _may_go_on(self, failure: BrokenRunError) -> bool:
         """Return whether another path may be tried."""
@@ -236,16 +233,12 @@
             copied = headers.copy_answer(answer.headers)
             await self._exchange.answer(answer.status, copied, failure.body)
             return
-        ran = self._runs > 0
-        raise errors.RequestError(
-            "stream_failed" if ran else "refused",
-            f"no path of engines brought the stream to its end: {failure.why}",
-            status=502 if ran else 503,
-            outcome=errors.Outcome.MAY_HAVE_RUN
-            if ran
-            else errors.Outcome.NOT_RUN,
-            retry_after=None if ran else _RETRY_AFTER,
+        why = (
+            f"no path of engines brought the stream to its end: {failure.why}"
         )
+        if self._runs:
+            raise _make_uncertain("stream_failed", why, 502)
+        raise errors.RequestError("refused", why, retry_after=_RETRY_AFTER)
 
     # One path.
 
@@ -286,37 +279,17 @@
         self, target: ListedTarget, path: Path
     ) -> AsyncIterator[Channel]:
         """Send the request on a connection that is closed if it breaks."""
-        state, routed = self._state, self._routed
-        request = routed.request
-        async with state.pool.use(target) as channel:
-            await channel.send(
-                request.method,
-                request.target,
-                headers.write_request(
-                    request.headers,
-                    target=target,
-                    account=routed.account,
-                    patience=routed.deadline - trio.current_time(),
-                    priority=routed.priority,
-                    last_event=self._delivery.last_event,
-                    path=path,
-                    body_length=len(request.body),
-                ),
-                request.body,
+        async with self._state.pool.use(target) as channel:
+            await send_request(
+                channel, target, self._routed, self._delivery.last_event, path
             )
             yield channel
 
     async def _read_stream(self, channel: Channel) -> None:
-        answer = await channel.read_head(
-            self.request,
-            lambda a: headers.read_answer(a.status, a.headers).request,
-        )
-        marks = headers.read_answer(answer.status, answer.headers)
+        answer, marks = await read_answer(channel, self.request)
         if answer.status != 200:
             await self._take_failure(channel, answer, marks)
-        if not marks.stamped or any(
-            name == b"content-encoding" for name, _ in answer.headers
-        ):
+        if not is_genuine(answer, marks):
             raise BrokenRunError("the answer is not one of the model's", True)
         self._delivery.begin_run(answer)
         while (part := await channel.read_body()) is not None:
@@ -355,8 +328,7 @@
         state = self._state
         for target in state.targets.list_all():
             if str(target.address) == faulty:
-                self._hold.avoid(target.name)
-                state.candidates.note_trouble(target.name)
+                self._note_trouble(target)
                 state.recorder.record(
                     "engine-refused",
                     request=self.request,
@@ -396,3 +368,10 @@
             runs=self._runs + 1,
             seconds=round(now - arrived, 3),
         )
+
+
+def _make_uncertain(code: str, why: str, status: int) -> errors.RequestError:
+    """Return the error for a stream that an engine may have run."""
+    return errors.RequestError(
+        code, why, status=status, outcome=errors.Outcome.MAY_HAVE_RUN
+    )
