Name the log level's flag once, and give the callers' application its runs

Cause: the flag of the log level stood in two commands; CallersApp took seven things only to hand them to ServiceRuns, and an alias of its budget; three tests of streams and two of the gateway's command repeated their frame.

The assertions are the same; a program that fails in test_gateway is told by its standard error now.

Checked: linter, types, the tests of gateway, commands and entry.

--- a/magnoliacove/commands/gateway_command.py
+++ b/magnoliacove/commands/gateway_command.py
@@ -36,14 +36,7 @@
     show_envvar=True,
     help="Where /metrics is served on this instance's address; 0 for none.",
 )
-@click.option(
-    "--log-level",
-    type=click.Choice(["DEBUG", "INFO", "WARNING", "ERROR"]),
-    default="INFO",
-    show_default=True,
-    show_envvar=True,
-    help="The lowest level that is logged.",
-)
+@settings.log_level_option
 @click.option(
     "--check",
     is_flag=True,
--- a/magnoliacove/entry/callers.py
+++ b/magnoliacove/entry/callers.py
@@ -14,8 +14,6 @@
 
 from magnoliacove import configuration
 from magnoliacove import errors
-from magnoliacove import limits
-from magnoliacove import routing
 from magnoliacove import web
 from magnoliacove.directory import View
 from magnoliacove.entry import openai
@@ -53,11 +51,9 @@
         self,
         view: View,
         pool: TargetPool,
-        chooser: routing.ChainChooser,
+        runs: ServiceRuns,
         recorder: Recorder,
         meters: Meters,
-        admission: limits.Admission,
-        rates: limits.RateLimit,
         is_leaving: Callable[[], bool],
     ) -> None:
         self.in_progress = 0
@@ -68,11 +64,8 @@
         self._pool = pool
         self._recorder = recorder
         self._meters = meters
-        self._runs = ServiceRuns(
-            view, pool, chooser, recorder, meters, admission, rates
-        )
-        self.budget = self._runs.budget
-        self._pipelines = Pipelines(view, self._runs, self._find_service)
+        self._runs = runs
+        self._pipelines = Pipelines(view, runs, self._find_service)
         self._is_leaving = is_leaving
         self._keys: dict[str, configuration.ClientAccount] = {}
         self._keys_version = -1
--- a/magnoliacove/entry/process.py
+++ b/magnoliacove/entry/process.py
@@ -19,6 +19,7 @@
 from magnoliacove.entry.callers import CallersApp
 from magnoliacove.entry.distribution import Distribution
 from magnoliacove.entry.pool import TargetPool
+from magnoliacove.entry.runs import ServiceRuns
 from magnoliacove.metrics import Meters
 from magnoliacove.metrics import serve_meters
 from magnoliacove.operators.service import OperatorsApp
@@ -69,7 +70,7 @@
         self._parts = parts
         self._meters = Meters(self._read_gauges, self._is_ready)
         self.admission = limits.Admission(lambda: parts.room)
-        self.app = CallersApp(
+        self.runs = ServiceRuns(
             self.process.view,
             self.pool,
             parts.chooser or routing.ExpectedDelay(),
@@ -77,6 +78,13 @@
             self._meters,
             self.admission,
             limits.RateLimit(self._count_entries),
+        )
+        self.app = CallersApp(
+            self.process.view,
+            self.pool,
+            self.runs,
+            self.process.recorder,
+            self._meters,
             lambda: self.process.leaving,
         )
 
@@ -174,8 +182,8 @@
             "feed_subscribers": self.process.feed.subscribers,
             "distributor": float(self.distribution.lease.held),
             "store_reachable": float(self.process.store.reachable),
-            "retries_spent": self.app.budget.spent,
-            "retries_denied": self.app.budget.denied,
+            "retries_spent": self.runs.budget.spent,
+            "retries_denied": self.runs.budget.denied,
             "requests_in_progress": self.app.in_progress,
             **limits.describe_admission(self.admission),
         }
--- a/magnoliacove/settings.py
+++ b/magnoliacove/settings.py
@@ -21,6 +21,7 @@
     "PREFIX",
     "AddressType",
     "bind",
+    "log_level_option",
     "make_network",
     "process_options",
     "read_identity",
@@ -48,6 +49,14 @@
 
 
 _ADDRESS = AddressType()
+log_level_option = click.option(
+    "--log-level",
+    type=click.Choice(["DEBUG", "INFO", "WARNING", "ERROR"]),
+    default="INFO",
+    show_default=True,
+    show_envvar=True,
+    help="The lowest level that is logged.",
+)
 
 
 def process_options(command: Callable[..., Any]) -> Callable[..., Any]:
@@ -99,14 +108,7 @@
             show_envvar=True,
             help="Where /metrics, /healthz and /readyz are served.",
         ),
-        click.option(
-            "--log-level",
-            type=click.Choice(["DEBUG", "INFO", "WARNING", "ERROR"]),
-            default="INFO",
-            show_default=True,
-            show_envvar=True,
-            help="The lowest level that is logged.",
-        ),
+        log_level_option,
     ]
     return _add(tls_options(command), options)
 
--- a/tests/commands/test_gateway.py
+++ b/tests/commands/test_gateway.py
@@ -35,6 +35,16 @@
     return dict(re.findall(r"^([A-Za-z0-9-]+)==(\S+)$", text, re.M))
 
 
+def _run_code(code):
+    """Run some lines in an interpreter of their own."""
+    return subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        cwd=_ROOT,
+    )
+
+
 def test_deployed_libraries_have_the_versions_that_are_tested():
     deployed = _read_pins("deploy/requirements.txt")
     locked = _read_pins("requirements.lock")
@@ -52,13 +62,9 @@
         "import hypercorn.config, hypercorn.trio;"
         "print('\\n'.join({m.partition('.')[0] for m in sys.modules}))"
     )
-    loaded = subprocess.run(
-        [sys.executable, "-c", code],
-        capture_output=True,
-        text=True,
-        check=True,
-        cwd=_ROOT,
-    ).stdout.split()
+    result = _run_code(code)
+    assert result.returncode == 0, result.stderr
+    loaded = result.stdout.split()
     absent = {"grpc", "openai", "httpx2", "connectrpc", "pydantic", "pytest"}
     assert not absent & set(loaded)
 
@@ -79,10 +85,5 @@
         "from magnoliacove.commands import gateway;"
         "gateway.main()"
     )
-    result = subprocess.run(
-        [sys.executable, "-c", code],
-        capture_output=True,
-        text=True,
-        cwd=_ROOT,
-    )
+    result = _run_code(code)
     assert (result.returncode, result.stdout) == (0, "alive\n")
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -1,5 +1,6 @@
 """Streams over paths of engines: whole, in order, once, whatever breaks."""
 
+import contextlib
 import json
 import re
 
@@ -25,6 +26,19 @@
     return await stage.ask(path, method="POST", **{**_HEADERS, **headers})
 
 
+@contextlib.asynccontextmanager
+async def _asking(stage):
+    """Ask for a stream while the block runs; give the list of its answer."""
+    answers = []
+
+    async def ask():
+        answers.append(await _ask(stage))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask)
+        yield answers
+
+
 def _stream(last=6, *, cut_after=0, cut_inside=False, then=None):
     """Return a script that streams events, from where it is asked to.
 
@@ -76,18 +90,12 @@
     async with stubs.open_stage() as stage:
         dying = _stream(cut_after=3, cut_inside=cut_inside)
         await stage.add("i-1", dying, layers=(0, 80))
-        answer_task = []
-
-        async def ask():
-            answer_task.append(await _ask(stage))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
+        async with _asking(stage) as answers:
             await trio.sleep(0.01)
             other = await stage.add("i-2", _stream(), layers=(0, 80))
-        assert _read_ids(answer_task[0]) == [1, 2, 3, 4, 5, 6]
-        assert _is_whole(answer_task[0])
-        assert answer_task[0].count(b"HTTP/1.1") == 1
+        assert _read_ids(answers[0]) == [1, 2, 3, 4, 5, 6]
+        assert _is_whole(answers[0])
+        assert answers[0].count(b"HTTP/1.1") == 1
         assert other.requests[0].headers["last-event-id"] == "3"
 
 
@@ -255,13 +263,7 @@
         silent = _stream(cut_after=3, then=stubs.stay_silent)
         await stage.add("i-1", silent, layers=(0, 80))
         began = trio.current_time()
-        answers = []
-
-        async def ask():
-            answers.append(await _ask(stage))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
+        async with _asking(stage) as answers:
             await trio.sleep(0.1)
             await stage.add("i-2", _stream(), layers=(0, 80))
         assert _read_ids(answers[0]) == [1, 2, 3, 4, 5, 6]
@@ -298,13 +300,7 @@
     """
     async with stubs.open_stage() as stage:
         await stage.add("i-1", _stream(cut_after=3), layers=(0, 80))
-        answers = []
-
-        async def ask():
-            answers.append(await _ask(stage))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
+        async with _asking(stage) as answers:
             await trio.sleep(0.1)
             stage.state.targets.remove("i-1", 2)
             await trio.sleep(1.7)
