Cut an agent's runner into rooms, and what a stream sends from the stream

Change: caches.py moves KV caches, suspicion.py decides on an engine that failed, pace.py learns its times, a stage says when it is needed no longer; entry/stages.py sends to the agents of a chain and counts the stream there.

Checked: linter, types, the tests of agent and entry.

--- /dev/null
+++ b/magnoliacove/agent/caches.py
@@ -0,0 +1,97 @@
+"""Moving a stage's KV cache from one agent to another."""
+
+from typing import Protocol
+
+from magnoliacove import targets
+from magnoliacove.agent.stages import Output
+from magnoliacove.agent.stages import Stage
+from magnoliacove.timeline import Recorder
+from magnoliacove.wire import messages
+
+__all__ = ["CacheSource", "export_cache", "import_cache"]
+
+
+class CacheSource(Protocol):
+    """Fetches caches from other agents."""
+
+    async def fetch_cache(
+        self, address: str, request: messages.FetchCache
+    ) -> messages.Cache | None:
+        """Take a stage's KV cache from another agent, or None."""
+
+
+async def import_cache(
+    stage: Stage,
+    engine: targets.Engine,
+    source: CacheSource,
+    recorder: Recorder,
+) -> None:
+    """Begin a stage with the cache of the agent that held it before.
+
+    Without one the stage stays empty and its steps are replayed.
+    """
+    request = messages.FetchCache(stage.stream, stage.attempt)
+    address = stage.opened.import_address
+    cache = await source.fetch_cache(address, request)
+    if cache is None or not cache.found:
+        # Without the export the neighbour's kept outputs rebuild the
+        # cache: slower, and the caller sees the same answer.
+        recorder.record(
+            "cache-not-imported",
+            request=stage.stream,
+            why=f"{address} gave none; the steps are replayed instead",
+        )
+        return
+    try:
+        await engine.import_cache(
+            stage.engine_stream, cache.next_step, cache.data
+        )
+    except targets.EngineError as why:
+        recorder.record(
+            "cache-not-imported", request=stage.stream, why=str(why)
+        )
+        return
+    stage.next_step = cache.next_step
+    first = cache.next_step - len(cache.outputs)
+    for index, data in enumerate(cache.outputs):
+        stage.keep(_unpack(first + index, data))
+    recorder.record(
+        "cache-imported", request=stage.stream, steps=cache.next_step
+    )
+
+
+async def export_cache(
+    stage: Stage,
+    engine: targets.Engine,
+    recorder: Recorder,
+    request: messages.FetchCache,
+) -> messages.Cache | None:
+    """Return a stage's cache for the agent that takes it over, or None.
+
+    The stage runs no further step, whether it can be exported or not.
+    """
+    # The stage must not apply another step once its cache is copied:
+    # the copy would lack it and the layers would run it twice.
+    stage.attempt = request.attempt
+    stage.inbox.clear()
+    await stage.idle.wait()
+    try:
+        step, data = await engine.export_cache(stage.engine_stream)
+    except targets.EngineError as why:
+        recorder.record(
+            "cache-not-exported", request=stage.stream, why=str(why)
+        )
+        return None
+    kept = tuple(_pack(output) for output in stage.outputs)
+    recorder.record("cache-exported", request=stage.stream, steps=step)
+    return messages.Cache(
+        request.stream, request.attempt, step, data, kept, True
+    )
+
+
+def _pack(output: Output) -> bytes:
+    return bytes([output.token, output.end]) + output.data
+
+
+def _unpack(step: int, data: bytes) -> Output:
+    return Output(step, data[2:], bool(data[0]), bool(data[1]))
--- a/magnoliacove/agent/runner.py
+++ b/magnoliacove/agent/runner.py
@@ -10,26 +10,20 @@
 from magnoliacove import errors
 from magnoliacove import targets
 from magnoliacove import wire
+from magnoliacove.agent.caches import CacheSource
+from magnoliacove.agent.caches import export_cache
+from magnoliacove.agent.caches import import_cache
+from magnoliacove.agent.pace import EnginePace
 from magnoliacove.agent.stages import Output
 from magnoliacove.agent.stages import Stage
+from magnoliacove.agent.suspicion import EngineSuspicion
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire import messages
 
 __all__ = ["Neighbours", "StageRunner"]
 
-# How long a stage is kept after its entry's connection was lost.  The
-# entry comes back on a new connection well before this if it still lives.
-_ORPHAN_GRACE = 10.0
-# A stage that is fed nothing for so long belongs to an entry that died
-# without a word; its memory is needed by others.
-_UNFED_MOST = 90.0
-_SMOOTHING = 0.05
-_PATIENCE_FACTOR = 10.0
-_SUSPENSION_FIRST = 2.0
-_SUSPENSION_MOST = 30.0
 
-
-class Neighbours(Protocol):
+class Neighbours(CacheSource, Protocol):
     """Sends to other agents."""
 
     def send_step(self, name: str, address: str, item: messages.Step) -> None:
@@ -38,11 +32,6 @@
         :raises magnoliacove.errors.PeerError: when it is not connected.
         """
 
-    async def fetch_cache(
-        self, address: str, request: messages.FetchCache
-    ) -> messages.Cache | None:
-        """Take a stage's KV cache from another agent, or None."""
-
 
 class StageRunner:
     """The stages of one model engine.
@@ -64,16 +53,8 @@
         most_streams: int = defaults.STREAMS_PER_ENGINE,
     ) -> None:
         self.stages: dict[bytes, Stage] = {}
-        self.batch_seconds = 0.0
-        self.stay_seconds = 0.0
         self.steps_dropped = 0
-        # New streams would meet the same end at an engine that has just
-        # failed or hung, each after its own time-out.
-        # After a pause and a call that the engine answers, one stream may
-        # try; its first output ends the suspicion.
-        self._suspect = False
-        self._suspended = False
-        self._suspicion = trio.Event()
+        self._suspicion = EngineSuspicion(name, engine, recorder)
         self._batches: set[trio.CancelScope] = set()
         self.steps_run = 0
         self._name = name
@@ -81,7 +62,7 @@
         self._neighbours = neighbours
         self._recorder = recorder
         self._is_leaving = is_leaving
-        self._count_layers = count_layers
+        self._pace = EnginePace(count_layers)
         self._most_streams = most_streams
         self._ready: dict[Stage, None] = {}
         self._work = trio.Event()
@@ -93,7 +74,7 @@
         return messages.Load(
             len(self.stages),
             len(self._ready),
-            math.ceil(self.stay_seconds * 1e6),
+            math.ceil(self._pace.stay_seconds * 1e6),
             self._is_leaving(),
         )
 
@@ -103,7 +84,7 @@
             for _ in range(defaults.CONCURRENT_BATCHES):
                 nursery.start_soon(self._run_batches)
             nursery.start_soon(self._drop_orphans)
-            nursery.start_soon(self._probe_engine)
+            nursery.start_soon(self._suspicion.run)
 
     # Opening and closing.
 
@@ -123,7 +104,7 @@
         if self._is_leaving():
             self._refuse(entry, request, "draining", "this instance leaves;")
             return
-        if self._suspect and (self._suspended or self.stages):
+        if self._suspicion.forbids(bool(self.stages)):
             self._refuse(entry, request, "engine_failing", "the engine fails;")
             return
         if len(self.stages) >= self._most_streams:
@@ -139,7 +120,9 @@
         )
         self.stages[request.stream] = stage
         if request.import_address:
-            await self._import(stage)
+            await import_cache(
+                stage, self._engine, self._neighbours, self._recorder
+            )
         self._confirm(stage)
 
     async def _resume(
@@ -189,63 +172,18 @@
             ),
         )
 
-    async def _import(self, stage: Stage) -> None:
-        request = messages.FetchCache(stage.stream, stage.attempt)
-        address = stage.opened.import_address
-        cache = await self._neighbours.fetch_cache(address, request)
-        if cache is None or not cache.found:
-            # Without the export the neighbour's kept outputs rebuild the
-            # cache: slower, and the caller sees the same answer.
-            self._recorder.record(
-                "cache-not-imported",
-                request=stage.stream,
-                why=f"{address} gave none; the steps are replayed instead",
-            )
-            return
-        try:
-            await self._engine.import_cache(
-                stage.engine_stream, cache.next_step, cache.data
-            )
-        except targets.EngineError as why:
-            self._recorder.record(
-                "cache-not-imported", request=stage.stream, why=str(why)
-            )
-            return
-        stage.next_step = cache.next_step
-        first = cache.next_step - len(cache.outputs)
-        for index, data in enumerate(cache.outputs):
-            stage.keep(_unpack(first + index, data))
-        self._recorder.record(
-            "cache-imported", request=stage.stream, steps=cache.next_step
-        )
-
     async def export(self, request: messages.FetchCache) -> messages.Cache:
         """Give a stage's KV cache to the agent that takes it over."""
-        nothing = messages.Cache(
-            request.stream, request.attempt, 0, b"", (), False
-        )
         stage = self.stages.get(request.stream)
-        if stage is None or request.attempt <= stage.attempt:
-            return nothing
-        # The stage must not apply another step once its cache is copied:
-        # the copy would lack it and the layers would run it twice.
-        stage.attempt = request.attempt
-        stage.inbox.clear()
-        await stage.idle.wait()
-        try:
-            step, data = await self._engine.export_cache(stage.engine_stream)
-        except targets.EngineError as why:
-            self._recorder.record(
-                "cache-not-exported", request=stage.stream, why=str(why)
+        cache: messages.Cache | None = None
+        if stage is not None and request.attempt > stage.attempt:
+            cache = await export_cache(
+                stage, self._engine, self._recorder, request
             )
-            return nothing
-        kept = tuple(_pack(output) for output in stage.outputs)
-        self._recorder.record(
-            "cache-exported", request=stage.stream, steps=step
-        )
-        self._forget(stage, "moved")
-        return messages.Cache(
-            request.stream, request.attempt, step, data, kept, True
+            if cache is not None:
+                self._forget(stage, "moved")
+        return cache or messages.Cache(
+            request.stream, request.attempt, 0, b"", (), False
         )
 
     def close(self, request: messages.CloseStage) -> None:
@@ -310,7 +248,7 @@
                 continue
             started = trio.current_time()
             inputs = [item for _, items in batch for item in items]
-            patience = self._patience(inputs)
+            patience = self._pace.read_patience(inputs)
             outputs: tuple[targets.StepOutput, ...] = ()
             with trio.move_on_after(patience) as scope:
                 self._batches.add(scope)
@@ -333,22 +271,10 @@
                 for stage in tuple(self.stages.values()):
                     self._lose(stage, reason)
                 continue
-            self._suspect = False
-            took = trio.current_time() - started
-            self.batch_seconds = _smooth(self.batch_seconds, took, 0.2)
+            self._suspicion.note_output()
+            self._pace.note_batch(trio.current_time() - started)
             self._deliver(batch, outputs)
 
-    def _patience(self, inputs: list[targets.StepInput]) -> float:
-        """Return the seconds after which a batch counts as hanging.
-
-        A first step may hold a long prompt and is given longer.
-        """
-        base = defaults.ENGINE_TIMEOUT
-        if not self.batch_seconds or any(item.step == 0 for item in inputs):
-            base *= 4
-        expected = self.batch_seconds * len(inputs)
-        return max(base, _PATIENCE_FACTOR * expected)
-
     def _collect(self) -> list[tuple[Stage, list[targets.StepInput]]]:
         batch = []
         room = defaults.MAX_BATCH
@@ -363,19 +289,6 @@
                 room -= len(inputs)
         return batch
 
-    def _note_stay(self, stage: Stage) -> None:
-        """Learn how long a step stays here, waiting included.
-
-        The time of a batch alone would hide the wait before a full
-        engine: it does not grow beyond the largest batch, and entries
-        would go on sending.  It is scaled to all layers held here.
-        """
-        opened = stage.opened
-        layers = opened.end_layer - opened.first_layer
-        share = layers / max(layers, self._count_layers())
-        stay = (trio.current_time() - stage.accepted_at) / share
-        self.stay_seconds = _smooth(self.stay_seconds, stay, _SMOOTHING)
-
     def _deliver(
         self,
         batch: list[tuple[Stage, list[targets.StepInput]]],
@@ -390,13 +303,13 @@
                 self._lose(stage, output.error)
                 continue
             self.steps_run += 1
-            kept = _keep_output(output)
+            kept = Output.take(output)
             stage.keep(kept)
             if kept.step >= stage.send_from:
                 self._send(stage, kept)
         for stage, inputs in batch:
             if len(inputs) == 1 and not stage.closed:
-                self._note_stay(stage)
+                self._pace.note_stay(stage)
             stage.finish_inputs()
             if stage.inbox and not stage.closed:
                 self._ready[stage] = None
@@ -405,18 +318,10 @@
 
     def _send(self, stage: Stage, output: Output) -> None:
         if stage.last:
-            token = messages.Token(
-                stage.stream,
-                stage.attempt,
-                output.step,
-                output.data,
-                output.end,
-            )
+            token = stage.make_token(output)
             self._post(stage.entry, messages.Tokens((token,)))
             return
-        step = messages.Step(
-            stage.stream, stage.attempt, output.step, output.data
-        )
+        step = stage.make_step(output)
         name = stage.opened.next_name
         try:
             address = stage.opened.next_address
@@ -433,9 +338,7 @@
     ) -> None:
         # Whether the engine applied the steps is not known, so its caches
         # cannot be trusted: another step might run a layer twice.
-        self._suspect = self._suspended = True
-        self._suspicion.set()
-        self._recorder.record("engine-failed", target=self._name, why=reason)
+        self._suspicion.note_failure(reason)
         for stage, _ in batch:
             stage.finish_inputs()
             self._lose(stage, reason)
@@ -476,38 +379,14 @@
             # asks for what it missed.
             self.note_entry_lost(connection)
 
-    async def _probe_engine(self) -> None:
-        """Ask an engine that failed whether it answers again."""
-        pause = _SUSPENSION_FIRST
-        while True:
-            if not self._suspect:
-                pause = _SUSPENSION_FIRST
-            if not self._suspended:
-                self._suspicion = trio.Event()
-                await self._suspicion.wait()
-            await trio.sleep(pause)
-            pause = min(pause * 2, _SUSPENSION_MOST)
-            with trio.move_on_after(defaults.ENGINE_TIMEOUT):
-                try:
-                    await self._engine.read_load()
-                except targets.EngineError:
-                    continue
-                self._suspended = False
-                self._recorder.record("engine-answers", target=self._name)
-
     async def _drop_orphans(self) -> None:
         while True:
             await trio.sleep(1.0)
             now = trio.current_time()
             for stage in tuple(self.stages.values()):
-                orphaned = stage.orphaned_at
-                if now - stage.accepted_at > _UNFED_MOST and stage.next_step:
-                    self._forget(stage, "no step came for long")
-                    continue
-                if orphaned is not None and now - orphaned > _ORPHAN_GRACE:
-                    self._forget(stage, "its entry did not come back")
-                elif now > stage.deadline + _ORPHAN_GRACE:
-                    self._forget(stage, "its deadline passed")
+                reason = stage.find_expiry(now)
+                if reason:
+                    self._forget(stage, reason)
             await self._free()
 
     async def _free(self) -> None:
@@ -519,21 +398,3 @@
         except targets.EngineError:
             # The engine drops caches by itself when it runs out of room.
             return
-
-
-def _smooth(before: float, seconds: float, rate: float) -> float:
-    return before + rate * (seconds - before) if before else seconds
-
-
-def _keep_output(output: targets.StepOutput) -> Output:
-    if output.token is None:
-        return Output(output.step, output.payload)
-    return Output(output.step, output.token, True, output.end)
-
-
-def _pack(output: Output) -> bytes:
-    return bytes([output.token, output.end]) + output.data
-
-
-def _unpack(step: int, data: bytes) -> Output:
-    return Output(step, data[2:], bool(data[0]), bool(data[1]))
--- a/magnoliacove/agent/stages.py
+++ b/magnoliacove/agent/stages.py
@@ -19,6 +19,13 @@
 
 __all__ = ["Output", "Stage"]
 
+# How long a stage is kept after its entry's connection was lost.  The
+# entry comes back on a new connection well before this if it still lives.
+_ORPHAN_GRACE = 10.0
+# A stage that is fed nothing for so long belongs to an entry that died
+# without a word; its memory is needed by others.
+_UNFED_MOST = 90.0
+
 
 @dataclass(frozen=True, slots=True)
 class Output:
@@ -29,6 +36,13 @@
     token: bool = False
     end: bool = False
 
+    @classmethod
+    def take(cls, output: targets.StepOutput) -> "Output":
+        """Return what an engine's step gave."""
+        if output.token is None:
+            return cls(output.step, output.payload)
+        return cls(output.step, output.token, True, output.end)
+
 
 @dataclass(eq=False)
 class Stage:
@@ -115,6 +129,32 @@
         while self.kept_bytes > defaults.RETAINED_OUTPUT_BYTES:
             self.kept_bytes -= len(self.outputs.popleft().data)
 
+    def make_token(self, output: Output) -> messages.Token:
+        """Return an output as the entry is sent it."""
+        return messages.Token(
+            self.stream, self.attempt, output.step, output.data, output.end
+        )
+
+    def make_step(self, output: Output) -> messages.Step:
+        """Return an output as the next stage is sent it."""
+        return messages.Step(
+            self.stream, self.attempt, output.step, output.data
+        )
+
+    def find_expiry(self, now: float) -> str:
+        """Return why the stage is needed no longer, "" while it is.
+
+        :param now: by trio's clock.
+        """
+        if now - self.accepted_at > _UNFED_MOST and self.next_step:
+            return "no step came for long"
+        orphaned = self.orphaned_at
+        if orphaned is not None and now - orphaned > _ORPHAN_GRACE:
+            return "its entry did not come back"
+        if now > self.deadline + _ORPHAN_GRACE:
+            return "its deadline passed"
+        return ""
+
     def list_outputs(self, from_step: int) -> list[Output] | None:
         """Return the outputs from a step on, or None when dropped."""
         if from_step >= self.next_step:
--- a/magnoliacove/entry/runs.py
+++ b/magnoliacove/entry/runs.py
@@ -14,8 +14,8 @@
 from magnoliacove.entry.exchange import Exchange
 from magnoliacove.entry.exchange import read_key
 from magnoliacove.entry.pool import TargetPool
+from magnoliacove.entry.stages import StreamRequest
 from magnoliacove.entry.streams import Stream
-from magnoliacove.entry.streams import StreamRequest
 from magnoliacove.metrics import Meters
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire import messages
--- /dev/null
+++ b/magnoliacove/entry/stages.py
@@ -0,0 +1,121 @@
+"""What a stream sends to the agents that hold the stages of its chain."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import trio
+
+from magnoliacove import errors
+from magnoliacove.entry.pool import TargetPool
+from magnoliacove.entry.replanning import ChainLost
+from magnoliacove.entry.replanning import HeldChain
+from magnoliacove.wire import messages
+
+__all__ = ["StageSender", "StreamRequest"]
+
+
+@dataclass(frozen=True)
+class StreamRequest:
+    """What a caller asks of a model.
+
+    :param deadline: by trio's clock.
+    """
+
+    name: bytes
+    service: str
+    layers: int
+    account: str
+    prompt: bytes
+    max_tokens: int
+    priority: int
+    deadline: float
+    configuration_version: int
+
+
+class StageSender:
+    """Sends one stream's messages and counts it at the targets it uses.
+
+    :param address_of: returns a target's address by its name, or "".
+    """
+
+    def __init__(
+        self,
+        request: StreamRequest,
+        pool: TargetPool,
+        address_of: Callable[[str], str],
+    ) -> None:
+        self._request = request
+        self._pool = pool
+        self._address_of = address_of
+        self._counted: set[str] = set()
+
+    def uses(self, name: str) -> bool:
+        """Return whether the stream depends on an agent."""
+        return name in self._counted
+
+    def post(self, name: str, message: messages.Message) -> None:
+        """Send a message to one agent.
+
+        :raises ChainLost: when it is not connected.
+        """
+        try:
+            self._pool.post(name, message)
+        except errors.PeerError as why:
+            raise ChainLost(str(why), frozenset([name])) from why
+
+    def open_all(self, chain: HeldChain, attempt: int) -> None:
+        """Ask every agent of a chain to open or resume its stage.
+
+        :raises ChainLost: when one is not connected.
+        """
+        request, stages = self._request, chain.stages
+        remaining = request.deadline - trio.current_time()
+        for index, stage in enumerate(stages):
+            after = stages[index + 1] if index + 1 < len(stages) else None
+            name = stage.target
+            self._count(name)
+            message = messages.OpenStage(
+                request.name,
+                attempt,
+                request.service,
+                request.account,
+                stage.first_layer,
+                stage.end_layer,
+                self._address_of(after.target) if after else "",
+                after.target if after else "",
+                request.priority,
+                max(1, int(remaining * 1000)),
+                request.configuration_version,
+                name in chain.held,
+                chain.imports.get(name, ""),
+            )
+            self.post(name, message)
+
+    def replay_all(
+        self, chain: HeldChain, attempt: int, steps: Sequence[int]
+    ) -> None:
+        """Ask every agent to send its outputs from a step on.
+
+        :param steps: for each agent, the step from which it is to send.
+        :raises ChainLost: when one is not connected.
+        """
+        for name, step in zip(chain.names, steps, strict=True):
+            replay = messages.Replay(self._request.name, attempt, step)
+            self.post(name, replay)
+
+    def close_all(self, attempt: int, reason: str) -> None:
+        """Tell every agent that the stream needs its stage no longer."""
+        close = messages.CloseStage(self._request.name, attempt, reason)
+        for name in self._counted:
+            self._pool.estimates.target(name).own -= 1
+            try:
+                self._pool.post(name, close)
+            except errors.PeerError:
+                # It forgets the stage by itself.
+                continue
+
+    def _count(self, name: str) -> None:
+        if name not in self._counted:
+            self._counted.add(name)
+            self._pool.estimates.target(name).own += 1
--- a/magnoliacove/entry/streams.py
+++ b/magnoliacove/entry/streams.py
@@ -13,7 +13,6 @@
 from collections import deque
 from collections.abc import Awaitable
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import trio
 
@@ -27,10 +26,12 @@
 from magnoliacove.entry.replanning import ChainLost
 from magnoliacove.entry.replanning import ChainPlanner
 from magnoliacove.entry.replanning import HeldChain
+from magnoliacove.entry.stages import StageSender
+from magnoliacove.entry.stages import StreamRequest
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire import messages
 
-__all__ = ["Stream", "StreamRequest"]
+__all__ = ["Stream"]
 
 _OPEN_TIMEOUT = 1.0
 _IMPORT_TIMEOUT = 10.0
@@ -43,24 +44,6 @@
 Emit = Callable[[bytes, bool], Awaitable[None]]
 
 
-@dataclass(frozen=True)
-class StreamRequest:
-    """What a caller asks of a model.
-
-    :param deadline: by trio's clock.
-    """
-
-    name: bytes
-    service: str
-    layers: int
-    account: str
-    prompt: bytes
-    max_tokens: int
-    priority: int
-    deadline: float
-    configuration_version: int
-
-
 class _Stalled:
     """Tells a stream that its token is overdue."""
 
@@ -87,14 +70,13 @@
         )
         self._budget = budget
         self._recorder = recorder
-        self._address_of = address_of
+        self._stages = StageSender(request, pool, address_of)
         self._chain = HeldChain()
         self._inbox: deque[tuple[str, object]] = deque()
         self._arrived = trio.Event()
         self._fed_at = 0.0
         self._feeding = False
         self._ended = False
-        self._counted: set[str] = set()
         self._leaving_since: dict[str, float] = {}
 
     # What the pool calls.
@@ -106,7 +88,7 @@
 
     def uses(self, name: str) -> bool:
         """Return whether the stream depends on an agent."""
-        return name in self._counted
+        return self._stages.uses(name)
 
     # Running.
 
@@ -125,7 +107,8 @@
                 await self._run_to_end(emit)
         finally:
             self._pool.receivers.pop(request.name, None)
-            self._close_all("finished" if self._ended else "abandoned")
+            reason = "finished" if self._ended else "abandoned"
+            self._stages.close_all(self.attempt, reason)
         if not self._ended:
             raise errors.RequestError(
                 "deadline",
@@ -198,11 +181,12 @@
         self.attempt += 1
         self._feeding = False
         self._drop_old_messages()
-        self._send_opens()
+        self._stages.open_all(self._chain, self.attempt)
         steps = await self._collect_opened()
         if self.attempt > 1:
             self.resumed += 1
-            self._send_replays(steps)
+            wanted = [*steps[1:], len(self.tokens)]
+            self._stages.replay_all(self._chain, self.attempt, wanted)
         self._feed_from(steps[0])
         self._recorder.record(
             "chain-opened" if self.attempt == 1 else "stream-resumed",
@@ -278,34 +262,6 @@
         ]
         self._inbox = deque(kept)
 
-    def _send_opens(self) -> None:
-        request = self._request
-        stages = self._chain.stages
-        remaining = request.deadline - trio.current_time()
-        for index, stage in enumerate(stages):
-            after = stages[index + 1] if index + 1 < len(stages) else None
-            name = stage.target
-            self._count(name)
-            message = messages.OpenStage(
-                request.name,
-                self.attempt,
-                request.service,
-                request.account,
-                stage.first_layer,
-                stage.end_layer,
-                self._address_of(after.target) if after else "",
-                after.target if after else "",
-                request.priority,
-                max(1, int(remaining * 1000)),
-                request.configuration_version,
-                name in self._chain.held,
-                self._chain.imports.get(name, ""),
-            )
-            try:
-                self._pool.post(name, message)
-            except errors.PeerError as why:
-                raise ChainLost(str(why), frozenset([name])) from why
-
     async def _collect_opened(self) -> list[int]:
         """Return the step that each stage expects next."""
         steps: dict[str, int] = {}
@@ -351,15 +307,6 @@
             f"{source} refused: {message.code}", frozenset([source])
         )
 
-    def _send_replays(self, steps: list[int]) -> None:
-        names = self._chain.names
-        wanted = [*steps[1:], len(self.tokens)]
-        for name, from_step in zip(names, wanted, strict=True):
-            self._post_or_lose(
-                name,
-                messages.Replay(self._request.name, self.attempt, from_step),
-            )
-
     # Steps and tokens.
 
     def _feed_from(self, first: int) -> None:
@@ -371,18 +318,12 @@
         self._fed_at = trio.current_time()
         self._feeding = True
         if items:
-            self._post_or_lose(self._chain.names[0], messages.Steps(items))
+            self._stages.post(self._chain.names[0], messages.Steps(items))
 
     def _make_step(self, step: int) -> messages.Step:
         payload = self.tokens[step - 1] if step else self._request.prompt
         return messages.Step(self._request.name, self.attempt, step, payload)
 
-    def _post_or_lose(self, name: str, message: messages.Message) -> None:
-        try:
-            self._pool.post(name, message)
-        except errors.PeerError as why:
-            raise ChainLost(str(why), frozenset([name])) from why
-
     async def _take_token(self, emit: Emit) -> None:
         source, message = await self._next()
         if not isinstance(message, messages.Token):
@@ -489,22 +430,3 @@
             self._arrived = trio.Event()
             await self._arrived.wait()
         return self._inbox.popleft()
-
-    def _count(self, name: str) -> None:
-        if name not in self._counted:
-            self._counted.add(name)
-            self._pool.estimates.target(name).own += 1
-
-    def _close_all(self, reason: str) -> None:
-        for name in self._counted:
-            self._pool.estimates.target(name).own -= 1
-            try:
-                self._pool.post(
-                    name,
-                    messages.CloseStage(
-                        self._request.name, self.attempt, reason
-                    ),
-                )
-            except errors.PeerError:
-                # It forgets the stage by itself.
-                continue
