Read an answer's request id alone where only that is asked

Change: headers.read_answered; LeavingTargets decides when to move away from targets that leave; the planner tells dead connections from dead targets. Behaviour and tests are unchanged.

--- a/magnoliacove/entry/replanning.py
+++ b/magnoliacove/entry/replanning.py
@@ -19,6 +19,8 @@
 # A target that troubled this stream is left out for so long, in seconds, if
 # there are others.
 _AVOIDED = 5.0
+_RECONNECT_TIMEOUT = 0.5
+_RECONNECT_POLL = 0.01
 
 
 class ChainLost(Exception):
@@ -87,6 +89,21 @@
         """Leave a target out for a while, if there are others."""
         self._avoided[target] = trio.current_time()
 
+    async def try_reconnect(self, loss: ChainLost) -> ChainLost:
+        """Tell a dead connection from a dead target.
+
+        A connection may be dead while its target lives.  Replacing the
+        target would then run its layers again for nothing, so a new
+        connection is given a moment; a dead target refuses it at once.
+
+        :returns: the loss, naming only the targets that are gone.
+        """
+        with trio.move_on_after(_RECONNECT_TIMEOUT):
+            while any(self._pool.is_reconnecting(n) for n in loss.names):
+                await trio.sleep(_RECONNECT_POLL)
+        gone = frozenset(n for n in loss.names if not self._pool.find(n))
+        return ChainLost(str(loss), gone, loss.movable, whole=loss.whole)
+
     def replace(self, present: HeldChain, loss: ChainLost) -> HeldChain | None:
         """Return the chain after a loss, None when there is none now."""
         if loss.whole:
--- a/magnoliacove/entry/streams.py
+++ b/magnoliacove/entry/streams.py
@@ -21,6 +21,7 @@
 from magnoliacove import limits
 from magnoliacove import routing
 from magnoliacove.directory import Backoff
+from magnoliacove.entry.leaving import LeavingTargets
 from magnoliacove.entry.pool import PeerChanged
 from magnoliacove.entry.pool import TargetPool
 from magnoliacove.entry.replanning import ChainLost
@@ -35,8 +36,6 @@
 
 _OPEN_TIMEOUT = 1.0
 _IMPORT_TIMEOUT = 10.0
-_RECONNECT_TIMEOUT = 0.5
-_RECONNECT_POLL = 0.01
 # A link's delay changes slowly, so not every token needs to teach it.
 _LEARN_EVERY = 8
 _STALL_FACTOR = 10.0
@@ -77,7 +76,7 @@
         self._fed_at = 0.0
         self._feeding = False
         self._ended = False
-        self._leaving_since: dict[str, float] = {}
+        self._leaving = LeavingTargets()
 
     # What the pool calls.
 
@@ -176,7 +175,7 @@
     async def _open_chain(self, loss: ChainLost) -> None:
         started = trio.current_time()
         if loss.reconnect:
-            loss = await self._try_reconnect(loss)
+            loss = await self._planner.try_reconnect(loss)
         self._chain = await self._plan(loss)
         self.attempt += 1
         self._feeding = False
@@ -202,19 +201,6 @@
             milliseconds=round((trio.current_time() - started) * 1000, 1),
         )
 
-    async def _try_reconnect(self, loss: ChainLost) -> ChainLost:
-        """Tell a dead connection from a dead target.
-
-        A connection may be dead while its target lives.  Replacing the
-        target would then run its layers again for nothing, so a new
-        connection is given a moment; a dead target refuses it at once.
-        """
-        with trio.move_on_after(_RECONNECT_TIMEOUT):
-            while any(self._pool.is_reconnecting(n) for n in loss.names):
-                await trio.sleep(_RECONNECT_POLL)
-        gone = frozenset(n for n in loss.names if not self._pool.find(n))
-        return ChainLost(str(loss), gone, loss.movable, whole=loss.whole)
-
     async def _plan(self, loss: ChainLost) -> HeldChain:
         """Return the chain for the next attempt.
 
@@ -346,7 +332,7 @@
         trouble: ChainLost | None = None
         if not last:
             try:
-                self._check_leaving()
+                self._leaving.check(self._chain, self._planner)
                 self._feed_from(len(self.tokens))
             except ChainLost as why:
                 trouble = why
@@ -376,29 +362,6 @@
             base *= 3
         return max(base, _STALL_FACTOR * expected)
 
-    def _check_leaving(self) -> None:
-        now = trio.current_time()
-        leaving = frozenset(
-            name
-            for name, since in self._leaving_since.items()
-            if now - since > defaults.DRAIN_MOVE_AFTER
-            and name in self._chain.names
-        )
-        if not leaving:
-            return
-        for name in leaving:
-            # One try: if no other target has room, the stream ends where
-            # it is, well before the instance is stopped.
-            del self._leaving_since[name]
-        for name in leaving:
-            stage = next(s for s in self._chain.stages if s.target == name)
-            others = frozenset(self._chain.names)
-            if not self._planner.choose(
-                stage.first_layer, stage.end_layer, others
-            ):
-                return
-        raise ChainLost("the instance leaves", leaving, leaving)
-
     # Trouble.
 
     def _take_trouble(self, source: str, message: object) -> None:
@@ -411,7 +374,7 @@
             if message.lost:
                 names_lost = frozenset([message.name])
                 raise ChainLost(message.reason, names_lost, reconnect=True)
-            self._leaving_since.setdefault(message.name, trio.current_time())
+            self._leaving.note(message.name)
         if not isinstance(message, messages.StageLost):
             return
         if message.attempt != self.attempt or source not in names:
--- a/magnoliacove/gateway/exchanges.py
+++ b/magnoliacove/gateway/exchanges.py
@@ -53,7 +53,7 @@
     :raises magnoliacove.gateway.channels.TargetError: when none comes.
     """
     answer = await channel.read_head(
-        request, lambda a: headers.read_answer(a.status, a.headers).request
+        request, lambda a: headers.read_answered(a.headers)
     )
     return answer, headers.read_answer(answer.status, answer.headers)
 
--- a/magnoliacove/platform/headers.py
+++ b/magnoliacove/platform/headers.py
@@ -12,6 +12,7 @@
     "CallerMarks",
     "copy_answer",
     "read_answer",
+    "read_answered",
     "read_caller",
     "write_path",
     "write_refusal",
@@ -134,13 +135,18 @@
     )
 
 
+def read_answered(headers: Headers) -> str:
+    """Return the id of the request that a target answers, or ""."""
+    return dict(headers).get(_REQUEST_ID, b"").decode("latin-1")
+
+
 def read_answer(status: int, headers: Headers) -> AnswerMarks:
     """Decode a target's headers."""
     values = dict(headers)
     load = [_read_count(p) for p in values.get(_LOAD, b"").split(b",")]
     known = len(load) == 3 and None not in load
     return AnswerMarks(
-        request=values.get(_REQUEST_ID, b"").decode("latin-1"),
+        request=read_answered(headers),
         stamped=_STAMP in values,
         not_run=_NOT_RUN in values or status == 421,
         faulty=values.get(_FAULTY, b"").decode("latin-1"),
