Remove counts of connections and the clearing of suspicions, which nobody uses

Cause: ChannelPool counted open connections by target for nobody, and kept an entry for every target there ever was; no caller took a suspicion back.

Behaviour and tests are unchanged.

Checked: linter, types, the tests of gateway, directory and peers.

--- a/magnoliacove/directory/health.py
+++ b/magnoliacove/directory/health.py
@@ -115,11 +115,6 @@
         for listener in self._listeners:
             listener(suspicion)
 
-    def clear(self, target: str, why: str) -> None:
-        """Take a suspicion back."""
-        if self._suspicions.pop(target, None) is not None:
-            self._recorder.record("target-cleared", target=target, why=why)
-
     def forget(self, known: set[str]) -> None:
         """Drop what is known of targets that no longer exist."""
         for target in set(self._lengths) - known:
--- a/magnoliacove/gateway/channels.py
+++ b/magnoliacove/gateway/channels.py
@@ -291,11 +291,6 @@
         self.opened = 0
         self.start_soon = start_soon
         self._idle: dict[str, list[Channel]] = defaultdict(list)
-        self._counts: dict[str, int] = defaultdict(int)
-
-    def count(self, target: str) -> int:
-        """Return how many connections to a target are open."""
-        return self._counts[target]
 
     @contextlib.asynccontextmanager
     async def use(
@@ -319,7 +314,7 @@
                 await self.release(channel)
             else:
                 with trio.CancelScope(shield=True):
-                    await self.discard(channel)
+                    await channel.close()
 
     async def acquire(
         self, target: ListedTarget, *, fresh: bool = False
@@ -338,10 +333,9 @@
             channel = idle.pop()
             if not fresh and now < channel.idle_until and channel.is_quiet:
                 return channel
-            await self.discard(channel)
+            await channel.close()
         stream = await self._open(target.address)
         self.opened += 1
-        self._counts[target.name] += 1
         return Channel(target.name, stream, self.start_soon)
 
     async def release(self, channel: Channel) -> None:
@@ -349,11 +343,6 @@
         if channel.finish(trio.current_time()):
             self._idle[channel.target].append(channel)
             return
-        await self.discard(channel)
-
-    async def discard(self, channel: Channel) -> None:
-        """Close a connection for good."""
-        self._counts[channel.target] -= 1
         await channel.close()
 
     async def close_expired(self, known: set[str]) -> None:
@@ -364,7 +353,7 @@
                 if now < channel.idle_until and name in known:
                     continue
                 idle.remove(channel)
-                await self.discard(channel)
+                await channel.close()
             if not idle:
                 del self._idle[name]
 
