Let what is believed of an engine end with its incarnation

Cause: an engine that crashes for a second is back under its entry's name, empty; layers, load, suspicion and connections of before counted for it. Change: the start that an engine tells in its entry and its reports is part of its name inside; news of a former one is never taken for the present one. A refusal that contradicts a belief asks for one report, which corrects it for all requests and, by heartbeats, for all gateways. Streams leave an engine that started again. Entries of other writers: a missing or wrong field, an unknown state, a name that no header carries or bytes that are no text name no engine and are told once. Such bytes in one value kept the whole list from being read, and one text that is no base64 ended the task that follows the store. Ruled out: keeping the revision alone as the measure, since an entry that was written before the crash may be read after the report of the restart.

--- a/magnoliacove/directory/holdings.py
+++ b/magnoliacove/directory/holdings.py
@@ -7,6 +7,8 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
+import math
 
 import trio
 
@@ -46,6 +48,8 @@
     ) -> None:
         self._read_time = read_time
         self._reported: dict[str, tuple[float, Holding]] = {}
+        # When this process itself found out that a belief was wrong.
+        self._corrected: dict[str, float] = {}
 
     def note(self, target: str, holding: Holding, age: float = 0.0) -> bool:
         """Take a report; return whether other layers are held now.
@@ -59,6 +63,34 @@
         self._reported[target] = (at, holding)
         return known is None or known[1].layers != holding.layers
 
+    def correct(self, target: str, holding: Holding) -> bool:
+        """Take a report that was asked for since a request was refused.
+
+        What an engine that takes other layers gives up stays excluded: its
+        report may still name these layers.
+
+        :returns: whether the belief was wrong.
+        """
+        known = self._reported.get(target)
+        layers = holding.layers
+        if holding.loading and known and known[1].loading and layers:
+            kept = known[1].layers
+            layers = layers.intersect(kept) if kept else None
+            holding = replace(holding, layers=layers)
+        if not self.note(target, holding):
+            return False
+        self._corrected[target] = self._read_time()
+        return True
+
+    def list_corrected(self) -> list[tuple[str, float, Holding]]:
+        """Return what this process found out itself, as list_fresh does."""
+        limit = self._read_time() - _FRESH
+        return [
+            item
+            for item in self.list_fresh()
+            if self._corrected.get(item[0], -math.inf) >= limit
+        ]
+
     def read(self, target: ListedTarget) -> Holding:
         """Return what an engine holds now."""
         known = self._reported.get(target.name)
@@ -87,3 +119,4 @@
         """Drop what is known of targets that no longer exist."""
         for target in set(self._reported) - known:
             del self._reported[target]
+            self._corrected.pop(target, None)
--- a/magnoliacove/directory/targets.py
+++ b/magnoliacove/directory/targets.py
@@ -3,18 +3,51 @@
 An entry may vanish although its target lives: entries lapse while the
 platform's store is away and are back shortly after it returns.  Such a
 target is kept for a grace time before it is taken for gone.
+
+A target that starts again under its entry's name holds and knows nothing of
+before.  Each incarnation is a target with a name of its own here, so nothing
+that was believed of a former one counts for the present one.
 """
 
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
+from dataclasses import replace
+import math
 
 import trio
 
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire.network import Address
 
-__all__ = ["LayerRange", "ListedTarget", "TargetList"]
+__all__ = [
+    "LayerRange",
+    "ListedTarget",
+    "TargetList",
+    "name_incarnation",
+    "split_incarnation",
+]
+
+_SEPARATOR = "@"
+# Former incarnations are remembered for so long, in seconds: what they were
+# asked to do is over by then, and late news of them has come.
+_FORMER_KEPT = 30.0
+
+
+def name_incarnation(entry: str, incarnation: int) -> str:
+    """Return the name of one incarnation of a target.
+
+    :param incarnation: 0 for a target that does not tell it.
+    """
+    return f"{entry}{_SEPARATOR}{incarnation}" if incarnation else entry
+
+
+def split_incarnation(name: str) -> tuple[str, int]:
+    """Return the entry's name and the incarnation, 0 for none."""
+    entry, _, number = name.rpartition(_SEPARATOR)
+    if not entry or not number.isdecimal():
+        return name, 0
+    return entry, int(number)
 
 
 @dataclass(frozen=True)
@@ -32,6 +65,12 @@
         """How many layers the range has."""
         return self.end - self.first
 
+    def intersect(self, other: "LayerRange") -> "LayerRange | None":
+        """Return the layers that both ranges have, or None."""
+        first = max(self.first, other.first)
+        end = min(self.end, other.end)
+        return LayerRange(first, end) if first < end else None
+
     def covers(self, first: int, end: int) -> bool:
         """Return whether another range lies within this one."""
         return self.first <= first and end <= self.end
@@ -41,12 +80,14 @@
 class ListedTarget:
     """A target as it announced itself.
 
-    :param name: its id, new with each start.
+    :param name: differs from that of each other incarnation.
     :param draining: it is leaving and is to get no new work.
     :param slots: how many requests it runs at a time.
     :param accelerator: the kind of accelerator of a model engine, or "".
     :param layers: what a model engine holds, or None.
     :param revision: the store's revision of the entry.
+    :param incarnation: milliseconds of its start since 1970, 0 when the
+        target does not tell.
     """
 
     name: str
@@ -58,6 +99,12 @@
     accelerator: str = ""
     layers: LayerRange | None = None
     revision: int = 0
+    incarnation: int = 0
+
+    @property
+    def entry(self) -> str:
+        """The name of its entry, to which the target answers."""
+        return split_incarnation(self.name)[0]
 
 
 class TargetList:
@@ -85,6 +132,10 @@
         self._grace = grace
         self._read_time = read_time
         self._targets: dict[str, ListedTarget] = {}
+        # The name of the present incarnation of each entry.
+        self._names: dict[str, str] = {}
+        # When each former incarnation was followed by a newer one.
+        self._former: dict[str, float] = {}
         self._missing_since: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
 
@@ -112,6 +163,24 @@
         """Return every target, leaving ones included."""
         return list(self._targets.values())
 
+    def list_former(self) -> list[str]:
+        """Return the incarnations that were followed by newer ones lately."""
+        return list(self._former)
+
+    def read_restart_age(self, entry: str) -> float:
+        """Return seconds since a target was found to have restarted.
+
+        :returns: infinity when it was not, as far as is known.
+        """
+        restarted = [
+            at
+            for name, at in self._former.items()
+            if split_incarnation(name)[0] == entry
+        ]
+        if not restarted:
+            return math.inf
+        return self._read_time() - max(restarted)
+
     def replace(
         self,
         targets: Iterable[ListedTarget],
@@ -127,13 +196,13 @@
         self.known.set()
         if revision < self.revision:
             return
-        listed = {target.name: target for target in targets}
+        listed = {target.entry: target for target in targets}
         self.revision = revision
-        for name in set(self._targets) - set(listed):
+        for entry in set(self._names) - set(listed):
             if after_outage:
-                self._miss(name)
+                self._miss(self._names[entry])
             else:
-                self._remove(name, "not listed any more")
+                self._remove(self._names[entry], "not listed any more")
         for target in listed.values():
             self._put(target)
         self.expire()
@@ -143,8 +212,39 @@
         self.revision = max(self.revision, target.revision)
         self._put(target)
 
+    def observe(
+        self, entry: str, incarnation: int, *, directly: bool = False
+    ) -> bool:
+        """Take it that a target is in another incarnation than was known.
+
+        Its entry may tell that a second later; until then requests and
+        orders would go to one that has lost all that it held.
+
+        :param incarnation: 0 when it was not told.
+        :param directly: the target itself said so just now.  What others
+            say may be older than what is known.
+        :returns: whether that was news.
+        """
+        present = self._targets.get(self._names.get(entry, ""))
+        if present is None or 0 in (incarnation, present.incarnation):
+            return False
+        newer = incarnation > present.incarnation
+        if incarnation == present.incarnation or not (newer or directly):
+            return False
+        self._begin(
+            present,
+            replace(
+                present,
+                name=name_incarnation(entry, incarnation),
+                incarnation=incarnation,
+                layers=None,
+                draining=False,
+            ),
+        )
+        return True
+
     def remove(
-        self, name: str, revision: int, *, may_return: bool = False
+        self, entry: str, revision: int, *, may_return: bool = False
     ) -> None:
         """Take the removal of one entry.
 
@@ -153,6 +253,7 @@
         """
         self.revision = max(self.revision, revision)
         self.newest_change = max(self.newest_change, revision)
+        name = self._names.get(entry, entry)
         if may_return:
             self._miss(name)
             return
@@ -164,6 +265,9 @@
         for name, since in list(self._missing_since.items()):
             if now - since >= self._grace:
                 self._remove(name, "its entry did not come back")
+        for name, since in list(self._former.items()):
+            if now - since >= _FORMER_KEPT:
+                del self._former[name]
 
     def _miss(self, name: str) -> None:
         """Keep a target for the grace time, though its entry is gone."""
@@ -178,31 +282,61 @@
 
     def _put(self, target: ListedTarget) -> None:
         self.known.set()
-        self._missing_since.pop(target.name, None)
         self.newest_change = max(self.newest_change, target.revision)
-        known = self._targets.get(target.name)
+        known = self._targets.get(self._names.get(target.entry, ""))
+        if known is not None:
+            self._missing_since.pop(known.name, None)
         if known == target:
             return
         if known is not None and known.revision > target.revision:
             return
+        if known is not None and known.name != target.name:
+            # News of a former incarnation may be late: its entry was read
+            # before the target itself told that it had started again.
+            if target.incarnation > known.incarnation:
+                self._begin(known, target)
+            return
         self._targets[target.name] = target
+        self._names[target.entry] = target.name
         if known is None:
-            self._recorder.record(
-                "target-listed",
-                target=target.name,
-                service=target.service,
-                address=str(target.address),
-                accelerator=target.accelerator,
-            )
+            self._note_listed(target)
         elif target.draining and not known.draining:
             self._recorder.record("target-draining", target=target.name)
         self._tell()
 
+    def _begin(self, known: ListedTarget, target: ListedTarget) -> None:
+        """Put a newer incarnation in the place of a former one."""
+        self._missing_since.pop(known.name, None)
+        del self._targets[known.name]
+        self._former[known.name] = self._read_time()
+        self._former.pop(target.name, None)
+        self._targets[target.name] = target
+        self._names[target.entry] = target.name
+        self._recorder.record(
+            "target-restarted",
+            target=target.name,
+            why=f"it follows {known.name}",
+        )
+        self._note_listed(target)
+        self._tell()
+
+    def _note_listed(self, target: ListedTarget) -> None:
+        self._recorder.record(
+            "target-listed",
+            target=target.name,
+            service=target.service,
+            address=str(target.address),
+            accelerator=target.accelerator,
+        )
+
     def _remove(self, name: str, why: str) -> None:
         self._missing_since.pop(name, None)
-        if self._targets.pop(name, None) is not None:
-            self._recorder.record("target-gone", target=name, why=why)
-            self._tell()
+        target = self._targets.pop(name, None)
+        if target is None:
+            return
+        del self._names[target.entry]
+        self._recorder.record("target-gone", target=name, why=why)
+        self._tell()
 
     def _tell(self) -> None:
         self.changed_at = self._read_time()
--- a/magnoliacove/gateway/engines.py
+++ b/magnoliacove/gateway/engines.py
@@ -86,7 +86,7 @@
         """
         self.reports += 1
         status, answered, _ = await self._call(target, b"GET", path, b"")
-        return engines.reads_leaving(status, answered, target.name)
+        return engines.reads_leaving(status, answered, target.entry)
 
     async def _call(
         self, target: ListedTarget, method: bytes, path: str, body: bytes
--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -6,6 +6,8 @@
 import trio
 
 from magnoliacove import wire
+from magnoliacove.directory.holdings import Holding
+from magnoliacove.directory.targets import split_incarnation
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.store import StoreFollower
 from magnoliacove.peers import Heartbeat
@@ -99,16 +101,20 @@
             ),
             holdings=tuple(
                 ReportedHolding(target, age, holding)
-                for target, age, holding in state.holdings.list_fresh()
-            )
-            if self._is_acting()
-            else (),
+                for target, age, holding in self._list_holdings()
+            ),
             services=state.budget.list_counts(),
             peers=peers,
             acting=self._is_acting(),
             newest_change=state.targets.newest_change,
         )
 
+    def _list_holdings(self) -> list[tuple[str, float, Holding]]:
+        """Return what the duty's holder, or a refusal, told of engines."""
+        if self._is_acting():
+            return self._state.holdings.list_fresh()
+        return self._state.holdings.list_corrected()
+
     def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
         state = self._state
         state.loads.take_others(
@@ -128,6 +134,8 @@
                 leaving=found.leaving,
             )
         for item in heartbeat.holdings:
+            # Whoever asks the engines learns first that one started again.
+            state.targets.observe(*split_incarnation(item.target))
             state.holdings.note(item.target, item.holding, item.age)
         state.room.fill()
         if heartbeat.acting and heartbeat.store_reachable:
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -107,7 +107,9 @@
             self._incarnation,
             lambda: self._leadership.acting,
         )
-        self._stalls = StallWatch(self.state, self._calls)
+        self._stalls = StallWatch(
+            self.state, self._calls, self._peers.heartbeats.send_soon
+        )
         self._relay = Relay(self.state, self._stalls)
         owner = f"{settings.name}/{self._incarnation}"
         lease = Lease(
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -7,10 +7,12 @@
 around it at once instead of waiting until the first engine gives up.
 """
 
+from collections.abc import Callable
 from typing import Protocol
 
 import trio
 
+from magnoliacove.directory.holdings import Holding
 from magnoliacove.directory.targets import ListedTarget
 from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.detours import Detours
@@ -32,6 +34,8 @@
 # Between two questions to the same first engine.
 _ASK_AGAIN = 0.4
 _REPORT_TIMEOUT = 0.35
+# Engines hold requests for a lost one for up to three seconds.
+_STALLED_FOR_FORMER = 4.0
 
 
 class WatchedStream(PathUser, Protocol):
@@ -49,9 +53,18 @@
 
 
 class StallWatch:
-    """Looks after all streams of one gateway."""
+    """Looks after all streams of one gateway.
 
-    def __init__(self, state: GatewayState, calls: EngineCalls) -> None:
+    :param tell: called when a belief that the peers share was wrong.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        calls: EngineCalls,
+        tell: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._tell = tell
         self.streams: set[WatchedStream] = set()
         self._state = state
         self._calls = calls
@@ -83,6 +96,8 @@
         # What passes through layers that are given up for a gap elsewhere
         # is cut off; it need not wait until that shows.
         lost.update(state.holdings.list_moving())
+        # One that started again has lost what it held of these streams.
+        lost.update(state.targets.list_former())
         if not lost:
             return
         for stream in tuple(self.streams):
@@ -135,6 +150,12 @@
 
     def _suspect_address(self, address: str, source: str) -> None:
         for target in self._state.targets.list_at(address):
+            age = self._state.targets.read_restart_age(target.entry)
+            if age < _STALLED_FOR_FORMER:
+                # They wait for what ran there before.  The engine that runs
+                # there now is sound; suspected, it would be left without
+                # layers and work for seconds.
+                continue
             if self._state.holdings.read(target).moving:
                 # It was told to hold other layers; the engine is sound and
                 # what passes through it is led around it anyhow.
@@ -145,6 +166,53 @@
 
     # Refusals.
 
+    async def check_belief(self, target: ListedTarget) -> None:
+        """Find out what an engine holds that refused what it should hold.
+
+        Each request learned by itself that a path was wrong, and took it
+        again: 331 refusals of one engine that had started again, in five
+        seconds, and 252 requests that ended with them.  Its report corrects
+        the belief for all requests, and heartbeats for all gateways.
+        """
+        if not self._may_check(target):
+            return
+        state = self._state
+        report: EngineReport | None = None
+        why = f"it refused, and gave no report within {_REPORT_TIMEOUT} s"
+        with trio.move_on_after(_REPORT_TIMEOUT):
+            try:
+                report = await self._calls.read_report(target)
+            except TargetError as error:
+                why = f"it refused, and gave no report: {error}"
+        if report is None:
+            state.health.suspect(target.name, why)
+            return
+        holding = Holding(
+            report.layers, report.loading, report.slowness, report.used
+        )
+        restarted = state.targets.observe(
+            target.entry, report.incarnation, directly=True
+        )
+        if restarted or not state.holdings.correct(target.name, holding):
+            return
+        state.recorder.record(
+            "holding-corrected",
+            target=target.name,
+            why="it refused a request for layers that it was to hold",
+            layers=str(report.layers),
+            loading=report.loading,
+        )
+        state.room.fill()
+        self._tell()
+
+    def _may_check(self, target: ListedTarget) -> bool:
+        """Return whether an engine was not asked a moment ago."""
+        now = trio.current_time()
+        if now - self._checked.get(target.name, -1.0) < _ASK_AGAIN:
+            return False
+        self._checked[target.name] = now
+        return True
+
     async def check_leaving(
         self, target: ListedTarget, health_path: str
     ) -> None:
@@ -153,10 +221,8 @@
         Its entry says so, but not while the store is away; and each
         request that is sent there meanwhile is refused.
         """
-        now = trio.current_time()
-        if now - self._checked.get(target.name, -1.0) < _ASK_AGAIN:
+        if not self._may_check(target):
             return
-        self._checked[target.name] = now
         with trio.move_on_after(_REPORT_TIMEOUT):
             try:
                 if await self._calls.is_leaving(target, health_path):
--- a/magnoliacove/gateway/store.py
+++ b/magnoliacove/gateway/store.py
@@ -39,6 +39,8 @@
 # So long after an outage, in seconds, a removed entry may be one that lapsed
 # meanwhile and comes back.
 _LAPSES_TOLD = 2.5
+# Unreadable entries that are remembered, so that each is told once.
+_MOST_TOLD = 256
 _RETRY_FIRST = 0.1
 _RETRY_MOST = 0.8
 _SOURCE = "the platform's store"
@@ -77,6 +79,8 @@
         # after the other, so the other one's success says nothing of it.
         self._list_lapsed = True
         self._unreadable = ""
+        # What was wrong with each entry of a target, as it was told.
+        self._told: dict[str, str] = {}
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -222,18 +226,40 @@
                 may_return=not self.reachable or since < _LAPSES_TOLD,
             )
             return
-        for target in self._read_targets((event.record,)):
+        target = self._read_target(event.record)
+        if target is not None:
             self._state.targets.apply(target)
+            return
+        # Whatever the entry named before, it names nothing now.
+        name = event.record.name.partition("/")[2]
+        self._state.targets.remove(name, event.revision)
 
     def _read_targets(
         self, records: tuple[platform.Record, ...]
     ) -> list[ListedTarget]:
-        found = []
-        for record in records:
-            try:
-                found.append(read_server(record))
-            except (errors.ProtocolError, ValueError) as why:
-                self._state.recorder.record(
-                    "target-unreadable", target=record.name, why=str(why)
-                )
-        return found
+        found = map(self._read_target, records)
+        return [target for target in found if target is not None]
+
+    def _read_target(self, record: platform.Record) -> ListedTarget | None:
+        """Return the target that an entry names, None when it names none.
+
+        Others may write among the engines' entries, again and again; each
+        entry is told once for each thing that is wrong with it.
+        """
+        try:
+            target = read_server(record)
+        except errors.ProtocolError as why:
+            self._tell_unreadable(record.name, str(why))
+            return None
+        self._told.pop(record.name, None)
+        return target
+
+    def _tell_unreadable(self, name: str, why: str) -> None:
+        if self._told.get(name) == why:
+            return
+        if len(self._told) >= _MOST_TOLD:
+            self._told.clear()
+        self._told[name] = why
+        self._state.recorder.record(
+            "target-unreadable", target=name.partition("/")[2], why=why
+        )
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -41,6 +41,9 @@
 # once it is found: reading a usual prompt on a busy path, twice.
 _FIRST_EVENT_TIME = 0.5
 _RETRY_AFTER = 0.5
+# An engine that is another one than it was taken for, or does not hold the
+# layers that it was to run.
+_NOT_AS_BELIEVED = 421
 # Pauses between tries of one request, in seconds: a first one of about the
 # time that a usual first event takes, and one that fits a caller's patience.
 _FIRST_PAUSE = 0.05
@@ -324,9 +327,15 @@
         self._state.candidates.note_trouble(target.name)
 
     async def _note_refusal(self, status: int, faulty: str) -> None:
-        """Keep new requests off the engine that a refusal names."""
+        """Keep new requests off the engine that a refusal names.
+
+        :param faulty: its address; "" for the first engine of the path.
+        """
         state = self._state
-        for target in state.targets.list_at(faulty):
+        refusing = state.targets.list_at(faulty)
+        if not faulty and self.first_target is not None:
+            refusing = [self.first_target]
+        for target in refusing:
             self._note_trouble(target)
             state.recorder.record(
                 "engine-refused",
@@ -335,6 +344,9 @@
                 status=status,
                 requests=state.loads.read(target.name).requests,
             )
+            if status == _NOT_AS_BELIEVED:
+                await self._stalls.check_belief(target)
+                continue
             await self._stalls.check_leaving(
                 target, self._routed.service.health_path
             )
--- a/magnoliacove/placement/duty.py
+++ b/magnoliacove/placement/duty.py
@@ -170,6 +170,12 @@
                     # Nobody listens there: there is no need to ask again.
                     engine.failures = _FAILURES
         if report is not None:
+            if self._sources.targets.observe(
+                target.entry, report.incarnation, directly=True
+            ):
+                # It is planned for anew, as one that holds nothing.
+                self._sources.tell()
+                return
             self._take_report(target, engine, report)
             return
         engine.failures += 1
@@ -189,7 +195,7 @@
         ordered = engine.ordered
         if ordered is not None and layers is not None and layers != ordered:
             # What is being given up takes no new work.
-            layers = _intersect(layers, ordered)
+            layers = layers.intersect(ordered)
         moving = engine.interrupted and layers != report.layers
         changed = self._sources.holdings.note(
             target.name,
@@ -340,17 +346,12 @@
     ) -> None:
         """Tell everybody at once which layers the engine gives up."""
         held = report.layers if report else None
-        kept = _intersect(held, item.layers) if held else None
+        kept = held.intersect(item.layers) if held else None
         moving = item.closes_gap and kept != held
         holding = Holding(kept, True, moving=moving)
         if self._sources.holdings.note(target.name, holding):
             self._sources.tell()
 
 
-def _intersect(a: LayerRange, b: LayerRange) -> LayerRange | None:
-    first, end = max(a.first, b.first), min(a.end, b.end)
-    return LayerRange(first, end) if first < end else None
-
-
 def _describe(layers: LayerRange | None) -> str:
     return f"{layers.first}-{layers.end}" if layers else ""
--- a/magnoliacove/platform/client.py
+++ b/magnoliacove/platform/client.py
@@ -5,7 +5,8 @@
 """
 
 import base64
-import binascii
+from collections.abc import Iterable
+from collections.abc import Iterator
 from typing import Any
 from urllib.parse import quote
 from urllib.parse import unquote
@@ -65,11 +66,11 @@
             # The first page's revision: what is written while the others
             # are read is then seen twice by a watch rather than never.
             revision = revision or int(data["as_of"])
-            page = [_read_object(kind, item) for item in data["items"]]
-            records += page
-            if not data.get("has_more") or not page:
+            items = data["items"]
+            records += _read_objects(kind, items)
+            if not data.get("has_more") or not items:
                 break
-            after = data["items"][-1]["metadata"]["name"]
+            after = items[-1]["metadata"]["name"]
         found = (r for r in records if _tail(r.name).startswith(start))
         return api.Listing(tuple(found), revision)
 
@@ -105,7 +106,11 @@
         query = urlencode({"watch": after, "wait_ms": int(wait * 1000)})
         path = f"{_OBJECTS}{quote(kind)}?{query}"
         _, data = await self._call("GET", path, extra=wait)
-        events = (_read_event(kind, item) for item in data.get("events", ()))
+        events = (
+            _read_event(kind, item)
+            for item in data.get("events", ())
+            if _is_named(item["object"])
+        )
         revision = int(data["as_of"])
         return (
             tuple(e for e in events if _tail(e.record.name).startswith(start)),
@@ -142,7 +147,7 @@
                     }
                 },
             )
-            data = orjson.loads(response.content or b"null")
+            data = _load(response.content or b"null")
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as why:
             raise errors.PlatformError(
                 f"the object API at {self._url} cannot be reached",
@@ -197,6 +202,28 @@
     return f"{_OBJECTS}{quote(_kind(name))}/{quote(_tail(name), safe='')}"
 
 
+def _load(content: bytes) -> Any:
+    """Decode an answer, of which one value may hold bytes that are no text.
+
+    Anybody may have written that value.  The others must still be read, or
+    nothing of a whole kind is known any more.
+    """
+    try:
+        return orjson.loads(content)
+    except orjson.JSONDecodeError:
+        return orjson.loads(content.decode("utf-8", "replace"))
+
+
+def _read_objects(kind: str, items: Iterable[Any]) -> Iterator[api.Record]:
+    """Decode a list of objects, without those that have no name."""
+    return (_read_object(kind, item) for item in items if _is_named(item))
+
+
+def _is_named(item: Any) -> bool:
+    meta = item.get("metadata") if isinstance(item, dict) else None
+    return isinstance(meta, dict) and isinstance(meta.get("name"), str)
+
+
 def _read_event(kind: str, data: dict[str, Any]) -> api.WatchEvent:
     record = _read_object(kind, data["object"])
     if data.get("removed"):
@@ -211,7 +238,8 @@
     if isinstance(spec, str):
         try:
             value = base64.b64decode(spec, validate=True)
-        except binascii.Error:
+        except ValueError:
+            # Text that is no base64; another writer's.
             value = spec.encode()
     else:
         value = orjson.dumps(spec)
--- a/magnoliacove/platform/engines.py
+++ b/magnoliacove/platform/engines.py
@@ -10,6 +10,7 @@
 from magnoliacove.directory.targets import LayerRange
 from magnoliacove.platform.fields import Fields
 from magnoliacove.platform.headers import write_path
+from magnoliacove.platform.servers import read_incarnation
 from magnoliacove.platform.servers import read_layers
 from magnoliacove.routing.paths import Path
 
@@ -55,6 +56,8 @@
     :param total: token-layers of memory for requests.
     :param slowness: 1 for usual speed, more when it is slow.
     :param stalled: requests that wait for a lost engine.
+    :param incarnation: milliseconds of its start since 1970, 0 when the
+        engine does not tell.
     """
 
     layers: LayerRange | None
@@ -66,6 +69,7 @@
     total: float
     slowness: float
     stalled: tuple[StalledRequest, ...]
+    incarnation: int = 0
 
 
 class OrderResult(enum.StrEnum):
@@ -101,6 +105,7 @@
             StalledRequest(item.text("id", ""), item.text("address", ""))
             for item in fields.objects("stalled")
         ),
+        incarnation=read_incarnation(fields),
     )
 
 
--- a/magnoliacove/platform/fields.py
+++ b/magnoliacove/platform/fields.py
@@ -1,6 +1,7 @@
 """Reading values out of decoded JSON, with errors that name the field."""
 
 from collections.abc import Mapping
+import math
 from typing import Any
 
 from magnoliacove import errors
@@ -32,11 +33,14 @@
 
     def integer(self, name: str, default: int | None = None) -> int:
         """Return a whole number."""
-        return int(self._get(name, (int, float), default))
+        value = self._get_number(name, default)
+        if not float(value).is_integer():
+            raise self._reject(name, value)
+        return int(value)
 
     def number(self, name: str, default: float | None = None) -> float:
         """Return a number."""
-        return float(self._get(name, (int, float), default))
+        return float(self._get_number(name, default))
 
     def seconds(self, name: str, default_ms: float | None = None) -> float:
         """Return seconds from a field that counts milliseconds."""
@@ -72,8 +76,18 @@
                 f"{self.where} has no field {name!r}; it must be set"
             )
         if not isinstance(value, kinds) and value is not default:
-            raise errors.ProtocolError(
-                f"{self.where} has {value!r:.60} in field {name!r}, which "
-                "is of another type; correct the field"
-            )
+            raise self._reject(name, value)
         return value
+
+    def _get_number(self, name: str, default: float | None) -> int | float:
+        value: int | float = self._get(name, (int, float), default)
+        # True and false are whole numbers to the language.
+        if isinstance(value, bool) or not math.isfinite(value):
+            raise self._reject(name, value)
+        return value
+
+    def _reject(self, name: str, value: Any) -> errors.ProtocolError:
+        return errors.ProtocolError(
+            f"{self.where} has {value!r:.60} in field {name!r}, which is of "
+            "another type; correct the field"
+        )
--- a/magnoliacove/platform/headers.py
+++ b/magnoliacove/platform/headers.py
@@ -176,7 +176,7 @@
     kept = [(n, v) for n, v in headers if n not in dropped]
     kept += [
         (_DEADLINE, b"%d" % max(1, int(patience * 1000))),
-        (_INSTANCE, target.name.encode()),
+        (_INSTANCE, target.entry.encode()),
         (_PRIORITY, b"%d" % min(max(0, priority), _LOWEST_PRIORITY)),
     ]
     if account:
--- a/measure/start.py
+++ b/measure/start.py
@@ -109,6 +109,7 @@
             "service": "desk",
             "address": f"127.0.0.1:{target.port}",
             "zone": "a",
+            "state": "ready",
             "slots": 6,
         }
         await store.put("servers/desk-0", json.dumps(entry).encode())
--- a/tests/directory/test_targets.py
+++ b/tests/directory/test_targets.py
@@ -1,5 +1,9 @@
 """What is believed of targets: listed, missing, suspected, holding."""
 
+import math
+
+import pytest
+
 from magnoliacove import timeline
 from magnoliacove.directory.health import Health
 from magnoliacove.directory.holdings import Holding
@@ -7,6 +11,7 @@
 from magnoliacove.directory.targets import LayerRange
 from magnoliacove.directory.targets import ListedTarget
 from magnoliacove.directory.targets import TargetList
+from magnoliacove.directory.targets import name_incarnation
 from magnoliacove.wire import Address
 
 
@@ -135,3 +140,96 @@
     assert not holdings.note("i-1", Holding(None), age=0.5)
     time.now += 2.0
     assert holdings.read(target).layers == LayerRange(0, 10)
+
+
+def _born(incarnation, **changes):
+    name = name_incarnation("i-1", incarnation)
+    return _target(name, incarnation=incarnation, **changes)
+
+
+def test_nothing_believed_of_a_former_incarnation_counts_for_the_next():
+    """An engine crashes and is back a second later under its entry's name,
+    empty.  It was suspected, and was known to hold layers; requests that
+    went by that were refused, and its own work waited for the end of the
+    suspicion.
+    """
+    targets, time = _make_list()
+    health = Health(timeline.Recorder("p"), read_time=time)
+    holdings = Holdings(read_time=time)
+    targets.apply(_born(1000, layers=LayerRange(0, 20)))
+    holdings.note("i-1@1000", Holding(LayerRange(0, 20)))
+    health.suspect("i-1@1000", "it gives no reports")
+    targets.apply(_born(2000, revision=2))
+    (present,) = targets.list_service("llm")
+    assert present.entry == "i-1"
+    assert health.is_usable(present.name)
+    assert holdings.read(present).layers is None
+    assert targets.find("i-1@1000") is None
+    assert targets.list_former() == ["i-1@1000"]
+
+
+@pytest.mark.parametrize("late", [1, 7])
+def test_late_news_of_a_former_incarnation_changes_nothing(late):
+    """An engine starts again and says so in its report.  Its entry, written
+    before the crash, is read after that; whatever its revision, the engine
+    must not be taken for what it was.
+    """
+    targets, _ = _make_list()
+    targets.apply(_born(1000, layers=LayerRange(0, 20)))
+    assert targets.observe("i-1", 2000, directly=True)
+    targets.apply(_born(1000, layers=LayerRange(0, 20), revision=late))
+    assert not targets.observe("i-1", 1000)
+    (present,) = targets.list_service("llm")
+    assert (present.name, present.layers) == ("i-1@2000", None)
+    targets.apply(_born(2000, layers=LayerRange(5, 9), revision=8))
+    assert targets.find("i-1@2000").layers == LayerRange(5, 9)
+
+
+def test_an_engine_whose_clock_went_back_is_believed_itself():
+    targets, _ = _make_list()
+    targets.apply(_born(2000))
+    assert targets.observe("i-1", 1500, directly=True)
+    assert _names(targets) == ["i-1@1500"]
+
+
+def test_a_target_that_tells_no_incarnation_keeps_its_name():
+    targets, _ = _make_list()
+    targets.apply(_target("i-1"))
+    assert not targets.observe("i-1", 2000, directly=True)
+    assert _names(targets) == ["i-1"]
+
+
+def test_the_removal_of_an_entry_removes_its_present_incarnation():
+    targets, _ = _make_list()
+    targets.apply(_born(1000))
+    targets.apply(_born(2000, revision=2))
+    targets.remove("i-1", 3)
+    assert targets.list_all() == []
+
+
+def test_a_restart_is_remembered_for_a_while():
+    targets, time = _make_list()
+    targets.apply(_born(1000))
+    assert targets.read_restart_age("i-1") == math.inf
+    targets.apply(_born(2000, revision=2))
+    time.now += 3.0
+    assert targets.read_restart_age("i-1") == 3.0
+    time.now += 40.0
+    targets.expire()
+    assert targets.list_former() == []
+
+
+def test_a_correction_keeps_what_is_given_up_excluded():
+    """An engine gives layers up for a gap elsewhere; its report still names
+    all that it held.  A request that it refused asks for the report: the
+    layers that it gives up must not be used again.
+    """
+    time = _Time()
+    holdings = Holdings(read_time=time)
+    holdings.note("i-1", Holding(LayerRange(5, 10), loading=True))
+    time.now += 0.1
+    told = Holding(LayerRange(0, 10), loading=True)
+    assert not holdings.correct("i-1", told)
+    assert holdings.list_fresh()[0][2].layers == LayerRange(5, 10)
+    assert holdings.correct("i-1", Holding(LayerRange(0, 4)))
+    assert [item[0] for item in holdings.list_corrected()] == ["i-1"]
--- /dev/null
+++ b/tests/gateway/test_beliefs.py
@@ -0,0 +1,136 @@
+"""Answers that contradict what is believed of an engine."""
+
+import json
+
+import pytest
+import trio
+
+from magnoliacove.directory.targets import LayerRange
+from tests.gateway import stubs
+
+_HEADERS = {"x_token_usage": "100,20", "x_deadline_ms": "20000"}
+_NOT_HERE = (
+    b"HTTP/1.1 421 Misdirected Request\r\nx-not-executed: 1\r\n"
+    b"content-length: 0\r\n\r\n"
+)
+_WHOLE = stubs.STREAM + stubs.chunk(stubs.make_events(1, 3)) + stubs.END
+
+
+def _refuse(report):
+    """Return a script of an engine that refuses, and reports something."""
+
+    async def script(received, stream):
+        if received.target == "/v1/report":
+            body = json.dumps(report).encode()
+            await stream.send_all(stubs.make_answer(body))
+            return
+        await stream.send_all(_NOT_HERE)
+
+    return script
+
+
+async def _ask(stage, count):
+    answers = []
+
+    async def ask():
+        answers.append(await stage.ask("/stream/1", method="POST", **_HEADERS))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(count):
+            nursery.start_soon(ask)
+    return answers
+
+
+def _count(stub, target):
+    return sum(request.target.startswith(target) for request in stub.requests)
+
+
+@pytest.mark.parametrize(
+    "report",
+    [
+        {"busy": False, "sequence": 0},
+        {"busy": True, "sequence": 1, "layers": {"from": 40, "to": 80}},
+    ],
+)
+async def test_a_refusal_corrects_the_belief_for_all_requests(report):
+    """An engine holds other layers than is believed, as after a restart.
+    It is the quickest, so every request is sent there first and refused;
+    each learned that by itself, took the same path again and ended with
+    503.  One report now corrects the belief for all that follow.
+    """
+    async with stubs.open_stage() as stage:
+        wrong = await stage.add("i-1", _refuse(report), layers=(0, 80))
+        script = stubs.answer_with(_WHOLE)
+        await stage.add("i-2", script, layers=(0, 80), accelerator="l4")
+        answers = await _ask(stage, 1)
+        await trio.sleep(0.5)
+        answers += await _ask(stage, 5)
+        assert all(answer.endswith(stubs.END) for answer in answers)
+        assert _count(wrong, "/stream") == 1
+        assert _count(wrong, "/v1/report") == 1
+        (name, _, holding), *_ = stage.state.holdings.list_corrected()
+        assert name == "i-1"
+        assert holding.layers in (None, LayerRange(40, 80))
+
+
+async def test_a_refusal_shows_that_an_engine_started_again():
+    """An engine crashed and is back under its name; its entry still tells
+    of before.  Its report names another start: what was believed of it is
+    dropped at once, and it counts as one that holds nothing.
+    """
+    async with stubs.open_stage() as stage:
+        report = {"busy": False, "sequence": 0, "born": 2000}
+        await stage.add(
+            "i-1@1000", _refuse(report), layers=(0, 80), incarnation=1000
+        )
+        script = stubs.answer_with(_WHOLE)
+        await stage.add("i-2", script, layers=(0, 80), accelerator="l4")
+        (answer,) = await _ask(stage, 1)
+        assert answer.endswith(stubs.END)
+        found = stage.state.targets.find("i-1@2000")
+        assert (found.entry, found.layers) == ("i-1", None)
+
+
+async def test_streams_leave_an_engine_that_started_again():
+    """The second engine of a path starts again while a stream passes
+    through it.  What it held of the stream is lost and the stream falls
+    silent; it goes on along another path as soon as the restart is known,
+    and the engine itself is not suspected for it.
+    """
+    orders = []
+
+    async def first(received, stream):
+        if received.target == "/v1/report":
+            stalled = [{"id": "r1", "address": str(second.address)}]
+            body = json.dumps({"sequence": 1, "stalled": stalled}).encode()
+            await stream.send_all(stubs.make_answer(body))
+        elif received.target == "/v1/order":
+            orders.append(json.loads(received.body))
+            await stream.send_all(stubs.make_answer(b"{}"))
+            moved.set()
+        else:
+            event = stubs.chunk(stubs.make_events(1, 1))
+            await stream.send_all(stubs.STREAM + event)
+            await moved.wait()
+            event = stubs.chunk(stubs.make_events(2, 3))
+            await stream.send_all(event + stubs.END)
+
+    moved = trio.Event()
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", first, layers=(0, 40))
+        second = await stage.add(
+            "i-2@1000", stubs.stay_silent, layers=(40, 80), incarnation=1000
+        )
+        third = await stage.add(
+            "i-3", stubs.stay_silent, layers=(40, 80), accelerator="l4"
+        )
+        stage.nursery.start_soon(_restart, stage)
+        (answer,) = await _ask(stage, 1)
+        assert answer.endswith(stubs.END)
+        assert str(third.address) in orders[0]["path"]
+        assert stage.state.health.is_usable("i-2@2000")
+
+
+async def _restart(stage):
+    await trio.sleep(0.1)
+    stage.state.targets.observe("i-2", 2000)
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -45,7 +45,13 @@
     }
     table = {**samples.CONFIGURATION, "routes": [route]}
     await store.put("config/main", json.dumps(table).encode())
-    entry = {"service": "desk", "address": str(stub.address), "zone": "a"}
+    entry = {
+        "service": "desk",
+        "address": str(stub.address),
+        "zone": "a",
+        "state": "ready",
+        "slots": 6,
+    }
     await store.put("servers/d-1", json.dumps(entry).encode())
     gateway = Gateway(settings.read_settings(path), store, 0, listener)
     nursery.start_soon(gateway.run)
--- a/tests/gateway/test_store.py
+++ b/tests/gateway/test_store.py
@@ -9,7 +9,13 @@
 from tests.gateway import stubs
 from tests.platform import samples
 
-_ENTRY = {"service": "llm", "address": "10.0.0.1:80", "zone": "a"}
+_ENTRY = {
+    "service": "llm",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "state": "ready",
+    "slots": 96,
+}
 
 
 def _write(version, **changes):
@@ -190,3 +196,32 @@
     await store.delete("servers/i-1")
     await trio.sleep(0.5)
     assert not stage.state.targets.list_all()
+
+
+async def test_an_entry_that_another_writer_spoils_names_no_engine(
+    autojump_clock, nursery
+):
+    """Somebody writes over the entry of one engine, again and again.  It is
+    used no more and told once, naming the field; the other engine stays.
+    Its own next heartbeat brings the first one back.
+    """
+    state, store, _ = await _start(nursery)
+    await store.put("config/main", _write(7))
+    for name in ("i-1", "i-2"):
+        await store.put(f"servers/{name}", json.dumps(_ENTRY).encode())
+    await trio.sleep(0.5)
+    for number in range(5):
+        spoiled = {**_ENTRY, "state": "resting", "sequence": number}
+        await store.put("servers/i-2", json.dumps(spoiled).encode())
+        await trio.sleep(0.5)
+    assert [t.name for t in state.targets.list_all()] == ["i-1"]
+    told = [
+        (event.target, event.why)
+        for event in state.recorder.list_events()
+        if event.kind == "target-unreadable"
+    ]
+    assert [target for target, _ in told] == ["i-2"]
+    assert "state" in told[0][1]
+    await store.put("servers/i-2", json.dumps(_ENTRY).encode())
+    await trio.sleep(0.5)
+    assert len(state.targets.list_all()) == 2
--- /dev/null
+++ b/tests/platform/test_client.py
@@ -0,0 +1,27 @@
+"""What the store answers when others have written into it."""
+
+import orjson
+
+from magnoliacove.platform import client
+
+
+def _item(name, spec):
+    return {"metadata": {"name": name, "revision": 3}, "spec": spec}
+
+
+def test_bytes_that_are_no_text_spoil_one_value_only():
+    """Somebody writes bytes that are no text as an engine's entry.  The
+    whole list comes in one answer: if it cannot be decoded, no engine is
+    known any more and every request is refused.
+    """
+    body = orjson.dumps({"items": [_item("i-1", {"a": 1}), _item("i-2", "@")]})
+    data = client._load(body.replace(b"@", b"\xff\xfe"))
+    records = list(client._read_objects("servers", data["items"]))
+    assert [r.name for r in records] == ["servers/i-1", "servers/i-2"]
+    assert records[0].value == b'{"a":1}'
+
+
+def test_objects_without_a_name_are_left_out():
+    items = [None, 7, {"spec": {}}, {"metadata": {"name": 5}}, _item("x", 1)]
+    records = list(client._read_objects("servers", items))
+    assert [record.name for record in records] == ["servers/x"]
