Give paths the least room that carries nearly the most

Cause: every engine was sized for 57 requests. On the new customer's engines up to four slow ones came into each path for that, and 45 to 66 requests shared every step; streams took 2.5 s on the mean, and the more of them met the loss of an engine. Hypothesis: a path carries hardly more beyond some room; less room makes streams quicker and spreads them over the data centres. Ruled out: more room while a token takes at most 5% longer at the same load; it leads back to 49 and 55, since what slows tokens is the requests beside.

--- a/magnoliacove/configuration/routes.py
+++ b/magnoliacove/configuration/routes.py
@@ -134,7 +134,10 @@
     usual_prompt: float
     usual_answer: float
     slots: int
-    accelerators: Mapping[str, Accelerator] = field(default_factory=dict)
+    # Left out of the hash, which a mapping has none of.
+    accelerators: Mapping[str, Accelerator] = field(
+        default_factory=dict, hash=False
+    )
 
     @property
     def usual_tokens(self) -> float:
--- a/magnoliacove/placement/balance.py
+++ b/magnoliacove/placement/balance.py
@@ -17,8 +17,8 @@
 from magnoliacove.directory.targets import LayerRange
 from magnoliacove.placement.plan import EngineState
 from magnoliacove.placement.plan import PlacedLayers
-from magnoliacove.placement.plan import choose_streams
-from magnoliacove.placement.plan import count_layers
+from magnoliacove.placement.rooms import choose_room
+from magnoliacove.placement.rooms import count_layers
 
 __all__ = ["find_better"]
 
@@ -59,7 +59,7 @@
     layered = _measure(engines, shape)
     if not all(layered.counts):
         return None
-    streams = choose_streams(engines, shape)
+    streams = choose_room((e.accelerator for e in engines), shape)
     wanted = streams * shape.usual_tokens
     now = _rate(layered, wanted)
     rooms = layered.rooms
--- a/magnoliacove/placement/plan.py
+++ b/magnoliacove/placement/plan.py
@@ -5,14 +5,6 @@
 layers a second time, so that the loss of an engine leaves a whole path or
 a small gap.  A gap is closed with the fewest loads: by an engine that
 holds nothing, or one whose layers others hold as well.
-
-Memory is shared out so that every engine has room for as many requests: a
-path is as wide as its narrowest engine.  How many follows from what the
-data centre can spare: as many as leave layers enough to hold those of its
-largest engine a second time.  Engines that held more layers beside less
-memory made the path quicker by a fifth, but left room for 22 to 26 requests
-in each data centre; with some engines lost 44 in 100 streams waited for
-room.  With the same room on every engine it is 46 to 58.
 """
 
 from collections import defaultdict
@@ -22,25 +14,17 @@
 
 from magnoliacove.configuration.routes import ModelShape
 from magnoliacove.directory.targets import LayerRange
-from magnoliacove.routing.paths import HOP_SECONDS
+from magnoliacove.placement.rooms import choose_room
+from magnoliacove.placement.rooms import count_layers
+from magnoliacove.placement.rooms import fit_room
+from magnoliacove.placement.rooms import measure_layer
 
 __all__ = [
     "EngineState",
     "PlacedLayers",
-    "choose_streams",
-    "count_layers",
-    "fit_streams",
     "make_plan",
 ]
 
-# The part of an engine's batch for which a path has room.  One data centre
-# then carries what two do while the third is without a path, and more would
-# take layers from the quick engines.  A part of 0.6 is 57 requests a path.
-_BATCH_PART = 0.6
-# A path with room for fewer requests than these is not worth its engines,
-# and steps in which the right number is looked for.
-_LEAST_STREAMS = 4
-_STREAMS_STEP = 2
 # The part of the usual room that an engine has at least which closes a gap
 # that is too large for it else.
 _TIGHT = 0.5
@@ -101,51 +85,6 @@
     return sorted(placed, key=lambda item: not item.closes_gap)
 
 
-def choose_streams(engines: Sequence[EngineState], shape: ModelShape) -> int:
-    """Return for how many requests each path of a data centre has room.
-
-    It is the most for which the engines hold the whole model even without
-    the largest of them, but at least half of what they could have room for
-    if that did not matter.
-    """
-    once = fit_streams(engines, shape)
-    for streams in range(once, _LEAST_STREAMS, -_STREAMS_STEP):
-        if streams <= once // 2:
-            return streams
-        sizes = _list_sizes(engines, shape, streams)
-        if sum(sizes) - max(sizes) >= shape.layers:
-            return streams
-    return max(once, _LEAST_STREAMS)
-
-
-def fit_streams(engines: Sequence[EngineState], shape: ModelShape) -> int:
-    """Return for how many requests one path has room, 0 if there is none."""
-    for streams in range(int(shape.slots * _BATCH_PART), 0, -_STREAMS_STEP):
-        if sum(_list_sizes(engines, shape, streams)) >= shape.layers:
-            return streams
-    return 0
-
-
-def _list_sizes(
-    engines: Sequence[EngineState], shape: ModelShape, streams: int
-) -> list[int]:
-    return [
-        count_layers(shape, engine.accelerator, streams) for engine in engines
-    ]
-
-
-def count_layers(shape: ModelShape, accelerator: str, streams: float) -> int:
-    """Return how many layers an engine is to hold.
-
-    :param streams: requests of usual length that it has room for.
-    """
-    kind = shape.accelerators[accelerator]
-    tokens = streams * shape.usual_tokens
-    per_layer = shape.layer_mb + tokens * shape.token_mb / shape.layers
-    fitting = int(kind.memory_mb / per_layer)
-    return max(0, min(fitting, shape.layers))
-
-
 def _sum_speed(engines: Iterable[EngineState], shape: ModelShape) -> float:
     return sum(
         1 / shape.accelerators[engine.accelerator].step_factor
@@ -163,7 +102,9 @@
         self._counts = [0] * shape.layers
         self._held: dict[str, LayerRange] = {}
         self._engines = {engine.target: engine for engine in engines}
-        self._streams = choose_streams(engines, shape)
+        self._streams = choose_room(
+            (engine.accelerator for engine in engines), shape
+        )
         self._placed: list[PlacedLayers] = []
         # Quick engines first: each path should run through them.
         self._empty = sorted(
@@ -209,17 +150,7 @@
         self._empty = [e for e in self._empty if e.target not in placed]
 
     def _measure_layer(self, engine: EngineState) -> float:
-        """Return what a token takes in one layer of an engine, in seconds.
-
-        An engine with few layers adds a hop for few of them, so a larger
-        one goes before a slightly quicker one.
-        """
-        shape = self._shape
-        kind = shape.accelerators[engine.accelerator]
-        size = max(1, self._size(engine))
-        return (
-            shape.step * kind.step_factor / shape.layers + HOP_SECONDS / size
-        )
+        return measure_layer(self._shape, engine.accelerator, self._streams)
 
     def _size(self, engine: EngineState, part: float = 1.0) -> int:
         """Return how many layers an engine is to hold.
@@ -261,7 +192,8 @@
         takes 1.4 to 1.9 s, and a lost engine is back after seconds only.
         """
         engines = [e for e in self._engines.values() if e.target in self._held]
-        streams = fit_streams(engines, self._shape)
+        kinds = [engine.accelerator for engine in engines]
+        streams = fit_room(kinds, self._shape)
         if not streams or any(not engine.movable for engine in engines):
             return
         at, last = 0, self._shape.layers
--- /dev/null
+++ b/tests/placement/test_rooms.py
@@ -0,0 +1,80 @@
+"""For how many requests a path has room: pace against width."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from magnoliacove.configuration.routes import Accelerator
+from magnoliacove.placement import rooms
+from tests.shapes import KINDS
+from tests.shapes import make_shape
+
+_LARGE = {
+    "a100": Accelerator("a100", 72_000, 2.4, 3.2),
+    "l40s": Accelerator("l40s", 43_200, 5.6, 2.7),
+    "l4": Accelerator("l4", 21_600, 16.0, 8.2),
+}
+_GATES = make_shape(
+    token_mb=1.836,
+    step=0.00102,
+    step_per_request=1.428e-5,
+    step_per_kilotoken=1.912e-5,
+    usual_prompt=774.0,
+    usual_answer=200.0,
+    accelerators=_LARGE,
+)
+# Each with its engines, the room and how many engines its path is to have.
+_CENTRES = [
+    ({"a100": 1, "l40s": 3, "l4": 8}, 20, 28, 4),
+    ({"a100": 1, "l40s": 6, "l4": 5}, 32, 40, 5),
+    ({"a100": 2, "l40s": 2, "l4": 5}, 28, 36, 4),
+]
+
+
+def _list_kinds(counts):
+    return [kind for kind, count in counts.items() for _ in range(count)]
+
+
+@pytest.mark.parametrize(("counts", "least", "most", "engines"), _CENTRES)
+def test_slow_engines_come_into_a_path_only_for_what_they_add(
+    counts, least, most, engines
+):
+    """The load: 40 streams a second of 200 tokens, engines lost all day.
+    With room for 57 requests the quick engines hold too few layers and up
+    to four slow ones come into each path.  It carries hardly more than with
+    30, but a stream takes up to twice as long, so twice as many of the long
+    ones meet the loss of an engine and come late.
+    """
+    kinds = _list_kinds(counts)
+    chosen = rooms.choose_room(kinds, _GATES)
+    assert least <= chosen <= most
+    assert _count_path(kinds, chosen) <= engines
+    best = max(rooms.estimate_rate(kinds, _GATES, n) for n in range(4, 58))
+    assert rooms.estimate_rate(kinds, _GATES, chosen) >= 0.79 * best
+
+
+def _count_path(kinds, streams):
+    held, used = 0, 0
+    order = sorted(
+        kinds, key=lambda kind: rooms.measure_layer(_GATES, kind, streams)
+    )
+    for kind in order:
+        if held < 80:
+            held += rooms.count_layers(_GATES, kind, streams)
+            used += 1
+    return used
+
+
+@given(
+    counts=st.fixed_dictionaries(
+        {kind: st.integers(0, 9) for kind in sorted(KINDS)}
+    )
+)
+def test_there_is_room_for_what_fits(counts):
+    kinds, shape = _list_kinds(counts), make_shape()
+    chosen = rooms.choose_room(kinds, shape)
+    most = rooms.fit_room(kinds, shape)
+    assert 4 <= chosen <= max(most, 4)
+    if most >= 4:
+        sizes = [rooms.count_layers(shape, kind, chosen) for kind in kinds]
+        assert sum(sizes) >= shape.layers
