--- a/magnoliacove/placement/rooms.py
+++ b/magnoliacove/placement/rooms.py
@@ -27,10 +27,8 @@
 # The part of an engine's batch for which a path has room at most: 57
 # requests of 96.
 _BATCH_PART = 0.6
-# A path with room for fewer requests than these is not worth its engines,
-# and steps in which the right number is looked for.
+# A path with room for fewer requests than these is not worth its engines.
 _LEAST_STREAMS = 4
-_STREAMS_STEP = 2
 # The least room is taken with which a path carries this part of the most
 # tokens a second that it could.  Played with the same room in all data
 # centres, a fleet of four kinds was best at 40 requests (worth of its days
@@ -60,13 +58,13 @@
     most = fit_room(kinds, shape)
     rates = {
         streams: estimate_rate(kinds, shape, streams)
-        for streams in range(most, _LEAST_STREAMS, -_STREAMS_STEP)
+        for streams in range(most, _LEAST_STREAMS, -1)
     }
     if not rates:
         return max(most, _LEAST_STREAMS)
     enough = _RATE_PART * max(rates.values())
     least = min(n for n, rate in rates.items() if rate >= enough)
-    for streams in range(least, most // 2, -_STREAMS_STEP):
+    for streams in range(least, most // 2, -1):
         sizes = [count_layers(shape, kind, streams) for kind in kinds]
         if sum(sizes) - max(sizes) >= shape.layers:
             return streams
@@ -75,7 +73,7 @@
 
 def fit_room(kinds: Sequence[str], shape: ModelShape) -> int:
     """Return for how many requests one path has room, 0 if there is none."""
-    for streams in range(int(shape.slots * _BATCH_PART), 0, -_STREAMS_STEP):
+    for streams in range(int(shape.slots * _BATCH_PART), 0, -1):
         sizes = (count_layers(shape, kind, streams) for kind in kinds)
         if sum(sizes) >= shape.layers:
             return streams
