Count failed and late requests by cause and by second

For that an arrival tells the objectives and whether its caller resumes, a caller that left how long it had got nothing, and an answer how slow the slowest engine of its path is. Tests that counted all requests of an engine leave out the reports that the gateway asks for by itself when a stream pauses, as on a busy machine.

--- a/magnoliacove/commands/timeline.py
+++ b/magnoliacove/commands/timeline.py
@@ -14,8 +14,11 @@
 from magnoliacove import wire
 from magnoliacove.commands import running
 from magnoliacove.directory.instances import read_entry
+from magnoliacove.directory.targets import split_incarnation
 from magnoliacove.timeline import Event
 from magnoliacove.timeline import gather
+from magnoliacove.timeline import losses
+from magnoliacove.timeline import losses_view
 from magnoliacove.timeline import render
 from magnoliacove.wire import messages
 
@@ -46,6 +49,11 @@
 @click.option("--kind", default="", help="Only events of this kind.")
 @click.option("--follow", is_flag=True, help="Go on with what happens.")
 @click.option("--explain", is_flag=True, help="Say in words what happened.")
+@click.option(
+    "--losses",
+    is_flag=True,
+    help="Count failed and late requests by cause and by second.",
+)
 @click.option("--json", "as_json", is_flag=True, help="Print JSON lines.")
 @click.option(
     "--html", type=click.Path(dir_okay=False), help="Write a picture."
@@ -74,16 +82,25 @@
     asked = await _ask_all(network, addresses, query)
     logged = [gather.read_log(file) for file in options["log_files"]]
     events = _filter(gather.merge_events([asked, *logged]), options)
-    if options["html"]:
-        page = render.render_html(events, "Time line")
-        await trio.Path(options["html"]).write_text(page, encoding="utf-8")
-        click.echo(f"the picture is in {options['html']}")
+    if options["losses"]:
+        found = losses.find_losses(events)
+        click.echo(losses_view.render_losses_text(found))
+        await _write_page(options, losses_view.render_losses_html(found))
+    elif options["html"]:
+        await _write_page(options, render.render_html(events, "Time line"))
     elif options["explain"]:
         click.echo(render.explain_request(events, options["request"]))
     else:
         _show(events, options)
 
 
+async def _write_page(options: dict[str, Any], page: str) -> None:
+    """Write the picture if one was asked for."""
+    if options["html"]:
+        await trio.Path(options["html"]).write_text(page, encoding="utf-8")
+        click.echo(f"the picture is in {options['html']}")
+
+
 async def _find_processes(options: dict[str, Any]) -> list[wire.Address]:
     found = list(options["processes"])
     url = options["object_api"]
@@ -162,12 +179,17 @@
         event
         for event in events
         if event.request.startswith(options["request"])
-        and options["target"] in ("", event.target)
+        and options["target"] in ("", event.target, _name_entry(event))
         and options["instance"] in ("", event.process)
         and options["kind"] in ("", event.kind)
     ]
 
 
+def _name_entry(event: Event) -> str:
+    """Return the name of a target without its incarnation."""
+    return split_incarnation(event.target)[0]
+
+
 def _show(events: Sequence[Event], options: dict[str, Any]) -> None:
     if not events:
         return
--- a/magnoliacove/gateway/callers.py
+++ b/magnoliacove/gateway/callers.py
@@ -80,6 +80,11 @@
         self._parser = parser
         self._send = send
         self._must_close = must_close
+        self._written_at = request.arrived
+
+    def read_silence(self) -> float:
+        """Return the seconds since the caller was sent something."""
+        return trio.current_time() - self._written_at
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the status and the headers."""
@@ -89,6 +94,7 @@
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
         await self._send(self._parser.send(h11.Data(data=data)) or b"")
+        self._written_at = trio.current_time()
 
     async def end(self) -> None:
         """Send the end of the body, which says that it is whole."""
--- a/magnoliacove/gateway/holds.py
+++ b/magnoliacove/gateway/holds.py
@@ -97,6 +97,17 @@
         self._told = False
         self._state.room.fill()
 
+    def measure_slowness(self) -> float:
+        """Return how many times longer the path's slowest engine takes."""
+        if self.path is None:
+            return 1.0
+        targets = map(self._state.targets.find, self.path.targets)
+        read = self._state.holdings.read
+        return max(
+            (read(target).slowness for target in targets if target),
+            default=1.0,
+        )
+
     def _search(
         self, costs: PathCosts, avoided: Collection[str]
     ) -> Path | None:
--- a/magnoliacove/gateway/relay.py
+++ b/magnoliacove/gateway/relay.py
@@ -64,6 +64,7 @@
                     request=marks.request,
                     why="the caller closed its connection",
                     seconds=round(seconds, 3),
+                    silent=round(exchange.read_silence(), 3),
                 )
 
     async def _serve(
@@ -149,6 +150,9 @@
             service=routed.service.name,
             route=routed.route.name,
             patience=round(routed.deadline - routed.request.arrived, 3),
+            objective=routed.route.latency_objective,
+            gap_objective=routed.route.gap_objective,
+            resumes=routed.marks.last_event,
         )
         if routed.service.model is not None and routed.route.streaming:
             stream = StreamCall(state, self._stalls, exchange, routed)
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -73,6 +73,7 @@
         self._moved = ""
         self._runs = 0
         self._refusals = 0
+        self._slowness = 1.0
 
     async def run(self) -> None:
         """Answer the request.
@@ -165,6 +166,7 @@
             await self._find_path()
             try:
                 await self._follow_path()
+                self._slowness = self._hold.measure_slowness()
                 return
             except BrokenRunError as why:
                 failure = why
@@ -391,6 +393,7 @@
             longest_gap=round(self._delivery.longest_gap, 3),
             runs=self._runs + 1,
             seconds=round(now - arrived, 3),
+            slowness=self._slowness,
         )
 
 
--- a/magnoliacove/timeline/gather.py
+++ b/magnoliacove/timeline/gather.py
@@ -1,7 +1,6 @@
 """Putting the events of many processes into one time line."""
 
 from collections.abc import Iterable
-import re
 
 import trio
 
@@ -25,13 +24,17 @@
 
 
 def read_log(lines: Iterable[str]) -> list[Event]:
-    """Return the events among JSON-lines logs; other lines are skipped."""
+    """Return the events among JSON-lines logs; other lines are skipped.
+
+    What collects logs may put the time and the host before each line.
+    """
     found = []
     for line in lines:
-        if not re.match(r"\s*\{", line):
+        start = line.find("{")
+        if start < 0:
             continue
         try:
-            found.append(Event.from_json(line))
+            found.append(Event.from_json(line[start:]))
         except (ValueError, TypeError):
             continue
     return found
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -76,6 +76,11 @@
         self.closed = trio.Event()
         self.address = None
 
+    @property
+    def callers_requests(self):
+        """The requests of callers, without what the gateway asks itself."""
+        return [r for r in self.requests if r.target != "/v1/report"]
+
     async def listen(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serve on a free port of loopback."""
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
