Learn no gap from a quiet hour, and never go back to a former incarnation

Read again as a newcomer: a gap that one request met and that ended unseen was learned as lasting until the next request, and the requests of the next gap would all be refused at once. An engine whose clock went back could be taken for its former incarnation again when an old entry was read late. Checks that are asked for while their task starts again no longer meet a closed nursery.

--- a/magnoliacove/directory/targets.py
+++ b/magnoliacove/directory/targets.py
@@ -228,14 +228,15 @@
         present = self._targets.get(self._names.get(entry, ""))
         if present is None or 0 in (incarnation, present.incarnation):
             return False
-        newer = incarnation > present.incarnation
-        if incarnation == present.incarnation or not (newer or directly):
+        name = name_incarnation(entry, incarnation)
+        newer = incarnation > present.incarnation and name not in self._former
+        if name == present.name or not (newer or directly):
             return False
         self._begin(
             present,
             replace(
                 present,
-                name=name_incarnation(entry, incarnation),
+                name=name,
                 incarnation=incarnation,
                 layers=None,
                 draining=False,
@@ -293,7 +294,8 @@
         if known is not None and known.name != target.name:
             # News of a former incarnation may be late: its entry was read
             # before the target itself told that it had started again.
-            if target.incarnation > known.incarnation:
+            newer = target.incarnation > known.incarnation
+            if newer and target.name not in self._former:
                 self._begin(known, target)
             return
         self._targets[target.name] = target
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -77,10 +77,13 @@
         """Watch until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            while True:
-                await trio.sleep(_CHECK_EVERY)
-                self._lead_around(nursery)
-                self._check_silence(nursery)
+            try:
+                while True:
+                    await trio.sleep(_CHECK_EVERY)
+                    self._lead_around(nursery)
+                    self._check_silence(nursery)
+            finally:
+                self._nursery = None
 
     def _lead_around(self, nursery: trio.Nursery) -> None:
         """Lead streams around engines that are lost.
--- a/magnoliacove/limits/gaps.py
+++ b/magnoliacove/limits/gaps.py
@@ -17,6 +17,10 @@
 _SMOOTHING = 0.3
 # A gap that lasts longer than usual may end at any moment.
 _LEAST_LEFT = 0.3
+# Gaps are seen by requests that meet them.  One that no request has met for
+# so long has ended unseen; learned as if it went on, a short gap before a
+# quiet hour would have all requests of the next one refused.
+_UNSEEN = 0.5
 
 
 class GapClock:
@@ -31,16 +35,20 @@
         self.usual = _USUAL
         self._read_time = read_time
         self._since: float | None = None
+        self._seen_at = 0.0
 
     def note(self, whole: bool) -> None:
         """Take it that some engine holds each layer now, or that none does."""
         now = self._read_time()
-        if not whole:
-            self._since = now if self._since is None else self._since
-            return
         if self._since is not None:
-            self.usual += _SMOOTHING * (now - self._since - self.usual)
-            self._since = None
+            ended = min(now, self._seen_at + _UNSEEN)
+            if whole or ended < now:
+                self.usual += _SMOOTHING * (ended - self._since - self.usual)
+                self._since = None
+        if whole:
+            return
+        self._since = now if self._since is None else self._since
+        self._seen_at = now
 
     def read_left(self) -> float:
         """Return the seconds until the gap probably ends, 0 without one."""
--- a/tests/directory/test_targets.py
+++ b/tests/directory/test_targets.py
@@ -190,6 +190,9 @@
     targets.apply(_born(2000))
     assert targets.observe("i-1", 1500, directly=True)
     assert _names(targets) == ["i-1@1500"]
+    targets.apply(_born(2000, revision=9))
+    assert not targets.observe("i-1", 2000)
+    assert _names(targets) == ["i-1@1500"]
 
 
 def test_a_target_that_tells_no_incarnation_keeps_its_name():
