Let a removed entry be gone within the bound for leaving targets

Caller's side: nothing; a booking reached an engine 2,254 ms after it had left, where 2,000 are allowed. The store turned some gateways away and served the others; an engine that never said that it drains left, and its entry was removed at 21.387 s. Each gateway kept it for 1.8 s, as one that may have lapsed, and looked for what is over once a second only: target-gone stands at 23.80 to 23.96 s. Ruled out: a watch that fell behind; all knew of the removal within 0.2 s. Change: a list of targets is never given with an entry whose time is over, and the grace is half a second less than the bound (1.5 s of 2 s). Test first red.

--- a/magnoliacove/directory/targets.py
+++ b/magnoliacove/directory/targets.py
@@ -153,6 +153,9 @@
 
     def list_service(self, service: str) -> list[ListedTarget]:
         """Return a service's targets that are not leaving."""
+        # Not only now and then: a target that left counts from the moment at
+        # which its entry was removed.
+        self.expire()
         return [
             target
             for target in self._targets.values()
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -39,7 +39,11 @@
 
 # An entry that lapsed while the store was away is back about so many
 # seconds after the store; what is missing then is gone.
-_LAPSE_GRACE = 1.8
+_LAPSE_GRACE = 2.0
+# An entry may also be missing since its target leaves, which must get nothing
+# once the bound for that is over.  So much of the bound, in seconds, goes by
+# until the removal is known here and a request that is on its way is there.
+_REMOVAL_KNOWN = 0.5
 # The balancer asks each second and takes an entry out after two misses, so
 # callers still come for so long after this process began to leave.
 _BALANCER_NOTICES = 2.6
@@ -72,10 +76,11 @@
         recorder = Recorder(settings.name)
         self.recorder = recorder
         rng = random.Random()
-        targets = TargetList(recorder, grace=_LAPSE_GRACE)
+        bounds = settings.bounds
+        grace = min(_LAPSE_GRACE, bounds.drain - _REMOVAL_KNOWN)
+        targets = TargetList(recorder, grace=max(0.0, grace))
         health, holdings = Health(recorder), Holdings()
         loads = limits.LoadBook()
-        bounds = settings.bounds
         pool = ChannelPool()
         self.state = GatewayState(
             name=settings.name,
--- a/tests/directory/test_targets.py
+++ b/tests/directory/test_targets.py
@@ -236,3 +236,20 @@
     assert holdings.list_fresh()[0][2].layers == LayerRange(5, 10)
     assert holdings.correct("i-1", Holding(LayerRange(0, 4)))
     assert [item[0] for item in holdings.list_corrected()] == ["i-1"]
+
+
+def test_an_entry_that_does_not_come_back_is_gone_in_time():
+    """The store turns some gateways away and serves the others; an engine
+    leaves, and its entry is removed.  That might be a lapse, so it is kept
+    for the grace time; it was looked at each second only, and a booking
+    reached the engine 2.25 s after it had left, where 2 s are allowed.
+    """
+    targets, time = _make_list()
+    targets.apply(_target("i-1"))
+    targets.apply(_target("i-2"))
+    targets.remove("i-1", 5, may_return=True)
+    time.now += 1.79
+    assert _names(targets) == ["i-1", "i-2"]
+    time.now += 0.02
+    assert _names(targets) == ["i-2"]
+    assert targets.find("i-1") is None
