Count layers in one place, and take no flag that nobody uses

Found on reading the whole change again: adding to and taking from the counts of layers stood three times in the plan, and the gateway's command took the callers' address, which the program's first step alone reads. Behaviour stays; the tests of placement, commands and soak passed (62 and more).

--- a/magnoliacove/commands/gateway_command.py
+++ b/magnoliacove/commands/gateway_command.py
@@ -41,6 +41,8 @@
     "--callers",
     default="",
     show_envvar=True,
+    # The program reads it in its first step; here it is only documented.
+    expose_value=False,
     help="The settings file's address for callers, so that it is listened at "
     "before that file is read; callers that come meanwhile wait.",
 )
@@ -55,7 +57,6 @@
     listener: socket.socket | None,
     path: str,
     metrics_port: int,
-    callers: str,
     log_level: str,
     check: bool,
 ) -> None:
--- a/magnoliacove/placement/plan.py
+++ b/magnoliacove/placement/plan.py
@@ -123,7 +123,7 @@
             if engine.layers is not None:
                 self._hold(engine.target, engine.layers)
             if engine.layers is not None and engine.settled:
-                self._serve(engine.layers, 1)
+                _count(self._served, engine.layers, 1)
 
     def make(self) -> list[PlacedLayers]:
         """Return the changes for this data centre."""
@@ -300,17 +300,17 @@
 
     def _hold(self, target: str, layers: LayerRange) -> None:
         self._held[target] = layers
-        for n in range(layers.first, min(layers.end, len(self._counts))):
-            self._counts[n] += 1
-
-    def _serve(self, layers: LayerRange, change: int) -> None:
-        for n in range(layers.first, min(layers.end, len(self._served))):
-            self._served[n] += change
+        _count(self._counts, layers, 1)
 
     def _release(self, target: str) -> None:
         held = self._held.pop(target)
+        _count(self._counts, held, -1)
         engine = self._engines[target]
         if engine.settled and engine.layers == held:
-            self._serve(held, -1)
-        for n in range(held.first, min(held.end, len(self._counts))):
-            self._counts[n] -= 1
+            _count(self._served, held, -1)
+
+
+def _count(counts: list[int], layers: LayerRange, change: int) -> None:
+    """Add to the counts of some layers, as far as the model has them."""
+    for n in range(layers.first, min(layers.end, len(counts))):
+        counts[n] += change
