Tell in the log which requests ask for the same, and how long runs went on

Cause: the lines could not tell the hypotheses on ended engines apart. A line has the id of one attempt; path-lost named neither the engine nor the time that the run had gone on. Change: request-arrived has a fingerprint of host, method, path, client account and body; path-lost has the first engine and the seconds since the run's first bytes. A stream's lines move to a module of their own. No decision reads any of it yet.

--- a/magnoliacove/gateway/delivery.py
+++ b/magnoliacove/gateway/delivery.py
@@ -64,17 +64,29 @@
         self._written = written
         self._answer: Answer | None = None
         self._splitter = EventSplitter()
+        self._run_began_at: float | None = None
 
     @property
     def began(self) -> bool:
         """Whether the caller has an event of this answer."""
         return self.count > 0
 
+    def await_run(self) -> None:
+        """Take it that the request goes out for a new run."""
+        self._run_began_at = None
+        self.heard_at = trio.current_time()
+
     def begin_run(self, answer: Answer) -> None:
         """Take the head of a new run's answer."""
         self._answer = answer
         self._splitter = EventSplitter()
 
+    def read_run_age(self) -> float:
+        """Return seconds since the run's first bytes, 0 before them."""
+        if self._run_began_at is None:
+            return 0.0
+        return trio.current_time() - self._run_began_at
+
     async def take(self, part: bytes) -> None:
         """Pass on the events that a part of the body completes.
 
@@ -82,6 +94,8 @@
         """
         now = trio.current_time()
         self.heard_at = now
+        if self._run_began_at is None:
+            self._run_began_at = now
         try:
             events = list(self._splitter.feed(part))
         except ValueError as why:
--- a/magnoliacove/gateway/relay.py
+++ b/magnoliacove/gateway/relay.py
@@ -12,6 +12,7 @@
 from magnoliacove.gateway.callers import Exchange
 from magnoliacove.gateway.calls import PlainCall
 from magnoliacove.gateway.requests import RoutedRequest
+from magnoliacove.gateway.requests import make_fingerprint
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.streams import StreamCall
@@ -118,6 +119,7 @@
             priority=priority,
             deadline=request.arrived + patience,
             version=table.version,
+            fingerprint=make_fingerprint(request, account),
         )
 
     def _authenticate(
@@ -147,6 +149,7 @@
         state.recorder.record(
             "request-arrived",
             request=routed.marks.request,
+            fingerprint=routed.fingerprint,
             account=routed.account,
             service=routed.service.name,
             route=routed.route.name,
--- a/magnoliacove/gateway/requests.py
+++ b/magnoliacove/gateway/requests.py
@@ -1,6 +1,7 @@
 """A request whose route, account and deadline are known."""
 
 from dataclasses import dataclass
+import hashlib
 
 from magnoliacove import errors
 from magnoliacove.configuration.routes import Route
@@ -10,6 +11,7 @@
 
 __all__ = [
     "RoutedRequest",
+    "make_fingerprint",
     "make_timeout",
     "make_uncertain",
     "read_caller_patience",
@@ -21,6 +23,9 @@
 _CALLER_PATIENCE = 2.0
 _CALLER_OBJECTIVES = 4.0
 _CALLER_GAPS = 8.0
+# Bytes of a fingerprint.  Of a billion requests two share one of 8 bytes with
+# a chance of 3 in 100; it names a request in lines and heartbeats.
+_FINGERPRINT_BYTES = 8
 
 
 @dataclass(frozen=True)
@@ -31,6 +36,7 @@
     :param priority: 0 goes first.
     :param deadline: by trio's clock; the answer must be whole by then.
     :param version: the configuration that it is handled by.
+    :param fingerprint: names what is asked for, whichever attempt asks.
     """
 
     request: Request
@@ -41,6 +47,30 @@
     priority: int
     deadline: float
     version: int
+    fingerprint: str
+
+
+def make_fingerprint(request: Request, account: str) -> str:
+    """Return a name for what a request asks for, and for whom.
+
+    Each attempt of a caller has an id of its own; those that ask for the same
+    share this name, on every gateway and after a restart.
+
+    :returns: 16 hexadecimal digits of the host, the method, the path with its
+        query, the client account and the body.
+    """
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    parts = (
+        request.host.encode(),
+        request.method,
+        request.target,
+        account.encode(),
+        request.body,
+    )
+    for part in parts:
+        # With its length, so that no two requests are joined alike.
+        digest.update(b"%d:" % len(part) + part)
+    return digest.hexdigest()
 
 
 def make_timeout(sent: bool) -> errors.RequestError:
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -29,6 +29,7 @@
 from magnoliacove.gateway.requests import read_caller_patience
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.gateway.state import GatewayState
+from magnoliacove.gateway.stream_lines import StreamLines
 from magnoliacove.limits.load import Reservation
 from magnoliacove.platform import headers
 from magnoliacove.routing.paths import Path
@@ -68,6 +69,7 @@
         self._delivery = EventDelivery(
             exchange, routed.marks.last_event, self._leave_if_moved
         )
+        self._lines = StreamLines(state.recorder, routed, self._delivery)
         self._path_at = 0.0
         self._scope: trio.CancelScope | None = None
         self._moved = ""
@@ -87,7 +89,10 @@
             done = True
         if not done:
             raise make_timeout(self._runs > 0)
-        self._note_answered()
+        first = self._lines.note_answered(
+            self._runs + 1, self._slowness, trio.current_time()
+        )
+        self._state.meters.observe("first_event_seconds", first)
 
     # What the stall watch calls.
 
@@ -155,12 +160,14 @@
     async def _run(self) -> None:
         while True:
             await self._find_path()
+            first = self.first_target
             try:
                 await self._follow_path()
                 self._slowness = self._hold.measure_slowness()
                 return
             except BrokenRunError as why:
                 failure = why
+                self._lines.note_lost(first.name if first else "", failure)
             finally:
                 self._hold.leave()
             if not self._may_go_on(failure):
@@ -212,14 +219,6 @@
     def _may_go_on(self, failure: BrokenRunError) -> bool:
         """Return whether another path may be tried."""
         state, route = self._state, self._routed.route
-        state.recorder.record(
-            "path-lost",
-            request=self.request,
-            why=failure.why,
-            ran=failure.ran,
-            events=self._delivery.count,
-            last_event=self._delivery.last_event,
-        )
         if failure.ran:
             self._runs += 1
             if not route.repeatable:
@@ -264,11 +263,13 @@
         target, path = self.first_target, self.path
         if target is None or path is None:
             raise BrokenRunError("the first engine is gone", False)
-        self._note_path(path)
+        number = self._runs + self._refusals + 1
+        self._lines.note_path(path, number, trio.current_time())
         self._hold.use()
         self._moved = ""
         sent = False
-        self._delivery.heard_at = self._path_at = trio.current_time()
+        self._delivery.await_run()
+        self._path_at = self._delivery.heard_at
         self._stalls.streams.add(self)
         try:
             with trio.CancelScope() as self._scope:
@@ -358,33 +359,3 @@
             self._stalls.check_refusal(
                 target, status, self._routed.service.health_path
             )
-
-    def _note_path(self, path: Path) -> None:
-        self._state.recorder.record(
-            "path-chosen",
-            request=self.request,
-            path=path.describe(),
-            seconds=round(path.seconds, 3),
-            crossings=path.crossings,
-            waited=round(
-                trio.current_time() - self._routed.request.arrived, 3
-            ),
-            last_event=self._delivery.last_event,
-            number=self._runs + self._refusals + 1,
-        )
-
-    def _note_answered(self) -> None:
-        now = trio.current_time()
-        arrived = self._routed.request.arrived
-        first = self._delivery.read_first(arrived)
-        self._state.meters.observe("first_event_seconds", first)
-        self._state.recorder.record(
-            "request-answered",
-            request=self.request,
-            events=self._delivery.count,
-            first_event=round(first, 3),
-            longest_gap=round(self._delivery.longest_gap, 3),
-            runs=self._runs + 1,
-            seconds=round(now - arrived, 3),
-            slowness=self._slowness,
-        )
--- a/tests/gateway/test_holds.py
+++ b/tests/gateway/test_holds.py
@@ -19,6 +19,7 @@
             priority=1,
             deadline=20.0,
             version=1,
+            fingerprint="f1",
         ),
     )
 
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -485,3 +485,22 @@
         await stage.add("i-1", take, layers=(0, 80))
         answer = await _ask(stage)
         assert answer.split(b" ")[1] == b"502"
+
+
+async def test_lines_tell_which_requests_ask_for_the_same():
+    """Engines end under a request that comes again.  Each attempt has an id
+    of its own, so the lines could not tell that it was the same request, nor
+    which engine it lost and after what time.
+    """
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", _stream(cut_after=3), layers=(0, 80))
+        await _ask(stage, x_request_id="r1")
+        await _ask(stage, x_request_id="r2")
+        await _ask(stage, "/stream/2", x_request_id="r3")
+    events = stage.recorder.list_events()
+    told = [e for e in events if e.kind == "request-arrived"]
+    first, second, third = (e.detail["fingerprint"] for e in told)
+    assert first == second != third
+    lost = [e for e in events if e.kind == "path-lost"]
+    assert {e.target for e in lost} == {"i-1"}
+    assert all(0.0 < e.detail["ran_for"] < 0.5 for e in lost[:1])
