--- a/soak/play.py
+++ b/soak/play.py
@@ -117,12 +117,7 @@
 
     async def _start_outside(self, nursery: trio.Nursery) -> None:
         """Start the store, the targets and the proxies before them."""
-        listener = bind_socket("127.0.0.1", 0)
-        port = listener.getsockname()[1]
-        app = object_api.make_app(self._store)
-        await nursery.start(serve_app, app, listener)
-        self._store_proxy = Proxy("127.0.0.1", port)
-        await nursery.start(self._store_proxy.run)
+        await self._start_store(nursery)
         for name, target in self._targets.items():
             await nursery.start(target.run)
             proxy = self._proxies[name] = Proxy("127.0.0.1", target.port)
@@ -130,6 +125,15 @@
             await self._write_entry(name, "ready")
         await self._write_configuration()
 
+    async def _start_store(self, nursery: trio.Nursery) -> None:
+        """Start the store and the proxy before it."""
+        listener = bind_socket("127.0.0.1", 0)
+        port = listener.getsockname()[1]
+        app = object_api.make_app(self._store)
+        await nursery.start(serve_app, app, listener)
+        self._store_proxy = Proxy("127.0.0.1", port)
+        await nursery.start(self._store_proxy.run)
+
     async def _write_entry(self, name: str, state: str) -> None:
         entry = {
             "service": name.partition("-")[0],
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -110,7 +110,7 @@
         elif headers.get("x-target-instance") != self.name:
             await answer.send(421, {"x-not-executed": "1"}, b"")
         elif "/stream" in path:
-            await self._write_stream(answer, headers)
+            await self._write_stream(answer, headers, path)
         else:
             await self._answer_plain(answer, headers)
         return parser.our_state is h11.DONE
@@ -124,7 +124,9 @@
         body = b"" if failed else make_body(request)
         await answer.send(500 if failed else 200, named, body)
 
-    async def _write_stream(self, answer, headers: dict[str, str]) -> None:
+    async def _write_stream(
+        self, answer, headers: dict[str, str], path: str
+    ) -> None:
         request = headers["x-request-id"]
         self._ledger.runs[request].append(self.name)
         first = int(headers.get("last-event-id") or 0) + 1
