Tell which request ends targets from those that merely ran there

Cause of the incident: a gateway forgets a request with its answer, so one that ends the engine that runs it counts as new each time it comes. Ruled out as the measure: ends alone (a harmless request that came as often was at 18 of 34), one attempt alone (a stream that goes on beside the cause was at four), short runs alone (196 streams lost an engine within a second). Change, decisions without a network: CrashHistory finds the request that was at most ends, in several attempts, never answered, with no run that outlived the others; its ends say nothing of who was there too.

--- /dev/null
+++ b/magnoliacove/limits/crashes.py
@@ -0,0 +1,296 @@
+"""Which requests end the targets that run them.
+
+A target that ends takes everything that runs there with it, so each request
+that was there may be the cause, and those that go on together at the next
+target are there again when that one ends.  What tells the cause apart: it is
+at every end, in attempt after attempt of its callers, it never comes to an
+answer, and none of its runs goes on for longer than the others.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+
+import trio
+
+__all__ = ["CrashHistory", "CrashedRun"]
+
+# Ends of targets until a request is taken for their cause, for one that was
+# never answered; each answer asks for as many more.  Two ends come about by
+# chance where several targets are lost together; of 236 requests that lost
+# targets while others ended 17 within 25 s, none lost a third in one attempt.
+_LEAST_CRASHES = 3
+# A request that was at the same ends as another one is taken for the cause
+# only after so many more, and so many seconds after the third: the next ends
+# mostly tell the two apart.  Callers and engines bear three more runs later
+# than three seconds after it.
+_SAME_CRASHES = 2
+_SAME_SECONDS = 2.0
+# Attempts of callers that the ends come from.  One attempt goes from target to
+# target beside others; whoever travels with the cause is gone with its answer.
+_LEAST_ATTEMPTS = 2
+# Seconds by which runs that end their target may differ in length.  The cause
+# ends it at the same step, sooner or later with what else runs there.
+_LENGTHS_DIFFER = 1.0
+# What is known of a request is forgotten so many seconds after its last end;
+# requests that end targets were seen to pause for ten seconds.
+_KEPT = 600.0
+# Requests and ends of each that are remembered, and requests that were
+# answered: 2 MB in all.
+_MOST_REQUESTS = 1024
+_MOST_CRASHES = 16
+_MOST_ANSWERED = 4096
+# Ends are told to the others for so many seconds, again and again, as a
+# heartbeat may be lost; and so many at a time, 30 bytes each.
+_TOLD_FOR = 10.0
+_MOST_TOLD = 16
+
+
+@dataclass(frozen=True)
+class CrashedRun:
+    """A run that broke off because its target ended.
+
+    :param fingerprint: names what was asked for.
+    :param attempt: names the caller's attempt.
+    :param target: the incarnation that ended.
+    :param seconds: how long the run had gone on since its first bytes.
+    """
+
+    fingerprint: str
+    attempt: int
+    target: str
+    seconds: float
+
+
+@dataclass
+class _Request:
+    """What is known of one request.
+
+    :param crashes: the run at each target that ended, and when it ended.
+    :param longest: seconds of its longest run without an answer.
+    """
+
+    crashes: dict[str, tuple[CrashedRun, float]] = field(default_factory=dict)
+    attempts: set[int] = field(default_factory=set)
+    longest: float = 0.0
+
+    @property
+    def last_at(self) -> float:
+        """When the last of its targets ended."""
+        return max((at for _, at in self.crashes.values()), default=0.0)
+
+    def list_targets(self) -> set[str]:
+        """Return the ended targets that its runs may have ended.
+
+        A run that went on for longer shows that the request does not end a
+        target so soon.
+        """
+        least = self.longest - _LENGTHS_DIFFER
+        return {
+            target
+            for target, (run, _) in self.crashes.items()
+            if run.seconds >= least
+        }
+
+
+class CrashHistory:
+    """Targets that ended, and what ran there, of all gateways.
+
+    :param read_time: returns seconds.
+    """
+
+    def __init__(
+        self, read_time: Callable[[], float] = trio.current_time
+    ) -> None:
+        self._read_time = read_time
+        self._requests: OrderedDict[str, _Request] = OrderedDict()
+        self._answered: OrderedDict[str, int] = OrderedDict()
+        self._others_answered: dict[str, Mapping[str, int]] = {}
+        self._own: list[tuple[CrashedRun, float]] = []
+
+    def note_crash(
+        self, run: CrashedRun, *, age: float = 0.0, own: bool = True
+    ) -> bool:
+        """Take it that a target ended while a run was going on there.
+
+        :param age: seconds since it ended.
+        :param own: this gateway saw it; else a peer did.
+        :returns: whether that was news.
+        """
+        at = self._read_time() - age
+        if age >= _KEPT:
+            return False
+        known = self._requests.setdefault(run.fingerprint, _Request())
+        self._requests.move_to_end(run.fingerprint)
+        news = run.target not in known.crashes
+        if news:
+            known.crashes[run.target] = run, at
+            if len(known.crashes) > _MOST_CRASHES:
+                del known.crashes[next(iter(known.crashes))]
+            known.attempts.add(run.attempt)
+            known.longest = max(known.longest, run.seconds)
+        if own and news:
+            self._own.append((run, at))
+        while len(self._requests) > _MOST_REQUESTS:
+            self._requests.popitem(last=False)
+        return news
+
+    def note_run(self, fingerprint: str, seconds: float) -> None:
+        """Take it that a run went on for so long and did not end its target.
+
+        :param seconds: since the run's first bytes.
+        """
+        known = self._requests.get(fingerprint)
+        if known is not None:
+            known.longest = max(known.longest, seconds)
+
+    def note_answered(self, fingerprint: str) -> None:
+        """Take it that a request was answered in full."""
+        count = self._answered.pop(fingerprint, 0)
+        self._answered[fingerprint] = count + 1
+        if len(self._answered) > _MOST_ANSWERED:
+            self._answered.popitem(last=False)
+
+    def find_causes(self, known: Iterable[str]) -> dict[str, int]:
+        """Return the requests that ended targets, with how many each did.
+
+        The one with the most ends comes first, and what it ended says
+        nothing of the others any more: whoever was there merely ran there.
+
+        :param known: causes that were found before.
+        """
+        found: dict[str, int] = {}
+        explained: set[str] = set()
+        for fingerprint in known:
+            request = self._requests.get(fingerprint)
+            if request is not None:
+                explained |= set(request.crashes)
+        left = {
+            fingerprint: request.list_targets()
+            for fingerprint, request in self._requests.items()
+            if fingerprint not in set(known)
+        }
+        while left:
+            left = {f: ends - explained for f, ends in left.items()}
+            causes = [f for f in left if self._is_cause(f, left)]
+            if not causes:
+                break
+            best = max(causes, key=lambda f: self._rank(f, left[f]))
+            found[best] = len(left.pop(best))
+            explained |= set(self._requests[best].crashes)
+        return found
+
+    def is_suspected(self, fingerprint: str) -> bool:
+        """Return whether earlier attempts ended targets and none came to more.
+
+        Such a request is not repeated for its caller: it would take one
+        more target within the time in which the first end becomes known.
+        """
+        request = self._requests.get(fingerprint)
+        return (
+            request is not None
+            and len(request.attempts) >= _LEAST_ATTEMPTS
+            and len(request.list_targets()) >= _LEAST_ATTEMPTS
+            and not self._count_answered(fingerprint)
+        )
+
+    def was_at_end(self, fingerprint: str) -> bool:
+        """Return whether a target ended lately while it ran a request."""
+        return fingerprint in self._requests
+
+    def has_answered(self, fingerprint: str) -> bool:
+        """Return whether this gateway answered a request lately."""
+        return fingerprint in self._answered
+
+    def read_last_crash(self, fingerprint: str) -> float:
+        """Return when a request's last target ended, 0 for none."""
+        request = self._requests.get(fingerprint)
+        return request.last_at if request is not None else 0.0
+
+    def drop(self, fingerprint: str) -> None:
+        """Forget the ends of a request."""
+        self._requests.pop(fingerprint, None)
+
+    def forget_old(self) -> None:
+        """Drop requests whose last end is long past."""
+        limit = self._read_time() - _KEPT
+        for fingerprint, request in list(self._requests.items()):
+            if request.last_at < limit:
+                del self._requests[fingerprint]
+
+    # What the peers are told, and tell.
+
+    def list_own(self) -> list[tuple[CrashedRun, float]]:
+        """Return the ends that this gateway saw lately, and their ages.
+
+        Those of requests that were at several ends first.
+        """
+        now = self._read_time()
+        self._own = [
+            (run, at) for run, at in self._own if now - at < _TOLD_FOR
+        ]
+
+        def rank(item: tuple[CrashedRun, float]) -> tuple[int, float]:
+            request = self._requests.get(item[0].fingerprint, _Request())
+            return -len(request.crashes), item[0].seconds
+
+        told = sorted(self._own, key=rank)[:_MOST_TOLD]
+        return [(run, now - at) for run, at in told]
+
+    def list_answered(self) -> dict[str, int]:
+        """Return requests that ended targets, perhaps, and were answered.
+
+        Only answers that this gateway gave, and how many.
+        """
+        found = {
+            fingerprint: self._answered[fingerprint]
+            for fingerprint in reversed(self._requests)
+            if fingerprint in self._answered
+        }
+        return dict(list(found.items())[:_MOST_TOLD])
+
+    def take_answered(self, peer: str, counts: Mapping[str, int]) -> None:
+        """Take what a peer answered of such requests."""
+        if counts:
+            self._others_answered[peer] = counts
+        else:
+            self._others_answered.pop(peer, None)
+
+    def forget_peers(self, peers: Iterable[str]) -> None:
+        """Drop what peers said that are gone."""
+        for peer in peers:
+            self._others_answered.pop(peer, None)
+
+    def _is_cause(self, one: str, left: Mapping[str, set[str]]) -> bool:
+        """Return whether a request is the cause of what ended under it.
+
+        :param left: the ends that have no known cause, for each request.
+        """
+        ends = left[one]
+        needed = _LEAST_CRASHES * (1 + self._count_answered(one))
+        attempts = self._requests[one].attempts
+        if len(ends) < needed or len(attempts) < _LEAST_ATTEMPTS:
+            return False
+        ended = sorted(self._requests[one].crashes[end][1] for end in ends)
+        waited = self._read_time() - ended[needed - 1]
+        if len(ends) >= needed + _SAME_CRASHES and waited >= _SAME_SECONDS:
+            return True
+        return not any(
+            ends <= other and not self._count_answered(fingerprint)
+            for fingerprint, other in left.items()
+            if fingerprint != one
+        )
+
+    def _rank(self, one: str, ends: set[str]) -> tuple[int, float]:
+        """Return how likely a request is a cause: most ends, shortest runs."""
+        crashes = self._requests[one].crashes
+        return len(ends), -sum(crashes[end][0].seconds for end in ends)
+
+    def _count_answered(self, fingerprint: str) -> int:
+        others = self._others_answered.values()
+        return self._answered.get(fingerprint, 0) + sum(
+            counts.get(fingerprint, 0) for counts in others
+        )
