Keep requests away from targets that they end

Cause: nothing told, at one gateway or between them, that the request that comes had ended targets before. Change: when a run breaks off its target is asked; one that refuses connections or tells a newer start has ended. Gateways tell each other which runs were at which end and how often those requests were answered, judge, and keep the cause away: it is refused at once, as not run, with the time until it is tried again. Quarantines go round with heartbeats and lie in the store, which is read at a start and when an own request lost a target. A target that ended is suspected at once, also for all other requests. Engines inside a path and targets of plain services count alike. A line tells each end, with the requests that ran there, and each quarantine's beginning and end; gauges count them. Ruled out: judging by connections that break (engines live on), waiting for the store before anything is refused (it may be away), cutting runs that are in progress (one that goes on shows that its request is harmless).

--- a/magnoliacove/gateway/calls.py
+++ b/magnoliacove/gateway/calls.py
@@ -10,6 +10,7 @@
 from magnoliacove.gateway.channels import Answer
 from magnoliacove.gateway.channels import Channel
 from magnoliacove.gateway.channels import TargetError
+from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.exchanges import is_genuine
 from magnoliacove.gateway.exchanges import read_answer
 from magnoliacove.gateway.exchanges import send_request
@@ -66,9 +67,14 @@
     """Answers one request from a plain service."""
 
     def __init__(
-        self, state: GatewayState, exchange: Exchange, routed: RoutedRequest
+        self,
+        state: GatewayState,
+        crashes: CrashWatch,
+        exchange: Exchange,
+        routed: RoutedRequest,
     ) -> None:
         self._state = state
+        self._crashes = crashes
         self._exchange = exchange
         self._routed = routed
         self._tried: list[str] = []
@@ -138,7 +144,9 @@
     def _may_run_again(self, most: int) -> bool:
         """Return whether one more run may be begun, up to so many in all."""
         runs = len(self._ran) + len(self._working)
-        return self._routed.route.repeatable and runs < most
+        if not self._routed.route.repeatable or runs >= most:
+            return False
+        return self._state.may_repeat(self._routed.fingerprint)
 
     def _may_repeat(self, result: _Result) -> bool:
         """Return whether another target may be tried after this result."""
@@ -204,6 +212,10 @@
             result = await self._exchange_with(target)
         except TargetError as why:
             result = _Result(target, error=why)
+            if why.outcome is not errors.Outcome.NOT_RUN:
+                self._crashes.note_broken(
+                    target, self._routed, trio.current_time() - began
+                )
         finally:
             state.loads.release(reservation)
         answer = result.answer
--- /dev/null
+++ b/magnoliacove/gateway/crashes.py
@@ -0,0 +1,302 @@
+"""Finding out which requests end the targets that run them.
+
+A run that breaks off may have met a lost connection as well as a target that
+ended, so the target is asked first: a process that is gone refuses
+connections, one that started again tells when.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+import random
+import zlib
+
+import trio
+
+from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.gateway.channels import TargetError
+from magnoliacove.gateway.engines import EngineCalls
+from magnoliacove.gateway.requests import RoutedRequest
+from magnoliacove.gateway.state import GatewayState
+from magnoliacove.limits.crashes import CrashedRun
+from magnoliacove.limits.quarantine import Quarantine
+from magnoliacove.wire.network import Address
+
+__all__ = ["CrashWatch"]
+
+# When a target under which a run broke off is asked, in seconds after that.
+# A process that ended refuses at once; one whose instance falls silent is
+# known by its next start, or by its entry.
+_ASK_AFTER = (0.0, 0.5, 2.0)
+_ASK_TIMEOUT = 0.4
+# Ends are judged this long after the last news of them, in seconds: by then
+# the other gateways have told what ran there too.
+_SETTLE = 0.25
+# News that keeps coming does not put the judgement off for longer, seconds.
+_MOST_SETTLE = 0.75
+# A gateway that saw none of the ends lately judges so much later, in seconds:
+# one that did has told its finding by then, and not each of 330 gateways
+# writes the same to the store.
+_AFTER_WITNESSES = (0.5, 1.0)
+# Answers are kept for runs that break off a little later, in seconds: of a
+# target that ended, and of one that lives.
+_VERDICT_KEPT = 30.0
+_LIVES_FOR = 0.5
+# A request that was at an end before waits so long for the answer about its
+# next target, seconds.  A process that is gone refuses within milliseconds.
+_VERDICT_WAIT = 0.1
+# Fingerprints that one line names.
+_MOST_NAMED = 8
+
+
+@dataclass
+class _Question:
+    """Whether one target ended, and the runs that broke off there.
+
+    :param ended: None while that is not known.
+    """
+
+    asked_at: float
+    runs: dict[tuple[str, int], CrashedRun] = field(default_factory=dict)
+    ended: bool | None = None
+    answered: trio.Event = field(default_factory=trio.Event)
+
+    def still_holds(self, now: float) -> bool:
+        """Return whether the answer tells of a run that broke off now.
+
+        What ended stays so; what lived may have ended since.
+        """
+        return self.ended is not False or now - self.asked_at < _LIVES_FOR
+
+
+class CrashWatch:
+    """Keeps requests away that end targets, for one gateway.
+
+    :param tell: called when the peers are to hear of something at once.
+    :param save: called with each quarantine that is to outlast this process.
+    :param look: called when the store may know of quarantines that are not
+        known here.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        calls: EngineCalls,
+        tell: Callable[[], None] = lambda: None,
+        save: Callable[[Quarantine], None] = lambda _: None,
+        look: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._state = state
+        self._calls = calls
+        self._tell = tell
+        self._save = save
+        self._look = look
+        self._questions: dict[str, _Question] = {}
+        self._news = trio.Event()
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Judge the ends of targets until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            try:
+                while True:
+                    await self._news.wait()
+                    await self._settle()
+                    self._judge()
+            finally:
+                self._nursery = None
+
+    # What runs of requests tell.
+
+    def note_broken(
+        self, target: ListedTarget, routed: RoutedRequest, seconds: float
+    ) -> None:
+        """Find out whether a target ended under a run that broke off there.
+
+        :param seconds: how long the run had gone on since its first bytes.
+        """
+        run = CrashedRun(
+            routed.fingerprint,
+            zlib.crc32(routed.marks.request.encode()),
+            target.name,
+            seconds,
+        )
+        now = trio.current_time()
+        question = self._questions.get(target.name)
+        if question is None or not question.still_holds(now):
+            question = self._questions[target.name] = _Question(now)
+            if self._nursery is not None:
+                self._nursery.start_soon(self._ask, target, question)
+        if question.ended is None:
+            question.runs.setdefault((run.fingerprint, run.attempt), run)
+            return
+        self._note_verdict(question.ended, run)
+
+    async def wait_verdict(self, target: str, fingerprint: str) -> None:
+        """Wait for a moment until it is known whether a target ended.
+
+        Only for a request that was at an end before: without it each attempt
+        ends a second target before the end of the first one is known.
+        """
+        question = self._questions.get(target)
+        if question is None or not self._state.crashes.was_at_end(fingerprint):
+            return
+        with trio.move_on_after(_VERDICT_WAIT):
+            await question.answered.wait()
+
+    def note_answered(self, fingerprint: str) -> None:
+        """Take it that a request was answered in full, so it is harmless."""
+        state = self._state
+        state.crashes.note_answered(fingerprint)
+        ended = state.quarantine.end(fingerprint, "it was answered")
+        if ended is not None:
+            state.crashes.drop(fingerprint)
+            self._save(ended)
+            self._tell()
+
+    def note_lost(
+        self, names: Iterable[str], routed: RoutedRequest, seconds: float
+    ) -> None:
+        """Find out whether engines of a stream's path ended under it."""
+        for name in names:
+            target = self._state.targets.find(name)
+            if target is not None:
+                self.note_broken(target, routed, seconds)
+
+    # What peers tell.
+
+    def take_crash(self, run: CrashedRun, age: float) -> None:
+        """Take a target's end that a peer saw."""
+        crashes = self._state.crashes
+        if not crashes.note_crash(run, age=age, own=False):
+            return
+        self._news.set()
+        if crashes.has_answered(run.fingerprint):
+            # The others are about to judge it, and a heartbeat that is due
+            # only in seconds would tell them too late that it is harmless.
+            self._tell()
+
+    def forget(self) -> None:
+        """Drop what is too old to say anything."""
+        self._state.crashes.forget_old()
+        limit = trio.current_time() - _VERDICT_KEPT
+        for name, question in list(self._questions.items()):
+            if question.asked_at < limit:
+                del self._questions[name]
+
+    # Asking a target.
+
+    async def _ask(self, target: ListedTarget, question: _Question) -> None:
+        ended = None
+        for after in _ASK_AFTER:
+            await trio.sleep_until(question.asked_at + after)
+            ended = await self._has_ended(target)
+            if ended is not None:
+                break
+        question.ended = bool(ended)
+        question.answered.set()
+        runs = sorted(question.runs.values(), key=lambda run: run.seconds)
+        question.runs.clear()
+        for run in runs:
+            self._note_verdict(question.ended, run)
+        if not ended:
+            return
+        state = self._state
+        state.recorder.record(
+            "target-ended",
+            target=target.name,
+            why="it ended while requests ran there",
+            runs=len(runs),
+            fingerprints={
+                run.fingerprint: round(run.seconds, 3)
+                for run in runs[:_MOST_NAMED]
+            },
+        )
+        state.meters.count("targets_ended_total", service=target.service)
+        state.health.suspect(target.name, "it ended while requests ran there")
+        self._look()
+        self._tell()
+
+    async def _has_ended(self, target: ListedTarget) -> bool | None:
+        """Return whether a target's process is gone, None when unknown.
+
+        One that leaves in order is not ended by what still runs there.
+        """
+        known = self._state.targets
+        listed = known.find(target.name)
+        suspicion = self._state.health.find(target.name)
+        leaving = suspicion is not None and suspicion.leaving
+        if target.draining or leaving or (listed and listed.draining):
+            return False
+        if target.name in known.list_former():
+            return True
+        if await _is_refused(target.address):
+            return True
+        if not target.incarnation:
+            # It does not tell when it started; it takes connections, so it
+            # lives, or another one does in its place.
+            return False
+        with trio.move_on_after(_ASK_TIMEOUT):
+            try:
+                report = await self._calls.read_report(target, fresh=True)
+            except TargetError:
+                # It takes connections and does not answer; asked again.
+                return None
+            return report.incarnation not in (0, target.incarnation)
+        return None
+
+    def _note_verdict(self, ended: bool, run: CrashedRun) -> None:
+        crashes = self._state.crashes
+        if not ended:
+            crashes.note_run(run.fingerprint, run.seconds)
+            return
+        if crashes.note_crash(run):
+            self._news.set()
+
+    # Judging.
+
+    async def _settle(self) -> None:
+        """Wait until no more news of ends comes."""
+        limit = trio.current_time() + _MOST_SETTLE
+        while self._news.is_set() and trio.current_time() < limit:
+            self._news = trio.Event()
+            with trio.move_on_after(_SETTLE):
+                await self._news.wait()
+        if not self._state.crashes.list_own():
+            await trio.sleep(random.uniform(*_AFTER_WITNESSES))
+
+    def _judge(self) -> None:
+        state = self._state
+        held = [one.fingerprint for one in state.quarantine.list_all()]
+        begun = [
+            state.quarantine.begin(
+                fingerprint, crashes, f"{crashes} targets ended under it"
+            )
+            for fingerprint, crashes in state.crashes.find_causes(held).items()
+        ]
+        for fingerprint in held:
+            last = state.crashes.read_last_crash(fingerprint)
+            if state.quarantine.is_tried_again(fingerprint, last):
+                known = state.quarantine.find(fingerprint)
+                crashes = known.crashes + 1 if known else 1
+                why = "a target ended under it again"
+                begun.append(state.quarantine.begin(fingerprint, crashes, why))
+        for quarantine in begun:
+            self._save(quarantine)
+        if begun:
+            self._tell()
+
+
+async def _is_refused(address: Address) -> bool:
+    """Return whether nobody listens at an address."""
+    with trio.move_on_after(_ASK_TIMEOUT), trio.socket.socket() as socket:
+        try:
+            await socket.connect((address.host, address.port))
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            # The way there is broken, which says nothing of the process.
+            return False
+    return False
--- a/magnoliacove/gateway/delivery.py
+++ b/magnoliacove/gateway/delivery.py
@@ -65,6 +65,7 @@
         self._answer: Answer | None = None
         self._splitter = EventSplitter()
         self._run_began_at: float | None = None
+        self._run_heard_at = 0.0
 
     @property
     def began(self) -> bool:
@@ -82,10 +83,13 @@
         self._splitter = EventSplitter()
 
     def read_run_age(self) -> float:
-        """Return seconds since the run's first bytes, 0 before them."""
+        """Return seconds from the run's first bytes to its last so far.
+
+        Not to now: an engine that waits for another one does not run it.
+        """
         if self._run_began_at is None:
             return 0.0
-        return trio.current_time() - self._run_began_at
+        return self._run_heard_at - self._run_began_at
 
     async def take(self, part: bytes) -> None:
         """Pass on the events that a part of the body completes.
@@ -93,7 +97,7 @@
         :raises BrokenRunError: when the run's events do not fit.
         """
         now = trio.current_time()
-        self.heard_at = now
+        self.heard_at = self._run_heard_at = now
         if self._run_began_at is None:
             self._run_began_at = now
         try:
--- a/magnoliacove/gateway/detours.py
+++ b/magnoliacove/gateway/detours.py
@@ -6,6 +6,7 @@
 request, on other engines that would need memory for all of it.
 """
 
+from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -39,6 +40,7 @@
 
     request: str
     service: str
+    fingerprint: str
 
     @property
     def shape(self) -> ModelShape:
@@ -64,6 +66,9 @@
     def move(self, why: str) -> None:
         """Leave the present path and go on elsewhere."""
 
+    def note_lost(self, targets: Iterable[str]) -> None:
+        """Take it that engines of the present path are lost."""
+
 
 def _has_inner(options: Sequence[StageOption], costs: PathCosts) -> bool:
     """Return whether a whole path lies inside one data centre."""
@@ -93,6 +98,7 @@
         if stream.request in self._busy:
             return
         self._busy.add(stream.request)
+        stream.note_lost(left)
         nursery.start_soon(self._lead, stream, left, why)
 
     async def _lead(
@@ -114,6 +120,9 @@
             return True
         if path.stages[0].target in left:
             return False
+        if not self._state.may_repeat(stream.fingerprint):
+            # It would end the engine that it is led to as well.
+            return False
         prompt, answer = stream.read_tokens()
         state = self._state
         options = state.candidates.list_options(
--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -8,14 +8,19 @@
 from magnoliacove import wire
 from magnoliacove.directory.holdings import Holding
 from magnoliacove.directory.targets import split_incarnation
+from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.store import StoreFollower
+from magnoliacove.limits.quarantine import Quarantine
 from magnoliacove.peers import Heartbeat
 from magnoliacove.peers import Heartbeats
+from magnoliacove.peers import ReportedCrash
 from magnoliacove.peers import ReportedHolding
+from magnoliacove.peers import ReportedQuarantine
 from magnoliacove.peers import ReportedSuspicion
 from magnoliacove.placement.leadership import STORE_AWAY
 from magnoliacove.platform.settings import NodeSettings
+from magnoliacove.routing.owners import choose_owner
 
 if TYPE_CHECKING:
     from magnoliacove.peers.snapshots import PeerSnapshot
@@ -44,8 +49,10 @@
         settings: NodeSettings,
         incarnation: int,
         is_acting: Callable[[], bool],
+        crashes: CrashWatch,
     ) -> None:
         self._state = state
+        self._crashes = crashes
         self._store = store
         self._incarnation = incarnation
         self._is_acting = is_acting
@@ -109,6 +116,17 @@
             peers=peers,
             acting=self._is_acting(),
             newest_change=state.targets.newest_change,
+            crashes=tuple(
+                ReportedCrash(run, age)
+                for run, age in state.crashes.list_own()
+            ),
+            answered=state.crashes.list_answered(),
+            quarantines=tuple(
+                ReportedQuarantine(
+                    one.fingerprint, one.round, one.seconds, age, one.crashes
+                )
+                for one, age in state.quarantine.draw_told()
+            ),
         )
 
     def _list_holdings(self) -> list[tuple[str, float, Holding]]:
@@ -142,13 +160,41 @@
             # Whoever asks the engines learns first that one started again.
             state.targets.observe(*split_incarnation(item.target))
             state.holdings.note(item.target, item.holding, item.age)
+        self._take_crashes(heartbeat)
         state.room.fill()
         if heartbeat.acting and heartbeat.store_reachable:
             self._store.compare_list(heartbeat.newest_change)
         elif heartbeat.acting:
             self._store.note_outage()
 
+    def _take_crashes(self, heartbeat: Heartbeat) -> None:
+        """Take what a peer tells of requests that end targets."""
+        state, now = self._state, trio.current_time()
+        state.crashes.take_answered(heartbeat.name, heartbeat.answered)
+        for found in heartbeat.crashes:
+            self._crashes.take_crash(found.run, found.age)
+        for told in heartbeat.quarantines:
+            quarantine = Quarantine(
+                told.fingerprint,
+                told.round,
+                now - told.age,
+                told.seconds,
+                told.crashes,
+            )
+            state.quarantine.take(quarantine, heartbeat.name)
+
+    def owns(self, fingerprint: str) -> bool:
+        """Return whether a request in quarantine is tried again here.
+
+        Of the gateways that hear each other one is, so that a request that
+        still ends targets costs one and not one for each gateway.
+        """
+        names = [peer.name for peer in self._list_live() if not peer.leaving]
+        name = self._state.name
+        return choose_owner(fingerprint, [name, *names]) == name
+
     def _lose_peers(self, names: list[str]) -> None:
+        self._state.crashes.forget_peers(names)
         self._state.loads.forget(names)
         self._state.budget.forget(names)
         self._state.unheard.forget(names)
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -19,13 +19,17 @@
 from magnoliacove.gateway.callers import CallerConnection
 from magnoliacove.gateway.callers import Exchange
 from magnoliacove.gateway.channels import ChannelPool
+from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.engines import EngineCalls
 from magnoliacove.gateway.peering import PeerExchange
+from magnoliacove.gateway.quarantine_records import QuarantineRecords
 from magnoliacove.gateway.relay import Relay
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.store import StoreFollower
 from magnoliacove.gateway.supervision import run_supervised
+from magnoliacove.limits.crashes import CrashHistory
+from magnoliacove.limits.quarantine import QuarantineBook
 from magnoliacove.metrics import Meters
 from magnoliacove.metrics import serve_meters
 from magnoliacove.placement import duty
@@ -107,8 +111,22 @@
                 rng,
             ),
             rng=rng,
+            crashes=CrashHistory(),
+            quarantine=QuarantineBook(
+                recorder, lambda fingerprint: self._peers.owns(fingerprint)
+            ),
         )
         self._calls = EngineCalls(pool)
+        self._quarantines = QuarantineRecords(
+            api, self.state.quarantine, recorder
+        )
+        self._crashes = CrashWatch(
+            self.state,
+            self._calls,
+            lambda: self._peers.heartbeats.send_soon(),
+            self._quarantines.save,
+            self._quarantines.look,
+        )
         self._store = StoreFollower(
             self.state,
             api,
@@ -121,11 +139,12 @@
             settings,
             self._incarnation,
             lambda: self._leadership.acting,
+            self._crashes,
         )
         self._stalls = StallWatch(
             self.state, self._calls, self._peers.heartbeats.send_soon
         )
-        self._relay = Relay(self.state, self._stalls)
+        self._relay = Relay(self.state, self._stalls, self._crashes)
         owner = f"{settings.name}/{self._incarnation}"
         lease = Lease(
             api,
@@ -177,6 +196,8 @@
                 "snapshots": self._peers.serve,
                 "placement": self._duty.run,
                 "stalls": self._stalls.run,
+                "crashes": self._crashes.run,
+                "quarantines": self._quarantines.run,
                 "room": self.state.room.run,
                 "tidy": self._tidy,
                 "catch-up": self._peers.catch_up,
@@ -321,6 +342,7 @@
             state.holdings.forget(known)
             state.candidates.forget(known)
             self._stalls.forget(known)
+            self._crashes.forget()
             await state.pool.close_expired(known)
 
     def _read_gauges(self) -> dict[str, float]:
@@ -341,6 +363,8 @@
             "requests_waiting": state.room.waiting,
             "requests_refused": state.room.refused,
             "retries_denied": state.budget.denied,
+            "requests_quarantined": len(state.quarantine.list_all()),
+            "quarantine_refusals": state.quarantine.refused,
             "connections_opened": state.pool.opened,
             "engine_reports": self._calls.reports,
             "engine_orders": self._calls.orders,
--- /dev/null
+++ b/magnoliacove/gateway/quarantine_records.py
@@ -0,0 +1,162 @@
+"""Quarantines in the platform's store, which outlive all gateways.
+
+Gateways tell each other of quarantines, but when all are killed at once those
+that start know nothing.  Each quarantine is one object; the store is read at
+the start and when a target ended under a request of this gateway's, so one
+that hears no peer learns of it with the first target that it costs.
+"""
+
+from collections import OrderedDict
+import contextlib
+import math
+import time
+
+import orjson
+import trio
+
+from magnoliacove import errors
+from magnoliacove import platform
+from magnoliacove.directory.backoff import Backoff
+from magnoliacove.limits.quarantine import Quarantine
+from magnoliacove.limits.quarantine import QuarantineBook
+from magnoliacove.timeline import Recorder
+
+__all__ = ["QuarantineRecords", "read_record", "write_record"]
+
+KIND = "quarantines"
+# Pauses after a call that the store did not answer, in seconds.
+_RETRY_FIRST = 0.2
+_RETRY_MOST = 2.0
+# The store is read again this long after it was read last at the earliest,
+# seconds: many targets may end within one.
+_READ_AGAIN = 1.0
+# Quarantines that wait to be written while the store is away.
+_MOST_WAITING = 64
+# Objects that are deleted after one reading, since their time is over.
+_MOST_DELETED = 8
+_MS = 1000
+
+
+class QuarantineRecords:
+    """Writes this gateway's quarantines and reads those of all others.
+
+    :param book: what it reads goes there.
+    """
+
+    def __init__(
+        self,
+        api: platform.ObjectApi,
+        book: QuarantineBook,
+        recorder: Recorder,
+    ) -> None:
+        self._api = api
+        self._book = book
+        self._recorder = recorder
+        self._waiting: OrderedDict[str, Quarantine] = OrderedDict()
+        self._changed = trio.Event()
+        self._look = True
+        self._read_at = -math.inf
+
+    def save(self, quarantine: Quarantine) -> None:
+        """Write a quarantine, or that it is over, as soon as possible."""
+        self._waiting[quarantine.fingerprint] = quarantine
+        if len(self._waiting) > _MOST_WAITING:
+            self._waiting.popitem(last=False)
+        self._changed.set()
+
+    def look(self) -> None:
+        """Read what the others wrote, soon."""
+        self._look = True
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Write and read until cancelled."""
+        backoff = Backoff(_RETRY_FIRST, _RETRY_MOST)
+        while True:
+            try:
+                await self._write_waiting()
+                if self._read_wait() <= 0.0:
+                    await self._read()
+            except (errors.PlatformError, platform.VersionConflictError) as e:
+                # The gateways that live know it; it is tried again.
+                self._recorder.record("quarantine-not-stored", why=str(e))
+                await backoff.pause()
+                continue
+            backoff.reset()
+            with trio.move_on_after(self._read_wait()):
+                await self._changed.wait()
+            self._changed = trio.Event()
+
+    def _read_wait(self) -> float:
+        """Return seconds until the store is to be read, perhaps infinite."""
+        if not self._look:
+            return math.inf
+        return self._read_at + _READ_AGAIN - trio.current_time()
+
+    async def _write_waiting(self) -> None:
+        while self._waiting:
+            fingerprint, quarantine = next(iter(self._waiting.items()))
+            name = f"{KIND}/{fingerprint}"
+            if quarantine.in_force:
+                await self._api.put(name, write_record(quarantine))
+            else:
+                await self._api.delete(name)
+            if self._waiting.get(fingerprint) is quarantine:
+                del self._waiting[fingerprint]
+
+    async def _read(self) -> None:
+        self._look = False
+        self._read_at = trio.current_time()
+        try:
+            listing = await self._api.list_records(f"{KIND}/")
+        except errors.PlatformError:
+            self._look = True
+            raise
+        over = []
+        for record in listing.records:
+            found = read_record(record)
+            if found is None or found.forgotten_at <= trio.current_time():
+                over.append(record)
+                continue
+            self._book.take(found, "the platform's store")
+        for record in over[:_MOST_DELETED]:
+            with contextlib.suppress(platform.VersionConflictError):
+                # Another gateway deleted it, or wrote a newer one.
+                await self._api.delete(record.name, record.version)
+
+
+def write_record(quarantine: Quarantine) -> bytes:
+    """Return the object of a quarantine.
+
+    Its end is a time of day, since no other clock outlives the process; a
+    clock that is off by seconds moves the end by as much.
+    """
+    left = quarantine.until - trio.current_time()
+    return orjson.dumps(
+        {
+            "round": quarantine.round,
+            "seconds": quarantine.seconds,
+            "crashes": quarantine.crashes,
+            "until_ms": int((time.time() + left) * _MS),
+        }
+    )
+
+
+def read_record(record: platform.Record) -> Quarantine | None:
+    """Return the quarantine that an object holds, None when it holds none."""
+    try:
+        values = orjson.loads(record.value)
+        seconds = float(values["seconds"])
+        left = int(values["until_ms"]) / _MS - time.time()
+        # A clock that jumped must not make it last for longer.
+        age = seconds - min(left, seconds)
+        return Quarantine(
+            record.name.partition("/")[2],
+            int(values["round"]),
+            trio.current_time() - age,
+            seconds,
+            int(values["crashes"]),
+        )
+    except (ValueError, KeyError, TypeError):
+        # Another writer's object; it keeps no request away.
+        return None
--- a/magnoliacove/gateway/relay.py
+++ b/magnoliacove/gateway/relay.py
@@ -11,8 +11,10 @@
 from magnoliacove.configuration.routes import RouteTable
 from magnoliacove.gateway.callers import Exchange
 from magnoliacove.gateway.calls import PlainCall
+from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.requests import RoutedRequest
 from magnoliacove.gateway.requests import make_fingerprint
+from magnoliacove.gateway.requests import make_quarantined
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.streams import StreamCall
@@ -41,9 +43,12 @@
 class Relay:
     """Answers the requests of callers."""
 
-    def __init__(self, state: GatewayState, stalls: StallWatch) -> None:
+    def __init__(
+        self, state: GatewayState, stalls: StallWatch, crashes: CrashWatch
+    ) -> None:
         self._state = state
         self._stalls = stalls
+        self._crashes = crashes
 
     async def serve(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -158,11 +163,17 @@
             gap_objective=routed.route.gap_objective,
             resumes=routed.marks.last_event,
         )
+        wait = state.quarantine.admit(routed.fingerprint)
+        if wait > 0.0:
+            raise make_quarantined(wait)
         if routed.service.model is not None and routed.route.streaming:
-            stream = StreamCall(state, self._stalls, exchange, routed)
+            stream = StreamCall(
+                state, self._stalls, self._crashes, exchange, routed
+            )
             await stream.run()
-            return
-        await PlainCall(state, exchange, routed).run()
+        else:
+            await PlainCall(state, self._crashes, exchange, routed).run()
+        self._crashes.note_answered(routed.fingerprint)
 
     async def _answer_fault(
         self,
--- a/magnoliacove/gateway/requests.py
+++ b/magnoliacove/gateway/requests.py
@@ -12,6 +12,7 @@
 __all__ = [
     "RoutedRequest",
     "make_fingerprint",
+    "make_quarantined",
     "make_timeout",
     "make_uncertain",
     "read_caller_patience",
@@ -73,6 +74,19 @@
     return digest.hexdigest()
 
 
+def make_quarantined(wait: float) -> errors.RequestError:
+    """Return the error for a request that is kept away from targets.
+
+    :param wait: seconds until it may be tried again.
+    """
+    return errors.RequestError(
+        "quarantined",
+        "targets ended while they ran this request; it did not run now",
+        status=503,
+        retry_after=wait,
+    )
+
+
 def make_timeout(sent: bool) -> errors.RequestError:
     """Return the error for a request whose time is over.
 
--- a/magnoliacove/gateway/state.py
+++ b/magnoliacove/gateway/state.py
@@ -12,8 +12,10 @@
 from magnoliacove.directory.holdings import Holdings
 from magnoliacove.directory.targets import TargetList
 from magnoliacove.gateway.channels import ChannelPool
+from magnoliacove.limits.crashes import CrashHistory
 from magnoliacove.limits.gaps import GapClock
 from magnoliacove.limits.load import LoadBook
+from magnoliacove.limits.quarantine import QuarantineBook
 from magnoliacove.limits.retries import SharedRetryBudget
 from magnoliacove.limits.room import RoomQueue
 from magnoliacove.limits.unheard import UnheardRequests
@@ -47,6 +49,8 @@
     pool: ChannelPool
     candidates: Candidates
     rng: random.Random
+    crashes: CrashHistory
+    quarantine: QuarantineBook
     routes: RouteTable | None = None
     routes_at: float = 0.0
     leaving: bool = False
@@ -60,6 +64,16 @@
         """Return what is known of the gaps in a model's layers."""
         return self._gaps.setdefault(service, GapClock())
 
+    def may_repeat(self, fingerprint: str) -> bool:
+        """Return whether a request that broke off may run once more.
+
+        Not while targets that ended are put down to it, or nearly so: its
+        caller may come again, and by then more is known.
+        """
+        if self.quarantine.find(fingerprint) is not None:
+            return False
+        return not self.crashes.is_suspected(fingerprint)
+
     def take_routes(self, table: RouteTable, source: str) -> bool:
         """Put a newer configuration in force; never an older one.
 
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Iterable
 import contextlib
 
 import trio
@@ -17,6 +18,7 @@
 from magnoliacove.gateway.channels import Answer
 from magnoliacove.gateway.channels import Channel
 from magnoliacove.gateway.channels import TargetError
+from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.delivery import BrokenRunError
 from magnoliacove.gateway.delivery import EventDelivery
 from magnoliacove.gateway.exchanges import is_genuine
@@ -24,6 +26,7 @@
 from magnoliacove.gateway.exchanges import send_request
 from magnoliacove.gateway.holds import PathHold
 from magnoliacove.gateway.requests import RoutedRequest
+from magnoliacove.gateway.requests import make_quarantined
 from magnoliacove.gateway.requests import make_timeout
 from magnoliacove.gateway.requests import make_uncertain
 from magnoliacove.gateway.requests import read_caller_patience
@@ -56,13 +59,16 @@
         self,
         state: GatewayState,
         stalls: StallWatch,
+        crashes: CrashWatch,
         exchange: Exchange,
         routed: RoutedRequest,
     ) -> None:
         self.request = routed.marks.request
         self.service = routed.service.name
+        self.fingerprint = routed.fingerprint
         self._state = state
         self._stalls = stalls
+        self._crashes = crashes
         self._exchange = exchange
         self._routed = routed
         self._hold = PathHold(state, routed)
@@ -150,6 +156,11 @@
         if not self._delivery.writing:
             self._scope.cancel()
 
+    def note_lost(self, targets: Iterable[str]) -> None:
+        """Take it that engines of the present path are lost."""
+        age = self._delivery.read_run_age()
+        self._crashes.note_lost(targets, self._routed, age)
+
     def _leave_if_moved(self) -> None:
         """Leave the path now if that had to wait for a write."""
         if self._moved and self._scope is not None:
@@ -162,14 +173,17 @@
             await self._find_path()
             first = self.first_target
             try:
+                self._check_quarantine()
                 await self._follow_path()
                 self._slowness = self._hold.measure_slowness()
                 return
             except BrokenRunError as why:
                 failure = why
-                self._lines.note_lost(first.name if first else "", failure)
+                self._note_lost(first, failure)
             finally:
                 self._hold.leave()
+            name = first.name if first else ""
+            await self._crashes.wait_verdict(name, self.fingerprint)
             if not self._may_go_on(failure):
                 await self._give_up(failure)
                 return
@@ -209,6 +223,21 @@
             # that nobody did.
             raise make_uncertain(why.code, str(why), 502) from why
 
+    def _check_quarantine(self) -> None:
+        """Stop a request that was found to end targets while it waited.
+
+        :raises magnoliacove.errors.RequestError: when it is kept away.
+        """
+        found = self._state.quarantine.find(self.fingerprint)
+        if found is None:
+            return
+        if self._runs:
+            why = "targets ended while they ran this request"
+            raise make_uncertain("quarantined", why, 502)
+        wait = found.until - trio.current_time()
+        if wait > 0.0:
+            raise make_quarantined(wait)
+
     def _make_hopeless(self) -> errors.RequestError:
         """Return the error for a caller that leaves before any event."""
         why = "no path could bring an event before the caller leaves"
@@ -216,6 +245,14 @@
             return make_uncertain("too_late", why, 504)
         return errors.RequestError("too_late", why, retry_after=_RETRY_AFTER)
 
+    def _note_lost(
+        self, first: ListedTarget | None, failure: BrokenRunError
+    ) -> None:
+        self._lines.note_lost(first.name if first else "", failure)
+        if first is not None and failure.ran and failure.answer is None:
+            age = self._delivery.read_run_age()
+            self._crashes.note_broken(first, self._routed, age)
+
     def _may_go_on(self, failure: BrokenRunError) -> bool:
         """Return whether another path may be tried."""
         state, route = self._state, self._routed.route
@@ -223,6 +260,8 @@
             self._runs += 1
             if not route.repeatable:
                 return False
+            if not state.may_repeat(self.fingerprint):
+                return False
         else:
             self._refusals += 1
             if self._refusals > _MOST_REFUSALS:
--- a/magnoliacove/peers/__init__.py
+++ b/magnoliacove/peers/__init__.py
@@ -1,7 +1,9 @@
 """What gateways tell each other without the platform's store."""
 
 from magnoliacove.peers.datagram import Heartbeat
+from magnoliacove.peers.datagram import ReportedCrash
 from magnoliacove.peers.datagram import ReportedHolding
+from magnoliacove.peers.datagram import ReportedQuarantine
 from magnoliacove.peers.datagram import ReportedSuspicion
 from magnoliacove.peers.heartbeats import Heartbeats
 from magnoliacove.peers.heartbeats import Peer
@@ -10,6 +12,8 @@
     "Heartbeat",
     "Heartbeats",
     "Peer",
+    "ReportedCrash",
     "ReportedHolding",
+    "ReportedQuarantine",
     "ReportedSuspicion",
 ]
--- a/magnoliacove/peers/datagram.py
+++ b/magnoliacove/peers/datagram.py
@@ -13,9 +13,16 @@
 from magnoliacove import errors
 from magnoliacove.directory.holdings import Holding
 from magnoliacove.directory.targets import LayerRange
+from magnoliacove.limits.crashes import CrashedRun
 from magnoliacove.limits.load import TargetLoad
 
-__all__ = ["Heartbeat", "ReportedHolding", "ReportedSuspicion"]
+__all__ = [
+    "Heartbeat",
+    "ReportedCrash",
+    "ReportedHolding",
+    "ReportedQuarantine",
+    "ReportedSuspicion",
+]
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name("heartbeat.capnp")))
 
@@ -50,6 +57,32 @@
     leaving: bool
 
 
+@dataclass(frozen=True)
+class ReportedCrash:
+    """A target that ended while a request ran there.
+
+    :param age: seconds since it ended.
+    """
+
+    run: CrashedRun
+    age: float
+
+
+@dataclass(frozen=True)
+class ReportedQuarantine:
+    """A request that is kept away from targets.
+
+    :param age: seconds since its quarantine began or was ended early.
+    :param seconds: how long it lasts, 0 when it was ended early.
+    """
+
+    fingerprint: str
+    round: int
+    seconds: float
+    age: float
+    crashes: int
+
+
 @dataclass(frozen=True)
 class Heartbeat:
     """One gateway's news.
@@ -62,6 +95,9 @@
     :param peers: addresses of gateways that it knows.
     :param newest_change: the store's revision of the newest change in the
         list of targets that it knows.
+    :param crashes: targets that ended lately under its requests.
+    :param answered: how often it answered requests that were there.
+    :param quarantines: requests that are kept away, some of those it knows.
     """
 
     name: str
@@ -82,6 +118,9 @@
     newest_change: int = 0
     recent: Mapping[str, int] = field(default_factory=dict)
     counted_for: float = 0.0
+    crashes: tuple[ReportedCrash, ...] = ()
+    answered: Mapping[str, int] = field(default_factory=dict)
+    quarantines: tuple[ReportedQuarantine, ...] = ()
 
     def encode(self) -> bytes:
         """Return the heartbeat as one datagram."""
@@ -124,6 +163,12 @@
                 for name, count in self.recent.items()
             ],
             countedFor=int(self.counted_for * 1000),
+            crashes=[_write_crash(item) for item in self.crashes],
+            answered=[
+                {"fingerprint": int(fingerprint, 16), "count": count}
+                for fingerprint, count in self.answered.items()
+            ],
+            quarantines=[_write_quarantine(item) for item in self.quarantines],
         ).to_bytes()
         return zlib.compress(data, _COMPRESSION)
 
@@ -168,6 +213,12 @@
                         item.service: item.requests for item in read.recent
                     },
                     counted_for=read.countedFor / 1000,
+                    crashes=tuple(map(_read_crash, read.crashes)),
+                    answered={
+                        _read_fingerprint(item): item.count
+                        for item in read.answered
+                    },
+                    quarantines=tuple(map(_read_quarantine, read.quarantines)),
                 )
         except (capnp.KjException, ValueError, zlib.error) as why:
             raise errors.ProtocolError(
@@ -176,6 +227,50 @@
             ) from why
 
 
+def _read_fingerprint(item: Any) -> str:
+    return f"{item.fingerprint:016x}"
+
+
+def _write_crash(item: ReportedCrash) -> dict[str, Any]:
+    return {
+        "fingerprint": int(item.run.fingerprint, 16),
+        "attempt": item.run.attempt,
+        "target": item.run.target,
+        "seconds": int(item.run.seconds * 1000),
+        "age": int(item.age * 1000),
+    }
+
+
+def _read_crash(item: Any) -> ReportedCrash:
+    run = CrashedRun(
+        _read_fingerprint(item),
+        item.attempt,
+        item.target,
+        item.seconds / 1000,
+    )
+    return ReportedCrash(run, item.age / 1000)
+
+
+def _write_quarantine(item: ReportedQuarantine) -> dict[str, Any]:
+    return {
+        "fingerprint": int(item.fingerprint, 16),
+        "round": item.round,
+        "seconds": int(item.seconds * 1000),
+        "age": int(item.age * 1000),
+        "crashes": item.crashes,
+    }
+
+
+def _read_quarantine(item: Any) -> ReportedQuarantine:
+    return ReportedQuarantine(
+        _read_fingerprint(item),
+        item.round,
+        item.seconds / 1000,
+        item.age / 1000,
+        item.crashes,
+    )
+
+
 def _read_loads(read: Any) -> dict[str, TargetLoad]:
     columns = zip(read.targets, read.requests, read.tokenLayers, strict=True)
     return {
--- a/magnoliacove/peers/heartbeat.capnp
+++ b/magnoliacove/peers/heartbeat.capnp
@@ -21,6 +21,32 @@
   newestChange @15 :UInt64;
   recent @16 :List(ServiceCount);
   countedFor @17 :UInt32;
+  crashes @18 :List(Crash);
+  answered @19 :List(Answered);
+  quarantines @20 :List(Quarantine);
+}
+
+# A target that ended while a request ran there.
+struct Crash {
+  fingerprint @0 :UInt64;
+  attempt @1 :UInt32;
+  target @2 :Text;
+  seconds @3 :UInt32;
+  age @4 :UInt32;
+}
+
+struct Answered {
+  fingerprint @0 :UInt64;
+  count @1 :UInt32;
+}
+
+# No seconds: it was ended early.
+struct Quarantine {
+  fingerprint @0 :UInt64;
+  round @1 :UInt32;
+  seconds @2 :UInt32;
+  age @3 :UInt32;
+  crashes @4 :UInt32;
 }
 
 # One entry of each list belongs to one target.  Lists of plain values are
--- a/magnoliacove/timeline/losses.py
+++ b/magnoliacove/timeline/losses.py
@@ -48,6 +48,7 @@
     TARGET_SLOW = "its target took long"
     NO_CONFIGURATION = "its gateway had no configuration"
     TIME_OVER = "its time was over"
+    QUARANTINED = "targets ended while they ran it"
     CALLER = "its caller left early"
     LOG_ENDS = "the log ends before it"
     UNKNOWN = "unknown"
@@ -58,6 +59,7 @@
     ("gives no report", Cause.ENGINE_LOST),
     ("no health check", Cause.ENGINE_LOST),
     ("cannot be reached", Cause.ENGINE_LOST),
+    ("ended while requests ran", Cause.ENGINE_LOST),
     ("wait for it", Cause.PATH_STALLED),
     ("it follows", Cause.ENGINE_RESTARTED),
     ("silent", Cause.PATH_SILENT),
@@ -79,6 +81,7 @@
     "no_target": Cause.ENGINE_LOST,
     "target_failed": Cause.TARGET_FAILED,
     "timeout": Cause.TIME_OVER,
+    "quarantined": Cause.QUARANTINED,
 }
 
 
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -15,6 +15,7 @@
 from magnoliacove.directory.targets import TargetList
 from magnoliacove.gateway.callers import CallerConnection
 from magnoliacove.gateway.channels import ChannelPool
+from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.engines import EngineCalls
 from magnoliacove.gateway.relay import Relay
 from magnoliacove.gateway.stalls import StallWatch
@@ -23,6 +24,8 @@
 from magnoliacove.limits import RoomQueue
 from magnoliacove.limits import SharedRetryBudget
 from magnoliacove.limits import UnheardRequests
+from magnoliacove.limits.crashes import CrashHistory
+from magnoliacove.limits.quarantine import QuarantineBook
 from magnoliacove.metrics import Meters
 from magnoliacove.routing.candidates import Candidates
 from magnoliacove.wire import Address
@@ -194,14 +197,18 @@
             pool,
             Candidates("a", targets, health, holdings, loads, unheard, rng),
             rng,
+            CrashHistory(),
+            QuarantineBook(self.recorder),
         )
         self.state.routes = make_table()
         self.calls = EngineCalls(pool)
         self.stalls = StallWatch(self.state, self.calls)
-        self.relay = Relay(self.state, self.stalls)
+        self.crashes = CrashWatch(self.state, self.calls)
+        self.relay = Relay(self.state, self.stalls, self.crashes)
         targets.listen(self.state.room.fill)
         nursery.start_soon(self.state.room.run)
         nursery.start_soon(self.stalls.run)
+        nursery.start_soon(self.crashes.run)
 
     async def add(self, name, script, *, layers=None, service="", **changes):
         """Start a stub target and list it."""
--- /dev/null
+++ b/tests/gateway/test_crashes.py
@@ -0,0 +1,158 @@
+"""Targets that end under requests: found out, told, and kept from more."""
+
+import dataclasses
+
+import trio
+
+from magnoliacove.limits.crashes import CrashedRun
+from tests.gateway import stubs
+
+_HEADERS = {"x_token_usage": "100,20", "x_deadline_ms": "20000"}
+_WHOLE = stubs.STREAM + stubs.chunk(stubs.make_events(1, 3)) + stubs.END
+
+
+class _Endings:
+    """Targets of one stage that a request ends, and others that it cannot.
+
+    A target that ends takes no connection any more.
+    """
+
+    def __init__(self, stage):
+        self.ended = []
+        self._stage = stage
+
+    async def add(self, name, **changes):
+        """Start a target that ends when it runs a request for /bad."""
+        stub = stubs.StubTarget(None)
+        scope = trio.CancelScope()
+
+        async def script(received, stream):
+            if not received.target.endswith("/bad"):
+                streams = changes.get("layers") is not None
+                whole = _WHOLE if streams else stubs.make_answer(b"ok")
+                await stream.send_all(whole)
+                return
+            if changes.get("layers") is not None:
+                await stream.send_all(stubs.STREAM)
+            self.ended.append(name)
+            scope.cancel()
+
+        async def live(task_status):
+            with scope:
+                await stub.listen(task_status)
+
+        stub.script = script
+        await self._stage.nursery.start(live)
+        known = await self._stage.add(name, stubs.stay_silent, **changes)
+        target = self._stage.state.targets.find(name)
+        listed = dataclasses.replace(
+            target, address=stub.address, revision=target.revision + 1
+        )
+        self._stage.state.targets.apply(listed)
+        return known
+
+
+async def _ask(stage, path, number):
+    return await stage.ask(
+        path,
+        method="POST" if "stream" in path else "GET",
+        x_request_id=f"r{number}",
+        **_HEADERS,
+    )
+
+
+async def _wait_settled():
+    await trio.sleep(0.6)
+
+
+async def test_a_stream_that_ends_engines_is_refused_and_others_are_not():
+    """A stream ends the engine that begins it, goes on at the next one and
+    ends that too.  Its caller comes again.  After the third engine it is
+    refused at once, as not run and with a time to come back; other streams
+    of the same caller go on.
+    """
+    async with stubs.open_stage() as stage:
+        endings = _Endings(stage)
+        for number in range(5):
+            await endings.add(f"i-{number}", layers=(0, 80))
+        for number in range(2):
+            answer = await _ask(stage, "/stream/bad", number)
+            assert answer.split(b" ")[1] == b"502"
+            await _wait_settled()
+            for name in endings.ended:
+                stage.state.targets.remove(name, 2)
+        assert len(endings.ended) == 3
+        answer = await _ask(stage, "/stream/bad", 9)
+        assert answer.split(b" ")[1] == b"503"
+        assert b"retry-after: 5" in answer.lower()
+        assert len(endings.ended) == 3
+        assert (await _ask(stage, "/stream/good", 10)).endswith(stubs.END)
+        kinds = stage.list_kinds()
+        assert kinds.count("target-ended") == 3
+        assert kinds.count("quarantine-begun") == 1
+
+
+async def test_a_call_that_ends_targets_is_refused():
+    """The same at a plain service, whose targets tell no incarnation."""
+    async with stubs.open_stage() as stage:
+        endings = _Endings(stage)
+        for number in range(6):
+            await endings.add(f"i-{number}")
+        for number in range(3):
+            await _ask(stage, "/get/bad", number)
+            await _wait_settled()
+        answer = await _ask(stage, "/get/bad", 9)
+        assert answer.split(b" ")[1] == b"503"
+        assert len(endings.ended) <= 4
+        assert (await _ask(stage, "/get/good", 10)).endswith(b"ok")
+
+
+async def test_a_connection_that_breaks_is_no_end_of_its_target():
+    """Engines live on and lose the connections of one request each time it
+    comes, as a fault on the way does.  It is not kept away for that.
+    """
+    async with stubs.open_stage() as stage:
+        for number in range(4):
+            await stage.add(f"i-{number}", stubs.reset, layers=(0, 80))
+        for number in range(4):
+            answer = await _ask(stage, "/stream/bad", number)
+            assert answer.split(b" ")[1] == b"502"
+            await _wait_settled()
+        assert "quarantine-begun" not in stage.list_kinds()
+        assert "target-ended" not in stage.list_kinds()
+
+
+async def test_a_target_that_leaves_is_not_ended_by_what_still_runs():
+    async with stubs.open_stage() as stage:
+        endings = _Endings(stage)
+        for number in range(4):
+            await endings.add(f"i-{number}", layers=(0, 80))
+        for number in range(4):
+            stage.state.health.suspect(f"i-{number}", "it leaves")
+        target = stage.state.targets.find("i-0")
+        leaving = dataclasses.replace(target, draining=True)
+        assert await stage.crashes._has_ended(leaving) is False
+
+
+async def test_what_other_gateways_saw_counts():
+    """Each gateway saw one end of a target.  Whichever it comes to next, the
+    request is refused; an answer of any gateway ends that for all.
+    """
+    async with stubs.open_stage() as stage:
+        await stage.add("i-9", stubs.answer_with(_WHOLE), layers=(0, 80))
+        answer = await _ask(stage, "/stream/bad", 1)
+        assert answer.endswith(stubs.END)
+        told = [
+            event.detail["fingerprint"]
+            for event in stage.recorder.list_events()
+            if event.kind == "request-arrived"
+        ]
+        stage.state.crashes._answered.clear()
+        for number in range(3):
+            run = CrashedRun(told[0], number, f"i-{number}", 0.1)
+            stage.crashes.take_crash(run, 0.0)
+        await trio.sleep(1.6)
+        answer = await _ask(stage, "/stream/bad", 2)
+        assert answer.split(b" ")[1] == b"503"
+        stage.crashes.note_answered(told[0])
+        assert (await _ask(stage, "/stream/bad", 3)).endswith(stubs.END)
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -39,6 +39,7 @@
         settings.read_settings(path),
         1,
         lambda: False,
+        stage.crashes,
     )
 
 
--- a/tests/peers/samples.py
+++ b/tests/peers/samples.py
@@ -4,6 +4,7 @@
 from magnoliacove.directory.holdings import Holding
 from magnoliacove.directory.targets import LayerRange
 from magnoliacove.limits import TargetLoad
+from magnoliacove.limits.crashes import CrashedRun
 
 
 def make_heartbeat(name="g-1", sequence=1, named=(), **changes):
@@ -33,5 +34,15 @@
         "counted_for": 1.5,
         "peers": tuple(named),
         "acting": True,
+        "crashes": (
+            peers.ReportedCrash(
+                CrashedRun("00c3b2a190817263", 4_000_000_000, "i-2", 0.125),
+                1.5,
+            ),
+        ),
+        "answered": {"ffeeddccbbaa9988": 7},
+        "quarantines": (
+            peers.ReportedQuarantine("00c3b2a190817263", 2, 240.0, 30.5, 4),
+        ),
     }
     return peers.Heartbeat(**{**values, **changes})
