Count an engine as run on only once it was reached

Seen beside the ended engines: streams that lost one engine and could not connect to the next, which had ended too and was still listed, waited for room until their callers left, with other engines free. Cause: the first engine of a path counted as one that the request ran on when the path was chosen. A route allows two; none was left. Ruled out: not counting engines that ended, which would let the request that ends them go on to a third and fourth in one attempt. Change: it counts from the moment at which a connection to it is open. The error for a caller that leaves before any event moves to the others.

--- a/magnoliacove/gateway/requests.py
+++ b/magnoliacove/gateway/requests.py
@@ -12,6 +12,7 @@
 __all__ = [
     "RoutedRequest",
     "make_fingerprint",
+    "make_hopeless",
     "make_quarantined",
     "make_timeout",
     "make_uncertain",
@@ -107,6 +108,18 @@
     )
 
 
+def make_hopeless(sent: bool, wait: float) -> errors.RequestError:
+    """Return the error for a caller that leaves before any event.
+
+    :param sent: whether a target may have run the request.
+    :param wait: seconds until it may come back, if none has.
+    """
+    why = "no path could bring an event before the caller leaves"
+    if sent:
+        return make_uncertain("too_late", why, 504)
+    return errors.RequestError("too_late", why, retry_after=wait)
+
+
 def make_uncertain(code: str, why: str, status: int) -> errors.RequestError:
     """Return the error for a stream that an engine may have run."""
     return errors.RequestError(
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -26,6 +26,7 @@
 from magnoliacove.gateway.exchanges import send_request
 from magnoliacove.gateway.holds import PathHold
 from magnoliacove.gateway.requests import RoutedRequest
+from magnoliacove.gateway.requests import make_hopeless
 from magnoliacove.gateway.requests import make_quarantined
 from magnoliacove.gateway.requests import make_timeout
 from magnoliacove.gateway.requests import make_uncertain
@@ -202,7 +203,7 @@
         # An answer that has begun cannot be refused any more, only cut.  Its
         # caller leaves by itself; until then a path may still come.
         if left <= 0:
-            raise self._make_hopeless()
+            raise make_hopeless(self._runs > 0, _RETRY_AFTER)
         try:
             await self._state.room.wait_path(
                 self._hold.reserve,
@@ -238,13 +239,6 @@
         if wait > 0.0:
             raise make_quarantined(wait)
 
-    def _make_hopeless(self) -> errors.RequestError:
-        """Return the error for a caller that leaves before any event."""
-        why = "no path could bring an event before the caller leaves"
-        if self._runs:
-            return make_uncertain("too_late", why, 504)
-        return errors.RequestError("too_late", why, retry_after=_RETRY_AFTER)
-
     def _note_lost(
         self, first: ListedTarget | None, failure: BrokenRunError
     ) -> None:
@@ -304,7 +298,6 @@
             raise BrokenRunError("the first engine is gone", False)
         number = self._runs + self._refusals + 1
         self._lines.note_path(path, number, trio.current_time())
-        self._hold.use()
         self._moved = ""
         sent = False
         self._delivery.await_run()
@@ -334,6 +327,10 @@
     ) -> AsyncIterator[Channel]:
         """Send the request on a connection that is closed if it breaks."""
         async with self._state.pool.use(target) as channel:
+            # Not sooner: an engine that cannot be reached counted as one of
+            # those that the request may run on, and its stream waited for
+            # that one beside others until its caller left.
+            self._hold.use()
             await send_request(
                 channel, target, self._routed, self._delivery.last_event, path
             )
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -504,3 +504,24 @@
     lost = [e for e in events if e.kind == "path-lost"]
     assert {e.target for e in lost} == {"i-1"}
     assert all(0.0 < e.detail["ran_for"] < 0.5 for e in lost[:1])
+
+
+async def test_an_engine_that_cannot_be_reached_is_none_that_it_ran_on():
+    """Two engines end together, and their entries stay for seconds.  A stream
+    loses the first one and cannot reach the second.  Its route allows runs
+    on two engines; the second counted as one, so the stream waited beside a
+    third until its caller had left.
+    """
+    async with stubs.open_stage() as stage:
+        dying = await stage.add("i-1", _stream(cut_after=3), layers=(0, 80))
+        ended = await stage.add("i-2", _stream(), layers=(0, 80))
+        target = stage.state.targets.find("i-2")
+        nobody = dataclasses.replace(ended.address, port=1)
+        stage.state.targets.apply(
+            dataclasses.replace(target, address=nobody, revision=2)
+        )
+        third = await stage.add("i-3", _stream(), layers=(0, 80))
+        answer = await _ask(stage)
+        assert _is_whole(answer)
+        assert dying.callers_requests
+        assert third.callers_requests
