Let ends count once, take only our own records, ask a lost engine once

Change: ends are settled with their quarantine; records are checked by field; the refusal of a connection is told by the pool; engines that live are not asked again for each stream that is led around them.

--- a/magnoliacove/gateway/channels.py
+++ b/magnoliacove/gateway/channels.py
@@ -46,11 +46,20 @@
     """A target gave no whole answer.
 
     :param outcome: whether the request may have run.
+    :param refused: its instance answered that nobody listens there, which
+        says that its process is gone.
     """
 
-    def __init__(self, message: str, outcome: errors.Outcome) -> None:
+    def __init__(
+        self,
+        message: str,
+        outcome: errors.Outcome,
+        *,
+        refused: bool = False,
+    ) -> None:
         super().__init__(message)
         self.outcome = outcome
+        self.refused = refused
 
 
 @dataclass(frozen=True)
@@ -365,8 +374,15 @@
             raise TargetError(
                 f"{address} cannot be reached; check that it runs",
                 errors.Outcome.NOT_RUN,
+                refused=_is_refusal(why),
             ) from why
         stream.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNSENT_TIMEOUT_MS
         )
         return stream
+
+
+def _is_refusal(why: Exception) -> bool:
+    """Return whether nobody listens where a connection was to lead."""
+    tries = getattr(why.__cause__, "exceptions", (why.__cause__ or why,))
+    return all(isinstance(one, ConnectionRefusedError) for one in tries)
--- a/magnoliacove/gateway/crashes.py
+++ b/magnoliacove/gateway/crashes.py
@@ -21,7 +21,6 @@
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.limits.crashes import CrashedRun
 from magnoliacove.limits.quarantine import Quarantine
-from magnoliacove.wire.network import Address
 
 __all__ = ["CrashWatch"]
 
@@ -93,6 +92,8 @@
         self._save = save
         self._look = look
         self._questions: dict[str, _Question] = {}
+        # Requests in quarantine, as of the last look.
+        self._held: set[str] = set()
         self._news = trio.Event()
         self._nursery: trio.Nursery | None = None
 
@@ -152,17 +153,22 @@
         state.crashes.note_answered(fingerprint)
         ended = state.quarantine.end(fingerprint, "it was answered")
         if ended is not None:
-            state.crashes.drop(fingerprint)
+            self._settle_ended()
             self._save(ended)
             self._tell()
 
     def note_lost(
         self, names: Iterable[str], routed: RoutedRequest, seconds: float
     ) -> None:
-        """Find out whether engines of a stream's path ended under it."""
+        """Find out whether engines of a stream's path ended under it.
+
+        This comes again and again until the stream is led elsewhere; one that
+        was asked and lives is not asked each time.
+        """
         for name in names:
             target = self._state.targets.find(name)
-            if target is not None:
+            asked = self._questions.get(name)
+            if target is not None and (asked is None or asked.ended):
                 self.note_broken(target, routed, seconds)
 
     # What peers tell.
@@ -181,6 +187,7 @@
     def forget(self) -> None:
         """Drop what is too old to say anything."""
         self._state.crashes.forget_old()
+        self._settle_ended()
         limit = trio.current_time() - _VERDICT_KEPT
         for name, question in list(self._questions.items()):
             if question.asked_at < limit:
@@ -232,21 +239,26 @@
             return False
         if target.name in known.list_former():
             return True
-        if await _is_refused(target.address):
-            return True
-        if not target.incarnation:
-            # It does not tell when it started; it takes connections, so it
-            # lives, or another one does in its place.
-            return False
         with trio.move_on_after(_ASK_TIMEOUT):
             try:
-                report = await self._calls.read_report(target, fresh=True)
-            except TargetError:
-                # It takes connections and does not answer; asked again.
-                return None
-            return report.incarnation not in (0, target.incarnation)
+                return await self._ask_once(target)
+            except TargetError as why:
+                # It did not answer, or only an end of the connection did.
+                return True if why.refused else None
         return None
 
+    async def _ask_once(self, target: ListedTarget) -> bool:
+        """Return whether another incarnation runs at a target's address.
+
+        :raises TargetError: when nobody answers there.
+        """
+        if not target.accelerator:
+            # A plain service has no report; it takes connections, so it runs.
+            async with self._state.pool.use(target, fresh=True):
+                return False
+        report = await self._calls.read_report(target, fresh=True)
+        return report.incarnation not in (0, target.incarnation)
+
     def _note_verdict(self, ended: bool, run: CrashedRun) -> None:
         crashes = self._state.crashes
         if not ended:
@@ -269,7 +281,8 @@
 
     def _judge(self) -> None:
         state = self._state
-        held = [one.fingerprint for one in state.quarantine.list_all()]
+        self._settle_ended()
+        held = sorted(self._held)
         begun = [
             state.quarantine.begin(
                 fingerprint, crashes, f"{crashes} targets ended under it"
@@ -284,19 +297,17 @@
                 why = "a target ended under it again"
                 begun.append(state.quarantine.begin(fingerprint, crashes, why))
         for quarantine in begun:
+            self._held.add(quarantine.fingerprint)
             self._save(quarantine)
         if begun:
             self._tell()
 
+    def _settle_ended(self) -> None:
+        """Let the ends count no more whose quarantine is over.
 
-async def _is_refused(address: Address) -> bool:
-    """Return whether nobody listens at an address."""
-    with trio.move_on_after(_ASK_TIMEOUT), trio.socket.socket() as socket:
-        try:
-            await socket.connect((address.host, address.port))
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            # The way there is broken, which says nothing of the process.
-            return False
-    return False
+        Else the next news of any end would begin it again.
+        """
+        held = {one.fingerprint for one in self._state.quarantine.list_all()}
+        for fingerprint in self._held - held:
+            self._state.crashes.settle(fingerprint)
+        self._held = held
--- a/magnoliacove/gateway/quarantine_records.py
+++ b/magnoliacove/gateway/quarantine_records.py
@@ -9,6 +9,7 @@
 from collections import OrderedDict
 import contextlib
 import math
+import re
 import time
 
 import orjson
@@ -17,6 +18,7 @@
 from magnoliacove import errors
 from magnoliacove import platform
 from magnoliacove.directory.backoff import Backoff
+from magnoliacove.limits.quarantine import LONGEST
 from magnoliacove.limits.quarantine import Quarantine
 from magnoliacove.limits.quarantine import QuarantineBook
 from magnoliacove.timeline import Recorder
@@ -35,6 +37,9 @@
 # Objects that are deleted after one reading, since their time is over.
 _MOST_DELETED = 8
 _MS = 1000
+_FINGERPRINT = re.compile(r"[0-9a-f]{16}")
+# Heartbeats count with 32 bits.
+_MOST_COUNTED = 2**31
 
 
 class QuarantineRecords:
@@ -143,20 +148,26 @@
 
 
 def read_record(record: platform.Record) -> Quarantine | None:
-    """Return the quarantine that an object holds, None when it holds none."""
+    """Return the quarantine that an object holds, None when it holds none.
+
+    Another writer's object keeps no request away, and what does not fit into
+    a heartbeat would keep this gateway from sending any.
+    """
+    fingerprint = record.name.partition("/")[2]
     try:
         values = orjson.loads(record.value)
-        seconds = float(values["seconds"])
-        left = int(values["until_ms"]) / _MS - time.time()
-        # A clock that jumped must not make it last for longer.
-        age = seconds - min(left, seconds)
-        return Quarantine(
-            record.name.partition("/")[2],
-            int(values["round"]),
-            trio.current_time() - age,
-            seconds,
-            int(values["crashes"]),
-        )
+        number, crashes = int(values["round"]), int(values["crashes"])
+        seconds, until = float(values["seconds"]), float(values["until_ms"])
     except (ValueError, KeyError, TypeError):
-        # Another writer's object; it keeps no request away.
         return None
+    if not _FINGERPRINT.fullmatch(fingerprint):
+        return None
+    if not (0.0 < seconds <= LONGEST and 0 < number <= _MOST_COUNTED):
+        return None
+    if not (0 <= crashes <= _MOST_COUNTED and math.isfinite(until)):
+        return None
+    # A clock that jumped must not make it last for longer.
+    age = seconds - min(until / _MS - time.time(), seconds)
+    return Quarantine(
+        fingerprint, number, trio.current_time() - age, seconds, crashes
+    )
--- a/magnoliacove/limits/crashes.py
+++ b/magnoliacove/limits/crashes.py
@@ -71,16 +71,15 @@
 
     :param crashes: the run at each target that ended, and when it ended.
     :param longest: seconds of its longest run without an answer.
+    :param last_at: when the last of its targets ended.
+    :param settled: targets whose end does not count against it any more.
     """
 
     crashes: dict[str, tuple[CrashedRun, float]] = field(default_factory=dict)
     attempts: set[int] = field(default_factory=set)
     longest: float = 0.0
-
-    @property
-    def last_at(self) -> float:
-        """When the last of its targets ended."""
-        return max((at for _, at in self.crashes.values()), default=0.0)
+    last_at: float = 0.0
+    settled: frozenset[str] = frozenset()
 
     def list_targets(self) -> set[str]:
         """Return the ended targets that its runs may have ended.
@@ -125,18 +124,19 @@
             return False
         known = self._requests.setdefault(run.fingerprint, _Request())
         self._requests.move_to_end(run.fingerprint)
-        news = run.target not in known.crashes
-        if news:
-            known.crashes[run.target] = run, at
-            if len(known.crashes) > _MOST_CRASHES:
-                del known.crashes[next(iter(known.crashes))]
-            known.attempts.add(run.attempt)
-            known.longest = max(known.longest, run.seconds)
-        if own and news:
-            self._own.append((run, at))
-        while len(self._requests) > _MOST_REQUESTS:
+        if len(self._requests) > _MOST_REQUESTS:
             self._requests.popitem(last=False)
-        return news
+        if run.target in known.crashes or run.target in known.settled:
+            return False
+        known.crashes[run.target] = run, at
+        if len(known.crashes) > _MOST_CRASHES:
+            del known.crashes[next(iter(known.crashes))]
+        known.attempts.add(run.attempt)
+        known.longest = max(known.longest, run.seconds)
+        known.last_at = max(known.last_at, at)
+        if own:
+            self._own.append((run, at))
+        return True
 
     def note_run(self, fingerprint: str, seconds: float) -> None:
         """Take it that a run went on for so long and did not end its target.
@@ -199,7 +199,8 @@
 
     def was_at_end(self, fingerprint: str) -> bool:
         """Return whether a target ended lately while it ran a request."""
-        return fingerprint in self._requests
+        known = self._requests.get(fingerprint)
+        return known is not None and bool(known.crashes)
 
     def has_answered(self, fingerprint: str) -> bool:
         """Return whether this gateway answered a request lately."""
@@ -210,9 +211,17 @@
         request = self._requests.get(fingerprint)
         return request.last_at if request is not None else 0.0
 
-    def drop(self, fingerprint: str) -> None:
-        """Forget the ends of a request."""
-        self._requests.pop(fingerprint, None)
+    def settle(self, fingerprint: str) -> None:
+        """Take it that the ends of a request count against it no more.
+
+        Peers go on telling of them for a while, so they are not forgotten.
+        """
+        known = self._requests.get(fingerprint)
+        if known is not None:
+            self._requests[fingerprint] = _Request(
+                last_at=known.last_at,
+                settled=frozenset(known.crashes),
+            )
 
     def forget_old(self) -> None:
         """Drop requests whose last end is long past."""
--- a/magnoliacove/limits/quarantine.py
+++ b/magnoliacove/limits/quarantine.py
@@ -14,7 +14,7 @@
 
 from magnoliacove.timeline import Recorder
 
-__all__ = ["Quarantine", "QuarantineBook"]
+__all__ = ["LONGEST", "Quarantine", "QuarantineBook"]
 
 # The first quarantine of a request, and the longest, in seconds; each is so
 # many times as long as the one before.  A request that ends targets whenever
@@ -22,7 +22,7 @@
 # and at last one an hour.  One that was taken for the cause wrongly, and has
 # no run in progress that shows it, is refused for a minute.
 _FIRST = 60.0
-_MOST = 3600.0
+LONGEST = 3600.0
 _GROWS = 4.0
 # Targets that end so soon after a quarantine began, in seconds, were sent the
 # request before all gateways knew; later ends begin the next one.
@@ -129,7 +129,7 @@
         """Begin a quarantine, or one that is longer than the one before."""
         before = self._known.get(fingerprint)
         held = self.find(fingerprint)
-        seconds = min(held.seconds * _GROWS, _MOST) if held else _FIRST
+        seconds = min(held.seconds * _GROWS, LONGEST) if held else _FIRST
         found = Quarantine(
             fingerprint,
             before.round + 1 if before else 1,
--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -38,10 +38,12 @@
 _ENDS_AFTER = 0.1
 _BACK_AFTER = 2.5
 _GIVE_UP = 8.0
-# When gateways are killed, and how long until each is started again.
+# When gateways are killed, and how long until each is started again; how long
+# each is frozen, one after the other.
 _KILL_AT = 6.0
 _KILL_EVERY = 2.0
 _START_AFTER = 0.5
+_FROZEN_FOR = 1.5
 CRASHING = "/stream/crash"
 REPEATED = "/stream/again"
 
@@ -52,6 +54,7 @@
     NONE = "none"
     IN_TURN = "each killed in turn"
     ALL = "all killed at once"
+    FROZEN = "each frozen in turn"
 
 
 @dataclass(frozen=True)
@@ -212,22 +215,30 @@
     async def _end_gateways(self) -> None:
         if self._ends is GatewayEnds.NONE:
             return
+        if self._ends is GatewayEnds.FROZEN:
+            # From the start, so that some miss what the others find out.
+            for gateway in self._gateways:
+                await self._freeze(gateway)
+            return
         await trio.sleep(_KILL_AT)
         if self._ends is GatewayEnds.ALL:
-            for gateway in self._gateways:
-                gateway.stopping = True
-                gateway.send(signal.SIGKILL)
-            for gateway in self._gateways:
-                await self._replace(gateway)
+            async with trio.open_nursery() as nursery:
+                for gateway in self._gateways:
+                    nursery.start_soon(self._replace, gateway)
             return
-        for gateway in self._gateways:
-            await self._replace(gateway)
-            await trio.sleep(_KILL_EVERY - _START_AFTER)
+        async with trio.open_nursery() as nursery:
+            for gateway in self._gateways:
+                nursery.start_soon(self._replace, gateway)
+                await trio.sleep(_KILL_EVERY)
+
+    async def _freeze(self, gateway: GatewayProcess) -> None:
+        gateway.send(signal.SIGSTOP)
+        await trio.sleep(_FROZEN_FOR)
+        gateway.send(signal.SIGCONT)
 
     async def _replace(self, gateway: GatewayProcess) -> None:
         await gateway.end(signal.SIGKILL)
-        if self._ends is not GatewayEnds.ALL or gateway.name == "g-0":
-            await trio.sleep(_START_AFTER)
+        await trio.sleep(_START_AFTER)
         gateway.start()
 
     async def _call(self, path: str) -> None:
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -134,6 +134,24 @@
         assert await stage.crashes._has_ended(leaving) is False
 
 
+async def test_a_quarantine_that_is_over_does_not_begin_by_itself():
+    """A quarantine lasted its time and nobody asked again.  Another target
+    ends: the old ends of the request are not counted a second time.
+    """
+    async with stubs.open_stage() as stage:
+        for number in range(3):
+            run = CrashedRun("00000000000000ab", number, f"i-{number}", 0.1)
+            stage.crashes.take_crash(run, 0.0)
+        await trio.sleep(1.6)
+        book = stage.state.quarantine
+        assert book.find("00000000000000ab") is not None
+        book._known.clear()
+        other = CrashedRun("00000000000000ac", 9, "i-9", 0.1)
+        stage.crashes.take_crash(other, 0.0)
+        await trio.sleep(1.6)
+        assert book.find("00000000000000ab") is None
+
+
 async def test_what_other_gateways_saw_counts():
     """Each gateway saw one end of a target.  Whichever it comes to next, the
     request is refused; an answer of any gateway ends that for all.
--- a/tests/gateway/test_quarantine_records.py
+++ b/tests/gateway/test_quarantine_records.py
@@ -10,6 +10,8 @@
 from magnoliacove.limits.quarantine import QuarantineBook
 from magnoliacove.standins import object_api
 
+_BAD = "00c3b2a190817263"
+
 
 def _start(nursery, store):
     recorder = timeline.Recorder("g")
@@ -25,14 +27,14 @@
     """
     store = object_api.ObjectStore()
     book, records = _start(nursery, store)
-    records.save(book.begin("bad", 3, "a test"))
+    records.save(book.begin(_BAD, 3, "a test"))
     await trio.sleep(10.0)
     later, _ = _start(nursery, store)
     await trio.sleep(0.1)
-    found = later.find("bad")
+    found = later.find(_BAD)
     assert found.round == 1
     assert found.crashes == 3
-    assert 0.0 < later.admit("bad") <= 60.0
+    assert 0.0 < later.admit(_BAD) <= 60.0
 
 
 async def test_the_store_is_away_when_a_quarantine_begins(
@@ -41,22 +43,22 @@
     store = object_api.ObjectStore()
     book, records = _start(nursery, store)
     store.faults.outage = True
-    records.save(book.begin("bad", 3, "a test"))
+    records.save(book.begin(_BAD, 3, "a test"))
     await trio.sleep(20.0)
     store.faults.outage = False
     assert await _list(store) == []
     await trio.sleep(5.0)
-    assert await _list(store) == ["quarantines/bad"]
+    assert await _list(store) == [f"quarantines/{_BAD}"]
 
 
 async def test_a_lost_answer_costs_nothing(nursery, autojump_clock):
     store = object_api.ObjectStore()
     book, records = _start(nursery, store)
     store.faults.lost_answers = 1
-    records.save(book.begin("bad", 3, "a test"))
+    records.save(book.begin(_BAD, 3, "a test"))
     await trio.sleep(5.0)
-    assert await _list(store) == ["quarantines/bad"]
-    records.save(book.end("bad", "it was answered"))
+    assert await _list(store) == [f"quarantines/{_BAD}"]
+    records.save(book.end(_BAD, "it was answered"))
     await trio.sleep(5.0)
     assert await _list(store) == []
 
@@ -69,36 +71,40 @@
     alone, its_records = _start(nursery, store)
     await trio.sleep(5.0)
     book, records = _start(nursery, store)
-    records.save(book.begin("bad", 3, "a test"))
+    records.save(book.begin(_BAD, 3, "a test"))
     await trio.sleep(1.0)
-    assert alone.admit("bad") == 0.0
+    assert alone.admit(_BAD) == 0.0
     calls = store.counts["list"]
     for _ in range(50):
         its_records.look()
         await trio.sleep(0.01)
-    assert alone.admit("bad") > 0.0
+    assert alone.admit(_BAD) > 0.0
     assert store.counts["list"] - calls <= 2
 
 
 async def test_what_is_over_or_unclear_is_taken_away(nursery, autojump_clock):
-    """An object outlived its quarantine, another one is not ours, and a third
+    """An object outlived its quarantine, others are not as ours are, and one
     says, by a clock that is a day ahead, that it goes on for a day.
     """
     store = object_api.ObjectStore()
     base = {"round": 1, "seconds": 60.0, "crashes": 3}
     now = int(time.time() * 1000)
+    ahead = "00000000000000aa"
     values = {
-        "old": {**base, "until_ms": now - 61_000},
-        "ahead": {**base, "until_ms": now + 86_400_000},
-        "odd": ["x"],
+        "00000000000000ab": {**base, "until_ms": now - 61_000},
+        ahead: {**base, "until_ms": now + 86_400_000},
+        "00000000000000ac": ["x"],
+        "00000000000000ad": {**base, "until_ms": now, "round": 2**40},
+        "00000000000000ae": {**base, "until_ms": now, "seconds": -1},
+        "no name of ours": {**base, "until_ms": now},
     }
     for name, value in values.items():
         await store.put(f"quarantines/{name}", json.dumps(value).encode())
     book, _ = _start(nursery, store)
     await trio.sleep(1.0)
-    assert await _list(store) == ["quarantines/ahead"]
-    assert 58.0 <= book.admit("ahead") <= 60.0
-    assert [one.fingerprint for one in book.list_all()] == ["ahead"]
+    assert await _list(store) == [f"quarantines/{ahead}"]
+    assert 58.0 <= book.admit(ahead) <= 60.0
+    assert [one.fingerprint for one in book.list_all()] == [ahead]
 
 
 async def _list(store):
--- a/tests/limits/test_crashes.py
+++ b/tests/limits/test_crashes.py
@@ -129,6 +129,22 @@
     assert not case.history.is_suspected("bad")
 
 
+def test_ends_that_are_settled_count_no_more():
+    """A request was kept away wrongly and then answered.  Peers still tell of
+    the same ends for a while, and those begin nothing again.
+    """
+    case = _Case()
+    ends = [CrashedRun("good", n, f"i-{n}", 0.1) for n in range(3)]
+    for run in ends:
+        case.history.note_crash(run)
+    assert case.find() == {"good": 3}
+    case.history.settle("good")
+    for run in ends:
+        assert not case.history.note_crash(run, own=False)
+    assert case.find() == {}
+    assert not case.history.was_at_end("good")
+
+
 def test_ends_are_forgotten():
     case = _Case()
     for number in range(3):
