Judge only requests that were at three ends, and measure what ends cost

Cause: judging looked at every request that ever was at an end. Change: requests with fewer ends than a cause has can neither be one nor stand beside one, so they are passed over; what is found stays the same. measure.peering tells the bytes and times of the news of ends.

--- a/magnoliacove/limits/crashes.py
+++ b/magnoliacove/limits/crashes.py
@@ -163,15 +163,17 @@
         :param known: causes that were found before.
         """
         found: dict[str, int] = {}
+        held = set(known)
         explained: set[str] = set()
-        for fingerprint in known:
+        for fingerprint in held:
             request = self._requests.get(fingerprint)
             if request is not None:
                 explained |= set(request.crashes)
         left = {
             fingerprint: request.list_targets()
             for fingerprint, request in self._requests.items()
-            if fingerprint not in set(known)
+            if fingerprint not in held
+            and len(request.crashes) >= _LEAST_CRASHES
         }
         while left:
             left = {f: ends - explained for f, ends in left.items()}
--- a/measure/peering.py
+++ b/measure/peering.py
@@ -2,12 +2,14 @@
 
 Takes heartbeats with the whole of a real gateway's beliefs behind it: loads,
 budget, suspicions, what engines hold, who waits.  Beside the load book as it
-is stands one that adds up all entries for each heartbeat.
+is stands one that adds up all entries for each heartbeat.  What requests that
+end targets add is measured apart, with as much of it as a heartbeat holds.
 
 Run as ``python -m measure.peering``; results go to ``measure/results``.
 """
 
 from collections.abc import Mapping
+import dataclasses
 import functools
 import random
 import time
@@ -24,6 +26,8 @@
 from magnoliacove.gateway import Gateway
 from magnoliacove.limits import LoadBook
 from magnoliacove.limits import TargetLoad
+from magnoliacove.limits.crashes import CrashedRun
+from magnoliacove.limits.crashes import CrashHistory
 from magnoliacove.platform.settings import Bounds
 from magnoliacove.platform.settings import NodeSettings
 from magnoliacove.wire import Address
@@ -35,6 +39,11 @@
 _LEAST_INTERVAL = 0.15
 _INTERVAL_PER_PEER = 0.012
 _ROUNDS = 300
+# Ends that one gateway tells of, peers that do at the same time, and requests
+# of which ends are remembered.
+_ENDS = 64
+_TELLING = 8
+_KEPT_REQUESTS = 1024
 
 
 class _AddingUp(LoadBook):
@@ -147,6 +156,18 @@
         gateway.state.loads.reserve_target(name)
     make = _time([lambda: peering._make_heartbeat(1, ()).encode()])
     size = len(peering._make_heartbeat(1, ()).encode())
+    _fill_with_ends(gateway)
+    told = [
+        dataclasses.replace(
+            peering._make_heartbeat(number + 3, ()), name=f"front-{number}"
+        )
+        for number in range(min(gateways - 1, _TELLING))
+    ]
+    ends_take = _time(
+        [functools.partial(peering._take_heartbeat, one) for one in told]
+    )
+    ends_make = _time([lambda: peering._make_heartbeat(1, ()).encode()])
+    ends_size = len(peering._make_heartbeat(1, ()).encode())
     return {
         "gateways": gateways,
         "engines": engines,
@@ -158,9 +179,38 @@
         "core_adding_up": a_second * (decode + take + adding_up)
         + make / interval,
         "bytes_a_second": size * a_second,
+        "ends_bytes": ends_size - size,
+        "ends_take_ms": ends_take * 1000,
+        "ends_make_ms": ends_make * 1000,
+        "judge_ms": _measure_judging() * 1000,
     }
 
 
+def _measure_judging() -> float:
+    """Return the seconds of one judgement over all ends that are kept."""
+    history = CrashHistory(lambda: 0.0)
+    rng = random.Random(1)
+    for number in range(_KEPT_REQUESTS):
+        # As seen where 40 streams at a time travelled from end to end.
+        ends = rng.choices((1, 2, 3, 4), (80, 17, 2, 1))[0]
+        for end in range(ends):
+            run = CrashedRun(f"{number}", end, f"{number % 64}-{end}", 0.1)
+            history.note_crash(run)
+    return _time([lambda: history.find_causes(())])
+
+
+def _fill_with_ends(gateway: Gateway) -> None:
+    """Let a gateway know as much of requests that end targets as it tells."""
+    crashes = gateway.state.crashes
+    for number in range(_ENDS):
+        fingerprint = f"{number:016x}"
+        target = f"i-{number:010x}"
+        run = CrashedRun(fingerprint, number, target, 0.1)
+        crashes.note_crash(run)
+        crashes.note_answered(fingerprint)
+        gateway.state.quarantine.begin(f"{number + _ENDS:016x}", 3, "")
+
+
 def _time(calls: list[Any]) -> float:
     """Return the processor seconds of one call, over all calls in turn."""
     for call in calls[-len(calls) // 2 :]:
