Let answers speak for a request for a minute only

Cause, found by reading: a request that was answered for hours and ends its targets once these hold other weights could never be taken for the cause. Ruled out: not counting answers from before the first end; the harmless request that comes often has only those when the first ends come. Change: answers count for a minute after the last one. Names and comments of this part use the field's words for deciding and answering.

--- a/magnoliacove/gateway/crashes.py
+++ b/magnoliacove/gateway/crashes.py
@@ -29,22 +29,22 @@
 # known by its next start, or by its entry.
 _ASK_AFTER = (0.0, 0.5, 2.0)
 _ASK_TIMEOUT = 0.4
-# Ends are judged this long after the last news of them, in seconds: by then
-# the other gateways have told what ran there too.
+# Ends are put down to a request this long after the last news of them, in
+# seconds: by then the other gateways have told what ran there too.
 _SETTLE = 0.25
-# News that keeps coming does not put the judgement off for longer, seconds.
+# News that keeps coming does not put that off for longer, seconds.
 _MOST_SETTLE = 0.75
-# A gateway that saw none of the ends lately judges so much later, in seconds:
+# A gateway that saw none of the ends lately decides so much later, in seconds:
 # one that did has told its finding by then, and not each of 330 gateways
 # writes the same to the store.
-_AFTER_WITNESSES = (0.5, 1.0)
+_AFTER_OBSERVERS = (0.5, 1.0)
 # Answers are kept for runs that break off a little later, in seconds: of a
 # target that ended, and of one that lives.
-_VERDICT_KEPT = 30.0
+_ANSWER_KEPT = 30.0
 _LIVES_FOR = 0.5
 # A request that was at an end before waits so long for the answer about its
 # next target, seconds.  A process that is gone refuses within milliseconds.
-_VERDICT_WAIT = 0.1
+_ANSWER_WAIT = 0.1
 # Fingerprints that one line names.
 _MOST_NAMED = 8
 
@@ -98,14 +98,14 @@
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
-        """Judge the ends of targets until cancelled."""
+        """Decide on the ends of targets until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             try:
                 while True:
                     await self._news.wait()
                     await self._settle()
-                    self._judge()
+                    self._decide()
             finally:
                 self._nursery = None
 
@@ -133,9 +133,9 @@
         if question.ended is None:
             question.runs.setdefault((run.fingerprint, run.attempt), run)
             return
-        self._note_verdict(question.ended, run)
+        self._note_answer(question.ended, run)
 
-    async def wait_verdict(self, target: str, fingerprint: str) -> None:
+    async def wait_answer(self, target: str, fingerprint: str) -> None:
         """Wait for a moment until it is known whether a target ended.
 
         Only for a request that was at an end before: without it each attempt
@@ -144,7 +144,7 @@
         question = self._questions.get(target)
         if question is None or not self._state.crashes.was_at_end(fingerprint):
             return
-        with trio.move_on_after(_VERDICT_WAIT):
+        with trio.move_on_after(_ANSWER_WAIT):
             await question.answered.wait()
 
     def note_answered(self, fingerprint: str) -> None:
@@ -180,7 +180,7 @@
             return
         self._news.set()
         if crashes.has_answered(run.fingerprint):
-            # The others are about to judge it, and a heartbeat that is due
+            # The others are about to decide, and a heartbeat that is due
             # only in seconds would tell them too late that it is harmless.
             self._tell()
 
@@ -188,7 +188,7 @@
         """Drop what is too old to say anything."""
         self._state.crashes.forget_old()
         self._settle_ended()
-        limit = trio.current_time() - _VERDICT_KEPT
+        limit = trio.current_time() - _ANSWER_KEPT
         for name, question in list(self._questions.items()):
             if question.asked_at < limit:
                 del self._questions[name]
@@ -207,7 +207,7 @@
         runs = sorted(question.runs.values(), key=lambda run: run.seconds)
         question.runs.clear()
         for run in runs:
-            self._note_verdict(question.ended, run)
+            self._note_answer(question.ended, run)
         if not ended:
             return
         state = self._state
@@ -259,7 +259,7 @@
         report = await self._calls.read_report(target, fresh=True)
         return report.incarnation not in (0, target.incarnation)
 
-    def _note_verdict(self, ended: bool, run: CrashedRun) -> None:
+    def _note_answer(self, ended: bool, run: CrashedRun) -> None:
         crashes = self._state.crashes
         if not ended:
             crashes.note_run(run.fingerprint, run.seconds)
@@ -267,7 +267,7 @@
         if crashes.note_crash(run):
             self._news.set()
 
-    # Judging.
+    # Deciding.
 
     async def _settle(self) -> None:
         """Wait until no more news of ends comes."""
@@ -277,9 +277,9 @@
             with trio.move_on_after(_SETTLE):
                 await self._news.wait()
         if not self._state.crashes.list_own():
-            await trio.sleep(random.uniform(*_AFTER_WITNESSES))
+            await trio.sleep(random.uniform(*_AFTER_OBSERVERS))
 
-    def _judge(self) -> None:
+    def _decide(self) -> None:
         state = self._state
         self._settle_ended()
         held = sorted(self._held)
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -184,7 +184,7 @@
             finally:
                 self._hold.leave()
             name = first.name if first else ""
-            await self._crashes.wait_verdict(name, self.fingerprint)
+            await self._crashes.wait_answer(name, self.fingerprint)
             if not self._may_go_on(failure):
                 await self._give_up(failure)
                 return
--- a/magnoliacove/limits/crashes.py
+++ b/magnoliacove/limits/crashes.py
@@ -13,6 +13,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+import math
 
 import trio
 
@@ -44,6 +45,9 @@
 _MOST_REQUESTS = 1024
 _MOST_CRASHES = 16
 _MOST_ANSWERED = 4096
+# An answer speaks for a request for so many seconds.  What was harmless may
+# end targets once these, or what they hold, have changed.
+_ANSWERS_COUNT = 60.0
 # Ends are told to the others for so many seconds, again and again, as a
 # heartbeat may be lost; and so many at a time, 35 bytes each.
 _TOLD_FOR = 10.0
@@ -107,7 +111,8 @@
     ) -> None:
         self._read_time = read_time
         self._requests: OrderedDict[str, _Request] = OrderedDict()
-        self._answered: OrderedDict[str, int] = OrderedDict()
+        # How often each was answered, and when it was last.
+        self._answered: OrderedDict[str, tuple[int, float]] = OrderedDict()
         self._others_answered: dict[str, Mapping[str, int]] = {}
         self._own: list[tuple[CrashedRun, float]] = []
 
@@ -150,8 +155,9 @@
 
     def note_answered(self, fingerprint: str) -> None:
         """Take it that a request was answered in full."""
-        count = self._answered.pop(fingerprint, 0)
-        self._answered[fingerprint] = count + 1
+        count = self._read_answered(fingerprint)
+        self._answered.pop(fingerprint, None)
+        self._answered[fingerprint] = count + 1, self._read_time()
         if len(self._answered) > _MOST_ANSWERED:
             self._answered.popitem(last=False)
 
@@ -207,7 +213,7 @@
 
     def has_answered(self, fingerprint: str) -> bool:
         """Return whether this gateway answered a request lately."""
-        return fingerprint in self._answered
+        return self._read_answered(fingerprint) > 0
 
     def read_last_crash(self, fingerprint: str) -> float:
         """Return when a request's last target ended, 0 for none."""
@@ -257,12 +263,14 @@
 
         Only answers that this gateway gave, and how many.
         """
-        found = {
-            fingerprint: self._answered[fingerprint]
-            for fingerprint in reversed(self._requests)
-            if fingerprint in self._answered
-        }
-        return dict(list(found.items())[:_MOST_TOLD])
+        found: dict[str, int] = {}
+        for fingerprint in reversed(self._requests):
+            count = self._read_answered(fingerprint)
+            if count:
+                found[fingerprint] = count
+            if len(found) >= _MOST_TOLD:
+                break
+        return found
 
     def take_answered(self, peer: str, counts: Mapping[str, int]) -> None:
         """Take what a peer answered of such requests."""
@@ -303,6 +311,11 @@
 
     def _count_answered(self, fingerprint: str) -> int:
         others = self._others_answered.values()
-        return self._answered.get(fingerprint, 0) + sum(
+        return self._read_answered(fingerprint) + sum(
             counts.get(fingerprint, 0) for counts in others
         )
+
+    def _read_answered(self, fingerprint: str) -> int:
+        """Return how often this gateway answered a request lately."""
+        count, last_at = self._answered.get(fingerprint, (0, -math.inf))
+        return count if self._read_time() - last_at < _ANSWERS_COUNT else 0
--- a/measure/peering.py
+++ b/measure/peering.py
@@ -182,12 +182,12 @@
         "ends_bytes": ends_size - size,
         "ends_take_ms": ends_take * 1000,
         "ends_make_ms": ends_make * 1000,
-        "judge_ms": _measure_judging() * 1000,
+        "decide_ms": _measure_deciding() * 1000,
     }
 
 
-def _measure_judging() -> float:
-    """Return the seconds of one judgement over all ends that are kept."""
+def _measure_deciding() -> float:
+    """Return the seconds of one decision over all ends that are kept."""
     history = CrashHistory(lambda: 0.0)
     rng = random.Random(1)
     for number in range(_KEPT_REQUESTS):
--- a/tests/limits/test_crashes.py
+++ b/tests/limits/test_crashes.py
@@ -101,6 +101,20 @@
     assert case.find() == {"often": 9}
 
 
+def test_an_answer_speaks_for_a_request_for_a_while():
+    """A request was answered for hours.  Then the targets got other weights,
+    and it ends each of them.
+    """
+    case = _Case()
+    for _ in range(100):
+        case.history.note_answered("changed")
+    case.clock.now += 61.0
+    for number in range(3):
+        case.crash(f"i-{number}", ("changed", number))
+    assert case.find() == {"changed": 3}
+    assert case.history.list_answered() == {}
+
+
 def test_a_run_that_went_on_for_longer_speaks_for_its_request():
     """A long stream is at three ends, at the first after five seconds: what
     it asks for does not end a target within a tenth of a second.
