Test, red: all runs at a lost engine inside a path count

Found by reading the whole change: of three streams through one engine that ended only the first was counted, [True, False, False].

--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -1,6 +1,7 @@
 """Targets that end under requests: found out, told, and kept from more."""
 
 import dataclasses
+import types
 
 import trio
 
@@ -128,6 +129,33 @@
         assert b"quarantined" in answer
 
 
+async def test_all_that_ran_at_a_lost_engine_is_counted():
+    """An engine inside the paths of three streams ends.  The first of them to
+    be led around it has the engine asked; the others come before the answer,
+    and the one that ended it was among these and was never counted.
+    """
+
+    async def wait(received, stream):
+        await trio.sleep_forever()
+
+    async with stubs.open_stage() as stage:
+        stub = await stage.add("i-1", wait, layers=(40, 80))
+        found = stage.state.targets.find("i-1")
+        nobody = dataclasses.replace(stub.address, port=1)
+        stage.state.targets.apply(
+            dataclasses.replace(found, address=nobody, revision=2)
+        )
+        for number in range(3):
+            routed = types.SimpleNamespace(
+                fingerprint=f"{number:016x}",
+                marks=types.SimpleNamespace(request=f"r{number}"),
+            )
+            stage.crashes.note_lost(["i-1"], routed, 0.1)
+        await trio.sleep(0.2)
+        known = stage.state.crashes
+        assert [known.was_at_end(f"{n:016x}") for n in range(3)] == [True] * 3
+
+
 async def test_a_call_that_ends_targets_is_refused():
     """The same at a plain service, whose targets tell no incarnation."""
     async with stubs.open_stage() as stage:
