Count all runs at a lost engine inside a path, not the first one only

Cause: all streams through a lost engine are led around it in one go. The first has the engine asked; those that came before its answer were skipped like those of an engine that lives, so the request that ended it was seldom counted. First engines of paths and plain targets were not concerned. Ruled out: asking for each stream, which the open question already serves. Change: only an answer that the engine lives skips a run. Beside it, deciding walks the quarantines themselves, without a branch that could not be reached. Test of the commit before: [True, False, False] before, all three after. The plays of one request that ends engines pass in all four modes, and the tests of this part (97 in all).

--- a/magnoliacove/gateway/crashes.py
+++ b/magnoliacove/gateway/crashes.py
@@ -163,12 +163,15 @@
         """Find out whether engines of a stream's path ended under it.
 
         This comes again and again until the stream is led elsewhere; one that
-        was asked and lives is not asked each time.
+        was asked and lives is not asked each time.  Runs that come before the
+        answer count too: all streams through an engine are led around it in
+        one go, and the one that ended it is seldom the first.
         """
         for name in names:
             target = self._state.targets.find(name)
             asked = self._questions.get(name)
-            if target is not None and (asked is None or asked.ended):
+            lives = asked is not None and asked.ended is False
+            if target is not None and not lives:
                 self.note_broken(target, routed, seconds)
 
     # What peers tell.
@@ -282,20 +285,23 @@
     def _decide(self) -> None:
         state = self._state
         self._settle_ended()
-        held = sorted(self._held)
+        held = state.quarantine.list_all()
+        causes = state.crashes.find_causes(one.fingerprint for one in held)
         begun = [
             state.quarantine.begin(
                 fingerprint, crashes, f"{crashes} targets ended under it"
             )
-            for fingerprint, crashes in state.crashes.find_causes(held).items()
+            for fingerprint, crashes in causes.items()
         ]
-        for fingerprint in held:
-            last = state.crashes.read_last_crash(fingerprint)
-            if state.quarantine.is_tried_again(fingerprint, last):
-                known = state.quarantine.find(fingerprint)
-                crashes = known.crashes + 1 if known else 1
-                why = "a target ended under it again"
-                begun.append(state.quarantine.begin(fingerprint, crashes, why))
+        why = "a target ended under it again"
+        for one in held:
+            last = state.crashes.read_last_crash(one.fingerprint)
+            if state.quarantine.is_tried_again(one.fingerprint, last):
+                begun.append(
+                    state.quarantine.begin(
+                        one.fingerprint, one.crashes + 1, why
+                    )
+                )
         for quarantine in begun:
             self._held.add(quarantine.fingerprint)
             self._save(quarantine)
