--- a/magnoliacove/standins/object_api.py
+++ b/magnoliacove/standins/object_api.py
@@ -1,7 +1,9 @@
 """A stand-in for the platform's object API, with faults to order."""
 
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import replace
 import json
 from typing import Any
 
@@ -10,8 +12,10 @@
 from magnoliacove import errors
 from magnoliacove import web
 from magnoliacove.platform import api
+from magnoliacove.platform.eras import StoreEra
+from magnoliacove.platform.eras import split_revision
 
-__all__ = ["Faults", "ObjectStore", "make_app"]
+__all__ = ["Copy", "Faults", "ObjectStore", "make_app"]
 
 _HISTORY = 10_000
 _OBJECTS = "/v1/objects/"
@@ -38,11 +42,25 @@
     calls_per_second: int = 0
 
 
+@dataclass(frozen=True)
+class Copy:
+    """What a store held at one revision."""
+
+    records: Mapping[str, api.Record]
+    revision: int
+
+
 class ObjectStore:
-    """Holds objects in memory and implements the object API."""
+    """Holds objects in memory and implements the object API.
+
+    It counts revisions as the platform's store does: after it came back from
+    a copy the numbers behind the copy are given out again.
+    """
 
     def __init__(self) -> None:
         self.faults = Faults()
+        self.era = StoreEra()
+        self.era.note(0, "")
         self.counts: dict[str, int] = {}
         self.waiting_watches = 0
         self._records: dict[str, api.Record] = {}
@@ -55,15 +73,20 @@
     async def get(self, name: str) -> api.Record | None:
         """Return an object, or None when there is none."""
         await self._enter("get")
-        return self._records.get(name)
+        record = self._records.get(name)
+        return self._tell(record) if record else None
 
     async def list_records(
         self, prefix: str, *, stale: bool = False
     ) -> api.Listing:
         """Return the objects whose names start with a prefix."""
         await self._enter("list")
-        found = (r for n, r in self._records.items() if n.startswith(prefix))
-        return api.Listing(tuple(found), self._revision)
+        found = (
+            self._tell(record)
+            for name, record in self._records.items()
+            if name.startswith(prefix)
+        )
+        return api.Listing(tuple(found), self.era.join(self._revision))
 
     async def put(
         self, name: str, value: bytes, if_version: int | None = None
@@ -75,7 +98,7 @@
         self._records[name] = record
         self._note(record)
         self._lose_answer()
-        return record.version
+        return self.era.join(record.version)
 
     async def delete(self, name: str, if_version: int | None = None) -> None:
         """Delete an object, if it has the given version."""
@@ -90,7 +113,9 @@
     ) -> tuple[tuple[api.WatchEvent, ...], int]:
         """Wait for writes under a prefix after a revision."""
         await self._enter("watch")
-        if after < self._oldest:
+        era = self.era.number
+        oldest, newest = self.era.join(self._oldest), self._revision
+        if not oldest <= after <= self.era.join(newest):
             raise api.CompactedError("the revision is compacted; list again")
         self.waiting_watches += 1
         try:
@@ -99,12 +124,29 @@
                     await self._changed.wait()
         finally:
             self.waiting_watches -= 1
-        if self.faults.dropped_watches or self.faults.outage:
-            self.faults.dropped_watches -= not self.faults.outage
+        restored = era != self.era.number
+        if self.faults.dropped_watches or self.faults.outage or restored:
+            self.faults.dropped_watches -= bool(self.faults.dropped_watches)
             raise errors.PlatformError(
                 "the watch was dropped", errors.Outcome.NOT_RUN
             )
-        return tuple(self._find(prefix, after)), self._revision
+        found = tuple(self._find(prefix, after))
+        return found, self.era.join(self._revision)
+
+    def copy(self) -> Copy:
+        """Return a copy of what is held now."""
+        return Copy(dict(self._records), self._revision)
+
+    def restore(self, copy: Copy) -> None:
+        """Come back from a copy: what was written since is lost."""
+        self._records = dict(copy.records)
+        self._revision = copy.revision
+        self.compact()
+        self.era.note(self.era.number + 1, "the stand-in")
+        self.wake_watches()
+
+    def _tell(self, record: api.Record) -> api.Record:
+        return replace(record, version=self.era.join(record.version))
 
     def holds(self, name: str) -> bool:
         """Return whether an object exists, whatever the faults."""
@@ -146,7 +188,7 @@
 
     def _check_version(self, name: str, if_version: int | None) -> None:
         current = self._records.get(name)
-        version = current.version if current else 0
+        version = self.era.join(current.version) if current else 0
         if if_version is not None and if_version != version:
             raise api.VersionConflictError(
                 f"{name} has version {version}, not {if_version}"
@@ -155,8 +197,11 @@
     def _note(self, record: api.Record) -> None:
         self._revision += 1
         if len(self._history) == _HISTORY:
-            self._oldest = self._history[0].revision
-        self._history.append(api.WatchEvent(self._revision, record))
+            self._oldest = split_revision(self._history[0].revision)[1]
+        if record.version:
+            record = self._tell(record)
+        revision = self.era.join(self._revision)
+        self._history.append(api.WatchEvent(revision, record))
         self.wake_watches()
 
     def _lose_answer(self) -> None:
@@ -183,6 +228,11 @@
     """
 
     async def answer(request: web.Request) -> web.Response:
+        found = await answer_call(request)
+        era = str(store.era.number).encode()
+        return replace(found, headers=((b"store-era", era),))
+
+    async def answer_call(request: web.Request) -> web.Response:
         if request.path == "/faults":
             for name, value in json.loads(request.body).items():
                 setattr(store.faults, name, value)
@@ -214,12 +264,14 @@
         return _write_object(record)
     if request.method == "DELETE":
         wanted = request.query.get("revision")
-        version = None if wanted is None else int(wanted)
+        version = None if wanted is None else store.era.join(int(wanted))
         await store.delete(f"{kind}/{name}", version)
         return {}
     data = json.loads(request.body)
     name = name or data["metadata"]["name"]
     version = data["metadata"].get("revision")
+    if version is not None:
+        version = store.era.join(version)
     if request.method == "POST":
         version = 0
     elif not store.holds(f"{kind}/{name}"):
@@ -234,7 +286,7 @@
 ) -> dict[str, Any]:
     if "watch" in query:
         seconds = float(query["wait_ms"]) / 1000
-        after = int(query["watch"])
+        after = store.era.join(int(query["watch"]))
         events, revision = await store.watch(f"{kind}/", after, seconds)
         written = [
             {
@@ -243,7 +295,7 @@
             }
             for event in events
         ]
-        return {"events": written, "as_of": revision}
+        return {"events": written, "as_of": split_revision(revision)[1]}
     listing = await store.list_records(f"{kind}/")
     ordered = sorted(listing.records, key=lambda record: record.name)
     start = f"{kind}/{query.get('after', '')}"
@@ -251,12 +303,13 @@
     return {
         "items": [_write_object(record) for record in rest[:_PAGE]],
         "has_more": len(rest) > _PAGE,
-        "as_of": listing.revision,
+        "as_of": split_revision(listing.revision)[1],
     }
 
 
 def _write_object(record: api.Record) -> dict[str, Any]:
     name = record.name.partition("/")[2]
-    meta = {"name": name, "revision": record.version, "finalizers": []}
+    revision = split_revision(record.version)[1]
+    meta = {"name": name, "revision": revision, "finalizers": []}
     spec = json.loads(record.value) if record.value else None
     return {"metadata": meta, "spec": spec, "status": None}
