Tell the eras of a store that came back from a copy apart

Cause: revisions were compared as if they only grew. After the store came back from a copy it gives its numbers out again, so newer entries were passed over as old, records of former holders were taken for true, and conditions could fit by accident.

Change: the client reads the era of each answer, errors too, and puts it above the store's own number in every revision; a condition or watch of a former era is refused before it is sent, and after an answer that tells of a new era.

Ruled out: an era beside each revision, to be named at each comparison.

--- a/magnoliacove/directory/targets.py
+++ b/magnoliacove/directory/targets.py
@@ -17,6 +17,7 @@
 
 import trio
 
+from magnoliacove.directory.doubts import EntryDoubts
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire.network import Address
 
@@ -140,6 +141,7 @@
         # When each former incarnation was followed by a newer one.
         self._former: dict[str, float] = {}
         self._missing_since: dict[str, float] = {}
+        self._doubts = EntryDoubts(read_time)
         # Listed since the last line that told so.
         self._untold: list[ListedTarget] = []
         self._listeners: list[Callable[[], None]] = []
@@ -206,6 +208,7 @@
             return
         listed = {target.entry: target for target in targets}
         self.revision = revision
+        self._doubts.keep(listed)
         for entry in set(self._names) - set(listed):
             if after_outage:
                 self._miss(self._names[entry])
@@ -215,6 +218,13 @@
             self._put(target)
         self.expire()
 
+    def note_restored(self) -> None:
+        """Take it that the store came back from a copy.
+
+        Its entries may be older than what is known for a while.
+        """
+        self._doubts.note_restored()
+
     def apply(self, target: ListedTarget) -> None:
         """Take one target's newer entry."""
         self.revision = max(self.revision, target.revision)
@@ -263,6 +273,7 @@
         self.revision = max(self.revision, revision)
         self.newest_change = max(self.newest_change, revision)
         name = self._names.get(entry, entry)
+        self._doubts.drop(entry)
         if may_return:
             self._miss(name)
             return
@@ -278,6 +289,8 @@
         for name, since in list(self._former.items()):
             if now - since >= _FORMER_KEPT:
                 del self._former[name]
+        for target in self._doubts.take_believed():
+            self._put(target)
 
     def _miss(self, name: str) -> None:
         """Keep a target for the grace time, though its entry is gone."""
@@ -296,7 +309,7 @@
         known = self._targets.get(self._names.get(target.entry, ""))
         if known is not None:
             self._missing_since.pop(known.name, None)
-        if known == target:
+        if known == target or self._doubts.holds_back(target, known):
             return
         if known is not None and known.revision > target.revision:
             return
@@ -309,6 +322,7 @@
             return
         self._targets[target.name] = target
         self._names[target.entry] = target.name
+        self._doubts.note_listed(target.name)
         if known is None:
             self._untold.append(target)
         elif target.draining and not known.draining:
@@ -360,6 +374,7 @@
         if target is None:
             return
         del self._names[target.entry]
+        self._doubts.note_gone(name)
         self._recorder.record("target-gone", target=name, why=why)
         self._tell()
 
--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -116,6 +116,7 @@
             peers=peers,
             acting=self._is_acting(),
             newest_change=state.targets.newest_change,
+            store_era=self._store.era.number,
             crashes=tuple(
                 ReportedCrash(run, age)
                 for run, age in state.crashes.list_own()
@@ -137,6 +138,7 @@
 
     def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
         state = self._state
+        self._store.take_era(heartbeat.store_era, heartbeat.name)
         state.loads.take_others(
             heartbeat.name, heartbeat.loads, heartbeat.crossings
         )
@@ -281,9 +283,11 @@
             self._network,
             self._state.recorder,
         )
-        if found is None:
-            return
-        source = f"the gateway {peer.name}"
+        if found is not None:
+            self._take_snapshot(found, peer.name)
+
+    def _take_snapshot(self, found: "PeerSnapshot", peer: str) -> None:
+        source = f"the gateway {peer}"
         if found.configuration:
             self._store.take_configuration(found.configuration, source)
         if found.revision > self._state.targets.revision:
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -356,6 +356,7 @@
             "store_silence_seconds": min(
                 1e6, self._peers.read_store_silence()
             ),
+            "store_era": self._store.era.number,
             "store_calls": getattr(self._api, "calls", 0),
             "targets_listed": len(state.targets.list_all()),
             "targets_suspected": len(state.health.list_suspicions()),
--- a/magnoliacove/gateway/quarantine_records.py
+++ b/magnoliacove/gateway/quarantine_records.py
@@ -7,6 +7,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
 import contextlib
 import math
 import re
@@ -61,6 +62,9 @@
         self._changed = trio.Event()
         self._look = True
         self._read_at = -math.inf
+        # Whether the store may have lost what this gateway wrote.
+        self._restored = False
+        api.era.listen(self._note_restored)
 
     def save(self, quarantine: Quarantine) -> None:
         """Write a quarantine, or that it is over, as soon as possible."""
@@ -74,6 +78,11 @@
         self._look = True
         self._changed.set()
 
+    def _note_restored(self, era: int, source: str) -> None:
+        """Take it that the store came back from a copy."""
+        self._restored = True
+        self.look()
+
     async def run(self) -> None:
         """Write and read until cancelled."""
         backoff = Backoff(_RETRY_FIRST, _RETRY_MOST)
@@ -82,6 +91,8 @@
                 await self._write_waiting()
                 if self._read_wait() <= 0.0:
                     await self._read()
+                if self._waiting:
+                    continue
             except (errors.PlatformError, platform.VersionConflictError) as e:
                 # The gateways that live know it; it is tried again.
                 self._recorder.record("quarantine-not-stored", why=str(e))
@@ -124,11 +135,30 @@
                 over.append(record)
                 continue
             self._book.take(found, "the platform's store")
+        if self._restored:
+            self._restored = False
+            self._write_again(listing.records)
         for record in over[:_MOST_DELETED]:
             with contextlib.suppress(platform.VersionConflictError):
                 # Another gateway deleted it, or wrote a newer one.
                 await self._api.delete(record.name, record.version)
 
+    def _write_again(self, records: Iterable[platform.Record]) -> None:
+        """Write the quarantines that a copy of the store lacks.
+
+        Else a request that ended targets would be taken for a new one by the
+        gateways that start after all were killed.  Of the gateways that know
+        it one writes.
+        """
+        stored = {}
+        for record in records:
+            found = read_record(record)
+            if found is not None:
+                stored[found.fingerprint] = found.round
+        for known in self._book.list_own():
+            if stored.get(known.fingerprint, 0) < known.round:
+                self.save(known)
+
 
 def write_record(quarantine: Quarantine) -> bytes:
     """Return the object of a quarantine.
--- a/magnoliacove/gateway/store.py
+++ b/magnoliacove/gateway/store.py
@@ -88,6 +88,7 @@
         self._is_following = is_following
         self._gather = max(_GATHER, drain * _GATHER_PART)
         self._list_watch = trio.CancelScope()
+        self._configuration_watch = trio.CancelScope()
         self._behind_since: float | None = None
         # Whether the list of targets may lack some that live: the store was
         # away since it was read last.  The two watches fail and recover one
@@ -96,6 +97,7 @@
         self._unreadable = ""
         # What was wrong with each entry of a target, as it was told.
         self._told: dict[str, str] = {}
+        api.era.listen(self._note_restored)
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -129,6 +131,38 @@
         """
         self._outage_at = trio.current_time()
 
+    @property
+    def era(self) -> platform.StoreEra:
+        """The store's era, as far as this process knows."""
+        return self._api.era
+
+    def take_era(self, era: int, peer: str) -> None:
+        """Take the store's era from a peer, who may reach it sooner.
+
+        :param era: 0 when it knows none.
+        """
+        if era:
+            self._api.era.note(era, f"the gateway {peer}")
+
+    def _note_restored(self, era: int, source: str) -> None:
+        """Take it that the store came back from a copy.
+
+        Both watches would go on from revisions that it gives out again, and
+        bring changes of another story; so both are read anew.  Entries that
+        the copy lacks are kept as after any outage, since their targets write
+        them again.
+        """
+        self._state.recorder.record(
+            "store-restored",
+            era=era,
+            why=f"it came back from a copy, by the word of {source}",
+        )
+        self._state.targets.note_restored()
+        self._list_lapsed = True
+        self.note_outage()
+        self._list_watch.cancel()
+        self._configuration_watch.cancel()
+
     def compare_list(self, newest_change: int) -> None:
         """Read the list of targets again if it stays behind a peer's.
 
@@ -142,6 +176,9 @@
             self._behind_since = now
         if now - self._behind_since >= _BEHIND:
             self._behind_since = None
+            self._state.recorder.record(
+                "watch-stuck", why="the duty's holder has a newer list"
+            )
             self._list_watch.cancel()
 
     def take_configuration(self, value: bytes, source: str) -> None:
@@ -185,9 +222,14 @@
         backoff.reset()
         revision, changed_at = listing.revision, -math.inf
         while True:
-            events, revision = await self._api.watch(
-                kind, revision, self._choose_wait()
-            )
+            found = None
+            with trio.CancelScope() as self._configuration_watch:
+                found = await self._api.watch(
+                    kind, revision, self._choose_wait()
+                )
+            if found is None:
+                return
+            events, revision = found
             self.note_answered()
             if not events:
                 continue
@@ -231,16 +273,14 @@
         backoff.reset()
         revision = listing.revision
         while True:
-            events: tuple[platform.WatchEvent, ...] | None = None
+            found = None
             with trio.CancelScope() as self._list_watch:
-                events, revision = await self._api.watch(
+                found = await self._api.watch(
                     kind, revision, self._choose_wait()
                 )
-            if events is None:
-                self._state.recorder.record(
-                    "watch-stuck", why="the duty's holder has a newer list"
-                )
+            if found is None:
                 return
+            events, revision = found
             self.note_answered()
             for event in events:
                 self._take_event(event)
--- a/magnoliacove/limits/quarantine.py
+++ b/magnoliacove/limits/quarantine.py
@@ -192,6 +192,10 @@
         """Return the quarantines that are in force."""
         return [q for q in map(self.find, tuple(self._known)) if q]
 
+    def list_own(self) -> list[Quarantine]:
+        """Return those of requests that this gateway would try first."""
+        return [q for q in self.list_all() if self._owns(q.fingerprint)]
+
     def draw_told(self) -> list[tuple[Quarantine, float]]:
         """Return what the next heartbeat tells, and the age of each.
 
--- a/magnoliacove/peers/datagram.py
+++ b/magnoliacove/peers/datagram.py
@@ -95,6 +95,8 @@
     :param peers: addresses of gateways that it knows.
     :param newest_change: the store's revision of the newest change in the
         list of targets that it knows.
+    :param store_era: how often the store came back from a copy, as far as it
+        knows.
     :param crashes: targets that ended lately under its requests.
     :param answered: how often it answered requests that were there.
     :param quarantines: requests that are kept away, some of those it knows.
@@ -121,6 +123,7 @@
     crashes: tuple[ReportedCrash, ...] = ()
     answered: Mapping[str, int] = field(default_factory=dict)
     quarantines: tuple[ReportedQuarantine, ...] = ()
+    store_era: int = 0
 
     def encode(self) -> bytes:
         """Return the heartbeat as one datagram."""
@@ -169,6 +172,7 @@
                 for fingerprint, count in self.answered.items()
             ],
             quarantines=[_write_quarantine(item) for item in self.quarantines],
+            storeEra=self.store_era,
         ).to_bytes()
         return zlib.compress(data, _COMPRESSION)
 
@@ -219,6 +223,7 @@
                         for item in read.answered
                     },
                     quarantines=tuple(map(_read_quarantine, read.quarantines)),
+                    store_era=read.storeEra,
                 )
         except (capnp.KjException, ValueError, zlib.error) as why:
             raise errors.ProtocolError(
--- a/magnoliacove/peers/heartbeat.capnp
+++ b/magnoliacove/peers/heartbeat.capnp
@@ -24,6 +24,7 @@
   crashes @18 :List(Crash);
   answered @19 :List(Answered);
   quarantines @20 :List(Quarantine);
+  storeEra @21 :UInt32;
 }
 
 # A target that ended while a request ran there.
--- a/magnoliacove/platform/__init__.py
+++ b/magnoliacove/platform/__init__.py
@@ -7,6 +7,7 @@
 from magnoliacove.platform.api import VersionConflictError
 from magnoliacove.platform.api import WatchEvent
 from magnoliacove.platform.client import HttpObjectApi
+from magnoliacove.platform.eras import StoreEra
 
 __all__ = [
     "CompactedError",
@@ -14,6 +15,7 @@
     "Listing",
     "ObjectApi",
     "Record",
+    "StoreEra",
     "VersionConflictError",
     "WatchEvent",
 ]
--- a/magnoliacove/platform/api.py
+++ b/magnoliacove/platform/api.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from magnoliacove import errors
+from magnoliacove.platform.eras import StoreEra
 
 __all__ = [
     "CompactedError",
@@ -20,15 +21,19 @@
 
 
 class CompactedError(errors.Error):
-    """A watch asks for changes that the platform no longer holds."""
+    """A watch asks for changes that the platform does not hold.
+
+    It dropped them, or it came back from a copy that is older than they are.
+    """
 
 
 @dataclass(frozen=True)
 class Record:
     """One object of the platform.
 
-    :param version: grows with each write of the object; 0 stands for an
-        object that does not exist.
+    :param version: grows with each write of the object, also after the
+        store came back from a copy; 0 stands for an object that does not
+        exist.
     """
 
     name: str
@@ -55,11 +60,19 @@
 class ObjectApi(Protocol):
     """Versions, conditional updates and watches.
 
+    Versions and revisions hold the era of the store, see
+    :mod:`magnoliacove.platform.eras`.  One of a former era is the version
+    of nothing: a write that names it conflicts, a watch finds it compacted.
+
+    :param era: the era that this process has heard of.
+
     Each method raises :class:`magnoliacove.errors.PlatformError` when the
     platform does not answer; its outcome tells whether a write may have
     taken effect.
     """
 
+    era: StoreEra
+
     async def get(self, name: str) -> Record | None:
         """Return an object, or None when there is none."""
 
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -4,7 +4,9 @@
 from magnoliacove import wire
 from magnoliacove.gateway.peering import PeerExchange
 from magnoliacove.gateway.store import StoreFollower
+from magnoliacove.peers.snapshots import PeerSnapshot
 from magnoliacove.platform import settings
+from magnoliacove.platform.eras import join_revision
 from magnoliacove.standins import object_api
 from tests.gateway import stubs
 from tests.platform import samples
@@ -60,6 +62,34 @@
         assert suspected == ["i-1"]
 
 
+async def test_a_gateway_that_is_cut_off_hears_of_the_store_s_era(tmp_path):
+    """The store came back from a copy, and this gateway cannot reach it.  By
+    what it knows an engine that only the lost time had is listed; a peer's
+    list, which has a lower number but a later era, says otherwise.
+    """
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", stubs.stay_silent)
+        stage.state.targets.replace(
+            stage.state.targets.list_all(),
+            join_revision(1, 90),
+            after_outage=False,
+        )
+        exchange = _make_exchange(stage, tmp_path)
+        exchange._store.era.note(1, "the store")
+        for sequence in (1, 2):
+            beat = _make_heartbeat(store_era=2, sequence=sequence)
+            exchange._take_heartbeat(beat)
+        told = [
+            event
+            for event in stage.state.recorder.list_events()
+            if event.kind == "store-restored"
+        ]
+        assert [event.detail["era"] for event in told] == [1, 2]
+        found = PeerSnapshot(b"", (), join_revision(2, 40))
+        exchange._take_snapshot(PeerSnapshot.decode(found.encode()), "g-2")
+        assert not stage.state.targets.list_all()
+
+
 async def test_a_holder_gives_way_to_a_peer_that_reaches_the_store(tmp_path):
     async with stubs.open_stage() as stage:
         exchange = _make_exchange(stage, tmp_path)
--- a/tests/peers/samples.py
+++ b/tests/peers/samples.py
@@ -5,6 +5,8 @@
 from magnoliacove.directory.targets import LayerRange
 from magnoliacove.limits import TargetLoad
 from magnoliacove.limits.crashes import CrashedRun
+from magnoliacove.platform.eras import MOST_ERA
+from magnoliacove.platform.eras import join_revision
 
 
 def make_heartbeat(name="g-1", sequence=1, named=(), **changes):
@@ -34,6 +36,8 @@
         "counted_for": 1.5,
         "peers": tuple(named),
         "acting": True,
+        "newest_change": join_revision(MOST_ERA, 70),
+        "store_era": MOST_ERA,
         "crashes": (
             peers.ReportedCrash(
                 CrashedRun("00c3b2a190817263", 4_000_000_000, "i-2", 0.125),
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -16,12 +16,16 @@
     """
     body = orjson.dumps({"items": [_item("i-1", {"a": 1}), _item("i-2", "@")]})
     data = client._load(body.replace(b"@", b"\xff\xfe"))
-    records = list(client._read_objects("servers", data["items"]))
+    records = list(
+        client.HttpObjectApi("http://x")._read_all("servers", data["items"])
+    )
     assert [r.name for r in records] == ["servers/i-1", "servers/i-2"]
     assert records[0].value == b'{"a":1}'
 
 
 def test_objects_without_a_name_are_left_out():
     items = [None, 7, {"spec": {}}, {"metadata": {"name": 5}}, _item("x", 1)]
-    records = list(client._read_objects("servers", items))
+    records = list(
+        client.HttpObjectApi("http://x")._read_all("servers", items)
+    )
     assert [record.name for record in records] == ["servers/x"]
--- /dev/null
+++ b/tests/platform/test_eras.py
@@ -0,0 +1,183 @@
+"""A store that came back from a copy, as its client sees it."""
+
+import contextlib
+from dataclasses import dataclass
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
+import orjson
+import pytest
+import trio
+
+from magnoliacove import errors
+from magnoliacove import platform
+from magnoliacove.platform.eras import MOST_ERA
+from magnoliacove.platform.eras import StoreEra
+from magnoliacove.platform.eras import join_revision
+from magnoliacove.platform.eras import split_revision
+
+
+@given(st.integers(0, MOST_ERA), st.integers(0, 2**40 - 1))
+def test_a_revision_holds_both_numbers(era, number):
+    joined = join_revision(era, number)
+    assert split_revision(joined) == (era, number)
+    assert joined < 2**63
+
+
+@given(st.lists(st.tuples(st.integers(0, 9), st.integers(0, 9)), min_size=2))
+def test_revisions_are_ordered_by_era_first(pairs):
+    joined = [join_revision(era, number) for era, number in pairs]
+    assert sorted(joined) == [join_revision(*pair) for pair in sorted(pairs)]
+
+
+def test_each_rise_is_told_once():
+    told = []
+    era = StoreEra()
+    era.listen(lambda number, source: told.append((number, source)))
+    news = [(3, "a"), (3, "b"), (4, "c"), (3, "d"), (4, "e"), (6, "f")]
+    taken = [era.note(number, source) for number, source in news]
+    # The first one is no news: nothing was known before it.
+    assert told == [(4, "c"), (6, "f")]
+    assert taken == [True, True, True, False, True, True]
+
+
+@dataclass(frozen=True)
+class _Response:
+    status: int
+    headers: list
+    content: bytes
+
+
+def _answer(era, data, status=200):
+    header = (b"Store-Era", str(era).encode())
+    return _Response(status, [header], orjson.dumps(data))
+
+
+def _object(revision, spec=None):
+    meta = {"name": "x", "revision": revision}
+    return {"metadata": meta, "spec": spec}
+
+
+class _Pool:
+    """Answers calls from a list, in any order that a test wants."""
+
+    def __init__(self, *answers):
+        self.asked = []
+        self._answers = list(answers)
+
+    async def request(self, method, url, **others):
+        self.asked.append((method, url, others.get("content")))
+        await trio.lowlevel.checkpoint()
+        return self._answers.pop(0)
+
+
+def _open(*answers):
+    api = platform.HttpObjectApi("http://store")
+    api._pool = _Pool(*answers)
+    return api
+
+
+async def test_a_late_answer_of_a_former_era_is_dropped():
+    """A call waits on a connection while another one tells that the store
+    came back.  What the first then brings is of a time that never was.
+    """
+    api = _open(_answer(2, _object(5)), _answer(1, _object(9)))
+    assert (await api.get("k/x")).version == join_revision(2, 5)
+    with pytest.raises(errors.PlatformError) as caught:
+        await api.get("k/x")
+    assert caught.value.outcome is errors.Outcome.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize("status", [404, 409, 410, 429, 503])
+async def test_errors_tell_the_era_too(status):
+    api = _open(_answer(1, _object(5)), _answer(2, {}, status))
+    await api.get("k/x")
+    with contextlib.suppress(errors.Error):
+        await api.get("k/x")
+    assert api.era.number == 2
+
+
+async def test_a_condition_of_a_former_era_is_not_sent():
+    """A number that is given out again would fit by accident, and a write
+    would take the place of one that its writer never saw.
+    """
+    api = _open(_answer(1, _object(5)), _answer(2, _object(5)))
+    version = (await api.get("k/x")).version
+    await api.get("k/x")
+    asked = len(api._pool.asked)
+    with pytest.raises(platform.VersionConflictError):
+        await api.put("k/x", b"1", version)
+    with pytest.raises(platform.VersionConflictError):
+        await api.delete("k/x", version)
+    with pytest.raises(platform.CompactedError):
+        await api.watch("k/", version, 1.0)
+    assert len(api._pool.asked) == asked
+
+
+async def test_a_condition_that_fitted_by_accident_is_no_success():
+    """The write's own answer is the first to tell of the new era: it was
+    taken on the ground of a revision that now is another's.
+    """
+    api = _open(_answer(1, _object(5)), _answer(2, _object(6)))
+    version = (await api.get("k/x")).version
+    with pytest.raises(platform.VersionConflictError):
+        await api.put("k/x", b"1", version)
+    again = _open(_answer(1, _object(5)), _answer(2, {"as_of": 7}))
+    version = (await again.get("k/x")).version
+    with pytest.raises(platform.CompactedError):
+        await again.watch("k/", version, 1.0)
+
+
+async def test_pages_of_two_eras_are_read_again():
+    """The store comes back between two pages of a listing."""
+    first = {"items": [_object(5)], "has_more": True, "as_of": 9}
+    last = {"items": [], "has_more": False, "as_of": 3}
+    whole = {"items": [_object(2)], "has_more": False, "as_of": 4}
+    api = _open(_answer(1, first), _answer(2, last), _answer(2, whole))
+    listing = await api.list_records("k/")
+    assert listing.revision == join_revision(2, 4)
+    assert [r.version for r in listing.records] == [join_revision(2, 2)]
+
+
+async def test_a_store_that_tells_no_era_is_served_as_before():
+    plain = _Response(200, [], orjson.dumps(_object(5)))
+    api = _open(
+        plain,
+        *(
+            _Response(200, [(b"store-era", odd)], orjson.dumps(_object(6)))
+            for odd in (b"x", b"", b"-1", b"9" * 40)
+        ),
+    )
+    assert (await api.get("k/x")).version == 5
+    for _ in range(4):
+        assert (await api.get("k/x")).version == 6
+
+
+@given(
+    st.permutations(
+        [
+            *itertools.product([1], range(3, 8)),
+            *itertools.product([2], range(4, 9)),
+        ]
+    )
+)
+def test_no_order_of_answers_mixes_eras(order):
+    """Answers of two eras come in any order.  After the first of the later
+    era none of the earlier one is believed.
+    """
+
+    async def read():
+        seen = []
+        api = _open(*(_answer(era, _object(n)) for era, n in order))
+        for _ in order:
+            try:
+                seen.append((await api.get("k/x")).version)
+            except errors.PlatformError:
+                # It was of the earlier era.
+                continue
+        return [split_revision(version)[0] for version in seen]
+
+    eras = trio.run(read)
+    assert eras == sorted(eras)
+    assert eras.count(2) == 5
