Ask a silent engine until it is back, and hold its request meanwhile

Cause: a run that breaks off has its engine asked whether it ended. One whose instance answered nothing for 2 s was taken for alive, so its end was never put down to the request.

Change: it is asked for 20 s, closely at first; its end counts once the new start is known. Until then a request whose runs broke off at three targets that ended or are silent, in two attempts or more and without an answer, is refused as not run, with 3 s to come back. Heartbeats tell of silent targets.

Ruled out: taking a silent engine for ended at once, which a test of broken connections forbids, and rightly: connections that break say nothing of it.

Before: see the test.

--- a/magnoliacove/gateway/crashes.py
+++ b/magnoliacove/gateway/crashes.py
@@ -2,7 +2,9 @@
 
 A run that breaks off may have met a lost connection as well as a target that
 ended, so the target is asked first: a process that is gone refuses
-connections, one that started again tells when.
+connections, one that started again tells when.  An instance that answers
+nothing, by resets or by silence, tells neither until its target is back.  It
+is asked until then, and meanwhile counts against repeats of the request.
 """
 
 from collections.abc import Callable
@@ -26,8 +28,8 @@
 
 # When a target under which a run broke off is asked, in seconds after that.
 # A process that ended refuses at once; one whose instance falls silent is
-# known by its next start, or by its entry.
-_ASK_AFTER = (0.0, 0.5, 2.0)
+# known by its next start, or by its entry, as soon as it is back.
+_ASK_AFTER = (0.0, 0.5, 1.2, 2.0, 2.7, 3.4, 4.2, 5.0, 7.0, 10.0, 15.0, 20.0)
 _ASK_TIMEOUT = 0.4
 # Ends are put down to a request this long after the last news of them, in
 # seconds: by then the other gateways have told what ran there too.
@@ -54,9 +56,11 @@
     """Whether one target ended, and the runs that broke off there.
 
     :param ended: None while that is not known.
+    :param silent: whether the target gave no answer to the first question.
     """
 
     asked_at: float
+    silent: bool = False
     runs: dict[tuple[str, int], CrashedRun] = field(default_factory=dict)
     ended: bool | None = None
     answered: trio.Event = field(default_factory=trio.Event)
@@ -132,6 +136,8 @@
                 self._nursery.start_soon(self._ask, target, question)
         if question.ended is None:
             question.runs.setdefault((run.fingerprint, run.attempt), run)
+            if question.silent:
+                self._note_silent([run])
             return
         self._note_answer(question.ended, run)
 
@@ -205,6 +211,9 @@
             ended = await self._has_ended(target)
             if ended is not None:
                 break
+            if not question.silent:
+                question.silent = True
+                self._note_silent(question.runs.values())
         question.ended = bool(ended)
         question.answered.set()
         runs = sorted(question.runs.values(), key=lambda run: run.seconds)
@@ -262,8 +271,15 @@
         report = await self._calls.read_report(target, fresh=True)
         return report.incarnation not in (0, target.incarnation)
 
+    def _note_silent(self, runs: Iterable[CrashedRun]) -> None:
+        """Take it that the target of some runs answers nothing."""
+        for run in runs:
+            self._state.crashes.silent.note(run)
+        self._tell()
+
     def _note_answer(self, ended: bool, run: CrashedRun) -> None:
         crashes = self._state.crashes
+        crashes.silent.drop(run)
         if not ended:
             crashes.note_run(run.fingerprint, run.seconds)
             return
--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -117,10 +117,7 @@
             acting=self._is_acting(),
             newest_change=state.targets.newest_change,
             store_era=self._store.era.number,
-            crashes=tuple(
-                ReportedCrash(run, age)
-                for run, age in state.crashes.list_own()
-            ),
+            crashes=self._list_crashes(),
             answered=state.crashes.list_answered(),
             quarantines=tuple(
                 ReportedQuarantine(
@@ -130,6 +127,16 @@
             ),
         )
 
+    def _list_crashes(self) -> tuple[ReportedCrash, ...]:
+        crashes = self._state.crashes
+        return (
+            *(ReportedCrash(run, age) for run, age in crashes.list_own()),
+            *(
+                ReportedCrash(run, age, silent=True)
+                for run, age in crashes.silent.list_own()
+            ),
+        )
+
     def _list_holdings(self) -> list[tuple[str, float, Holding]]:
         """Return what the duty's holder, or a refusal, told of engines."""
         if self._is_acting():
@@ -174,7 +181,10 @@
         state, now = self._state, trio.current_time()
         state.crashes.take_answered(heartbeat.name, heartbeat.answered)
         for found in heartbeat.crashes:
-            self._crashes.take_crash(found.run, found.age)
+            if found.silent:
+                state.crashes.silent.note(found.run, own=False)
+            else:
+                self._crashes.take_crash(found.run, found.age)
         for told in heartbeat.quarantines:
             quarantine = Quarantine(
                 told.fingerprint,
--- a/magnoliacove/gateway/relay.py
+++ b/magnoliacove/gateway/relay.py
@@ -30,6 +30,9 @@
 # first call to the store or to a peer, and callers come back once only.
 _NOT_READY_PATIENCE = 0.7
 _DEFAULT_PATIENCE = 60.0
+# A caller whose request may have ended targets that answer nothing may try
+# again this soon, seconds: by then they are mostly back and tell.
+_HELD_RETRY = 3.0
 
 
 @dataclass(frozen=True)
@@ -164,6 +167,8 @@
             resumes=routed.marks.last_event,
         )
         wait = state.quarantine.admit(routed.fingerprint)
+        if not wait and state.crashes.is_held(routed.fingerprint):
+            wait = _HELD_RETRY
         if wait > 0.0:
             raise make_quarantined(wait)
         if routed.service.model is not None and routed.route.streaming:
--- a/magnoliacove/limits/crashes.py
+++ b/magnoliacove/limits/crashes.py
@@ -17,6 +17,8 @@
 
 import trio
 
+from magnoliacove.limits.silences import SilentRuns
+
 __all__ = ["CrashHistory", "CrashedRun"]
 
 # Ends of targets until a request is taken for their cause, for one that was
@@ -104,11 +106,14 @@
     """Targets that ended, and what ran there, of all gateways.
 
     :param read_time: returns seconds.
+    :param silent: runs of which it is not known yet whether they ended their
+        target.
     """
 
     def __init__(
         self, read_time: Callable[[], float] = trio.current_time
     ) -> None:
+        self.silent = SilentRuns(read_time)
         self._read_time = read_time
         self._requests: OrderedDict[str, _Request] = OrderedDict()
         # How often each was answered, and when it was last.
@@ -126,6 +131,7 @@
         :returns: whether that was news.
         """
         at = self._read_time() - age
+        self.silent.drop(run)
         if age >= _KEPT:
             return False
         known = self._requests.setdefault(run.fingerprint, _Request())
@@ -198,18 +204,42 @@
         Such a request is not repeated for its caller: it would take one
         more target within the time in which the first end becomes known.
         """
-        request = self._requests.get(fingerprint)
+        return self._was_at_ends(fingerprint, _LEAST_ATTEMPTS)
+
+    def is_held(self, fingerprint: str) -> bool:
+        """Return whether a request waits until more is known of its targets.
+
+        It broke off at as many as make a cause, some of which answer nothing
+        since.  They may have ended, and are known to have once they are back;
+        one that ends each target would take all others until then.
+        """
+        return bool(self.silent.find(fingerprint)) and self._was_at_ends(
+            fingerprint, _LEAST_CRASHES
+        )
+
+    def _was_at_ends(self, fingerprint: str, least: int) -> bool:
+        """Return whether so many targets ended, or seem to, under a request.
+
+        In several attempts, of which none came to an answer.
+        """
+        request = self._requests.get(fingerprint, _Request())
+        silent = self.silent.find(fingerprint)
+        targets = request.list_targets() | {run.target for run in silent}
+        attempts = request.attempts | {run.attempt for run in silent}
         return (
-            request is not None
-            and len(request.attempts) >= _LEAST_ATTEMPTS
-            and len(request.list_targets()) >= _LEAST_ATTEMPTS
+            len(targets) >= least
+            and len(attempts) >= _LEAST_ATTEMPTS
             and not self._count_answered(fingerprint)
         )
 
     def was_at_end(self, fingerprint: str) -> bool:
-        """Return whether a target ended lately while it ran a request."""
+        """Return whether a target ended lately while it ran a request.
+
+        Or seems to have, since it answers nothing.
+        """
         known = self._requests.get(fingerprint)
-        return known is not None and bool(known.crashes)
+        ended = known is not None and bool(known.crashes)
+        return ended or bool(self.silent.find(fingerprint))
 
     def has_answered(self, fingerprint: str) -> bool:
         """Return whether this gateway answered a request lately."""
@@ -234,6 +264,7 @@
 
     def forget_old(self) -> None:
         """Drop requests whose last end is long past."""
+        self.silent.forget_old()
         limit = self._read_time() - _KEPT
         for fingerprint, request in list(self._requests.items()):
             if request.last_at < limit:
--- a/magnoliacove/peers/datagram.py
+++ b/magnoliacove/peers/datagram.py
@@ -62,10 +62,12 @@
     """A target that ended while a request ran there.
 
     :param age: seconds since it ended.
+    :param silent: it may have; it answers nothing since.
     """
 
     run: CrashedRun
     age: float
+    silent: bool = False
 
 
 @dataclass(frozen=True)
@@ -243,6 +245,7 @@
         "target": item.run.target,
         "seconds": int(item.run.seconds * 1000),
         "age": int(item.age * 1000),
+        "silent": item.silent,
     }
 
 
@@ -253,7 +256,7 @@
         item.target,
         item.seconds / 1000,
     )
-    return ReportedCrash(run, item.age / 1000)
+    return ReportedCrash(run, item.age / 1000, item.silent)
 
 
 def _write_quarantine(item: ReportedQuarantine) -> dict[str, Any]:
--- a/magnoliacove/peers/heartbeat.capnp
+++ b/magnoliacove/peers/heartbeat.capnp
@@ -34,6 +34,7 @@
   target @2 :Text;
   seconds @3 :UInt32;
   age @4 :UInt32;
+  silent @5 :Bool;
 }
 
 struct Answered {
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -186,6 +186,35 @@
         assert "target-ended" not in stage.list_kinds()
 
 
+async def test_an_engine_that_falls_silent_is_known_by_its_next_start():
+    """An engine ends under a request and its instance resets all connections
+    for longer than it is asked for closely.  Then it starts again, and says
+    when: the run is put down to its end, three seconds late.
+    """
+    born = [1]
+
+    async def meet(received, stream):
+        if received.target == "/v1/report" and born[0] > 1:
+            report = b'{"born": %d}' % born[0]
+            await stream.send_all(stubs.make_answer(report))
+            return
+        await stubs.reset(received, stream)
+
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", meet, layers=(0, 80))
+        found = stage.state.targets.find("i-1")
+        stage.state.targets.remove("i-1", 2)
+        stage.state.targets.apply(
+            dataclasses.replace(found, name="i-1@1", incarnation=1, revision=3)
+        )
+        await _ask(stage, "/stream/bad", 1)
+        await trio.sleep(2.4)
+        assert "target-ended" not in stage.list_kinds()
+        born[0] = 2
+        await trio.sleep(0.8)
+        assert "target-ended" in stage.list_kinds()
+
+
 async def test_a_target_that_leaves_is_not_ended_by_what_still_runs():
     async with stubs.open_stage() as stage:
         endings = _Endings(stage)
--- a/tests/peers/samples.py
+++ b/tests/peers/samples.py
@@ -43,6 +43,9 @@
                 CrashedRun("00c3b2a190817263", 4_000_000_000, "i-2", 0.125),
                 1.5,
             ),
+            peers.ReportedCrash(
+                CrashedRun("00c3b2a190817263", 7, "i-3", 0.25), 0.5, True
+            ),
         ),
         "answered": {"ffeeddccbbaa9988": 7},
         "quarantines": (
