--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 import trio
 
 from soak.play import Soak
+from soak.restores import RestoreSoak
 
 __all__ = ["main"]
 
@@ -21,6 +22,9 @@
     "--seconds", type=float, default=12.0, show_default=True, help="A seed."
 )
 @click.option("--gateways", type=int, default=3, show_default=True)
+@click.option(
+    "--restores", is_flag=True, help="The store comes back from copies too."
+)
 @click.option("--logs", type=click.Path(), default="", help="Kept there.")
 def main(
     seeds: tuple[int, ...],
@@ -28,6 +32,7 @@
     count: int,
     seconds: float,
     gateways: int,
+    restores: bool,
     logs: str,
 ) -> None:
     """Play seeds and report broken promises; fail if there are any."""
@@ -36,7 +41,8 @@
         with tempfile.TemporaryDirectory() as temporary:
             folder = pathlib.Path(logs or temporary) / f"seed-{seed}"
             folder.mkdir(parents=True, exist_ok=True)
-            soak = Soak(seed, gateways, folder)
+            made = RestoreSoak if restores else Soak
+            soak = made(seed, gateways, folder)
             broken = trio.run(soak.play, seconds)
         click.echo(f"seed {seed}: {soak.describe()}")
         for line in broken:
--- a/soak/play.py
+++ b/soak/play.py
@@ -74,6 +74,8 @@
         }
         self._proxies: dict[str, Proxy] = {}
         self._store_proxy: Proxy | None = None
+        # What each target said last of itself.
+        self._states: dict[str, str] = {}
         self._version = 7
         self._callers = Callers(self._gateways, self._ledger, seed)
         self._busy: set[str] = set()
@@ -135,6 +137,7 @@
         await nursery.start(self._store_proxy.run)
 
     async def _write_entry(self, name: str, state: str) -> None:
+        self._states[name] = state
         entry = {
             "service": name.partition("-")[0],
             "address": self._proxies[name].address,
@@ -149,6 +152,10 @@
 
     async def _write_configuration(self) -> None:
         self._version += self._rng.randrange(1, 5)
+        await self._write_version()
+
+    async def _write_version(self) -> None:
+        """Write the present version of the configuration."""
         base = {
             "host": "soak",
             "timeout_ms": 6000,
@@ -200,9 +207,9 @@
 
     # Faults.
 
-    async def _spoil(self, seconds: float) -> None:
-        """Let callers call and faults come for so long."""
-        faults: list[Callable[[], Awaitable[None]]] = [
+    def _list_faults(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the faults that may come; a seed draws among them."""
+        return [
             self._kill,
             self._freeze,
             self._stop,
@@ -215,6 +222,10 @@
             self._lose_target,
             self._change_configuration,
         ]
+
+    async def _spoil(self, seconds: float) -> None:
+        """Let callers call and faults come for so long."""
+        faults = self._list_faults()
         async with trio.open_nursery() as callers:
             for _ in range(_CALLERS):
                 callers.start_soon(self._callers.run)
