--- a/magnoliacove/commands/gateway.py
+++ b/magnoliacove/commands/gateway.py
@@ -38,8 +38,7 @@
 
     When all gateways are killed at once, callers that meet no listener fail
     at once and come back once only, mostly to another that is not up yet.
-    Here they wait while the modules load: of the requests sent in the two
-    seconds of such a restart 27 failed instead of 54.
+    Here they wait while the modules load.
 
     :returns: what listens, or None.  An address that cannot be used is told
         by whoever listens for the second time, with its remedy.
--- a/magnoliacove/commands/running.py
+++ b/magnoliacove/commands/running.py
@@ -33,8 +33,7 @@
     """Let the garbage collector run less often, over fewer objects.
 
     Objects of the imported modules live as long as the process.  Looking
-    through them again and again took a quarter of an entry's time, in
-    pauses of up to 0.1 s that delayed tokens.
+    through them again and again takes long and delays tokens.
     """
     gc.freeze()
     gc.set_threshold(_GARBAGE_THRESHOLD)
--- a/magnoliacove/directory/targets.py
+++ b/magnoliacove/directory/targets.py
@@ -348,9 +348,8 @@
     def _tell_listed(self) -> None:
         """Write down which targets are new, many on a line.
 
-        A process that starts hears of all of them.  With a line for each, 68
-        gateways before 135 targets wrote 9,180 lines in their first seconds,
-        and ordinary lines of the first requests were dropped for them.
+        A process that starts hears of all of them.  With a line for each,
+        ordinary lines of the first requests would be dropped for them.
         """
         untold, self._untold = self._untold, []
         for at in range(0, len(untold), _MOST_ON_A_LINE):
--- a/magnoliacove/gateway/calls.py
+++ b/magnoliacove/gateway/calls.py
@@ -25,9 +25,9 @@
 # up to so many in all; a service that refuses three times is full.
 _MOST_REFUSALS = 3
 # A request that may be repeated is run so often at most.  Once as many targets
-# ran it as its route allows it goes back to one of these: where 14 in 100
-# runs fail, two runs leave 2 in 100 requests without an answer and four 1 in
-# 2,000, and three failed runs still leave time within the objective.
+# ran it as its route allows it goes back to one of these: where some of the
+# runs fail by chance, four leave hardly a request without an answer, and three
+# failed ones still leave time within the objective.
 _MOST_RUNS = 4
 # A second target is asked when the first took this many times its usual,
 # and at least this part of the latency objective.
--- a/magnoliacove/gateway/detours.py
+++ b/magnoliacove/gateway/detours.py
@@ -135,9 +135,9 @@
             return False
         if detour.crossings > path.crossings and _has_inner(options, costs):
             # All that the other engines hold would go through the pipe
-            # between data centres, one stream after the other: 66 streams
-            # of 900 tokens took 1.7 s, in which their callers left.  Another
-            # data centre reads the prompts anew in half of that.
+            # between data centres, one stream after the other, and their
+            # callers would leave.  Another data centre reads the prompts
+            # anew sooner.
             return False
         # Reserved before the order is out, so that the other streams that
         # are led around the same engine see what is left.
--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -30,9 +30,9 @@
 # A peer's configuration or list is asked for after our own view has been
 # behind for so long; the store's own answer mostly comes first.
 _BEHIND = 0.4
-# Peers are given snapshots this long after the start, in seconds.  Loading
-# what that needs takes 0.05 s of processor, for which the first callers of
-# a fleet that starts would wait; a peer asks another gateway meanwhile.
+# Peers are given snapshots this long after the start, in seconds.  The first
+# callers of a fleet that starts would wait while what that needs is loaded; a
+# peer asks another gateway meanwhile.
 _SNAPSHOTS_AFTER = 1.0
 
 
--- a/magnoliacove/gateway/presence.py
+++ b/magnoliacove/gateway/presence.py
@@ -90,11 +90,10 @@
     ) -> None:
         """Find out why an engine refused a request, or was named for it.
 
-        Each request learned by itself that a path was wrong, and took it
-        again: 331 refusals of one engine that had started again, in five
-        seconds, and 252 requests that ended with them.  Of an engine that
-        fell silent the first refusal told after 0.2 s; without a question
-        it went on for a second, with all streams that passed through it.
+        Else each request learns by itself that a path is wrong, and takes it
+        again: an engine that has started again refuses hundreds, and many of
+        them end with that.  Of an engine that fell silent the first refusal
+        tells, long before its reports are missed.
         """
         now = trio.current_time()
         if now - self._checked.get(target.name, -1.0) < _ASK_AGAIN:
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -24,10 +24,7 @@
 
 _CHECK_EVERY = 0.05
 # Events come every 20 to 100 ms; a stream that is silent for so long is
-# looked into, seconds.  Looking sooner, after 2.5 times a stream's own
-# rhythm, found lost engines sooner and gained nothing: worth 0.791 against
-# 0.805 without, and 0.542 against 0.546 where paths are longer, by three
-# days each; the stream is late either way.
+# looked into, seconds.
 SILENCE = 0.4
 # A stream silent for so long moves whatever the report says, if there is
 # another path.  Callers leave after 2 s, and reading the prompt again takes
@@ -88,9 +85,8 @@
     def _lead_around(self, nursery: trio.Nursery) -> None:
         """Lead streams around engines that are lost.
 
-        Those that drain go on with what passes through them.  Leading
-        streams around these as well was measured: a pause of 0.4 s on the
-        median, where the stream else had none.
+        Those that drain go on with what passes through them; led around
+        them, a stream would pause, where else it does not.
         """
         state = self._state
         lost = {
--- a/magnoliacove/gateway/store.py
+++ b/magnoliacove/gateway/store.py
@@ -26,8 +26,7 @@
 # How long a watch waits, in seconds.  A connection that fell silent is
 # found out after this and the timeout of a call, and a call costs.  The
 # holder of the placement duty waits shortly and tells the others how new its
-# view is, so theirs may wait longer: 0.2 calls a second instead of 0.8 for
-# each gateway in calm.
+# view is, so theirs may wait longer.
 WATCH_SECONDS = 2.5
 WATCH_SECONDS_FOLLOWING = 10.0
 # The list is read on after so long, in seconds, so that changes which come
@@ -35,14 +34,13 @@
 # that leaves must be known to leave.
 _GATHER = 0.2
 # Who is told by a peer how new its list is waits for this part of that time
-# instead.  A change in the list wakes all gateways, and 68 of them made 136
-# calls each to the store in 40 s.  Requests go by what the duty's holder says
-# of engines, which is younger than the list.
+# instead, since a change in the list wakes all gateways.  Requests go by what
+# the duty's holder says of engines, which is younger than the list.
 _GATHER_PART = 1 / 6
 # Versions of the configuration that follow each other within _QUICKLY, in
 # seconds, are read on after _GATHER_VERSIONS, and then the newest only.  Each
 # is read whole by every gateway, over a link that carries callers' events
-# too: 25 versions came within 3.7 s, and most were replaced at once.
+# too, and most are replaced at once.
 _QUICKLY = 1.0
 _GATHER_VERSIONS = 0.5
 # A list that is behind the duty holder's for so long is read again, seconds;
--- a/magnoliacove/limits/crashes.py
+++ b/magnoliacove/limits/crashes.py
@@ -23,8 +23,7 @@
 
 # Ends of targets until a request is taken for their cause, for one that was
 # never answered; each answer asks for as many more.  Two ends come about by
-# chance where several targets are lost together; of 236 requests that lost
-# targets while others ended 17 within 25 s, none lost a third in one attempt.
+# chance where several targets are lost together, a third hardly does.
 _LEAST_CRASHES = 3
 # A request that was at the same ends as another one is taken for the cause
 # only after so many more, and so many seconds after the third: the next ends
@@ -39,11 +38,10 @@
 # ends it at the same step, sooner or later with what else runs there.
 _LENGTHS_DIFFER = 1.0
 # What is known of a request is forgotten so many seconds after its last end;
-# requests that end targets were seen to pause for ten seconds.
+# its callers may pause for long.
 _KEPT = 600.0
-# Requests and ends of each that are remembered, 7.1 MB when all were at as
-# many and 1.3 MB at two each; requests that were answered, 0.6 MB.  All by
-# tracemalloc.
+# Requests and ends of each that are remembered, and requests that were
+# answered: some megabytes at most.
 _MOST_REQUESTS = 1024
 _MOST_CRASHES = 16
 _MOST_ANSWERED = 4096
--- a/magnoliacove/limits/load.py
+++ b/magnoliacove/limits/load.py
@@ -66,9 +66,8 @@
 
     The others' loads are kept as running sums: what an entry said before is
     taken off, what it says now is added.  Adding up all entries for each
-    heartbeat costs the square of their number: 67 others before 130 engines
-    took 0.67 of a core, and callers of the smallest instances, which have
-    0.39 of one, waited for it.
+    heartbeat costs the square of their number, and callers of a large fleet's
+    small instances would wait for it.
     """
 
     def __init__(self) -> None:
--- a/magnoliacove/limits/room.py
+++ b/magnoliacove/limits/room.py
@@ -23,8 +23,8 @@
 # they leave is not enough for many more.
 _TRIED = 8
 # Changes within so many seconds are taken together.  A try costs a search
-# over the engines; one for each release and each heartbeat took the whole
-# processor when many waited, and callers' leaving went unnoticed.
+# over the engines; one for each release and each heartbeat takes the whole
+# processor when many wait, and callers' leaving goes unnoticed.
 _FILL_EVERY = 0.025
 _SMOOTHING = 0.2
 _FIRST_PAUSE = 0.2
--- a/magnoliacove/limits/unheard.py
+++ b/magnoliacove/limits/unheard.py
@@ -28,10 +28,6 @@
 _LEAST_COUNTED = 1.0
 # The unheard requests among which one may have its turn, as a multiple of
 # those that are out: they, and as many that will choose by the same news.
-# Where nearly all quick engines are taken, 68 gateways overfilled engines with
-# 18 in 100 of their requests at 1, 6 at 2, 5 at 4, and 36 when they took the
-# news for fresh; where there is more room (measure/herd.py, three seeds) with
-# 5, 5, 16 and 20.
 _TURNS = 2.0
 # Requests a second; less is what rounding leaves of sums of differences.
 _LEAST_PACE = 1e-3
@@ -61,8 +57,8 @@
 
     An entry that has just started and tells of no request is taken to have
     as many as this one.  When all start together, callers wait for them, and
-    each gets several in the moment in which it can serve: taken for idle,
-    they sent 107 of 130 requests along the same path.
+    each gets several in the moment in which it can serve.  If each took the
+    others for idle, all would send theirs along the same path.
 
     :param read_time: returns seconds.
     """
--- a/magnoliacove/peers/datagram.py
+++ b/magnoliacove/peers/datagram.py
@@ -23,9 +23,8 @@
     "ReportedSuspicion",
 ]
 
-# Names of targets make up most of a heartbeat and repeat in it.  The quickest
-# level leaves 1.5 KB of 4.0 for 42 engines, as drawn by measure/gateway.py;
-# one datagram is packed once for all peers.
+# Names of targets make up most of a heartbeat and repeat in it, so the
+# quickest level does.  One datagram is packed once for all peers.
 _COMPRESSION = 1
 
 
--- a/magnoliacove/peers/heartbeats.py
+++ b/magnoliacove/peers/heartbeats.py
@@ -24,8 +24,8 @@
 # cost of a gateway's heartbeats stays the same as the fleet grows.
 _LEAST_INTERVAL = 0.15
 _INTERVAL_PER_PEER = 0.012
-# The first one goes out so long after the start, in seconds.  What it needs
-# takes 25 ms of processor to load, and callers that wait go first.
+# The first one goes out so long after the start, in seconds: callers that
+# wait go before what it has to load.
 _FIRST_AFTER = 0.15
 # News that cannot wait is sent at once, but not more often than this.
 _LEAST_PAUSE = 0.03
@@ -156,8 +156,8 @@
         """Return the peers that the next heartbeat names.
 
         Where there are more than fit, others each time: with always the
-        same 64, the last four of 68 gateways never learned of each other,
-        and sent their callers to engines that the others had filled.
+        same, the others would never learn of each other, and send their
+        callers to engines that are full.
         """
         live = self.list_live()
         if len(live) <= _MOST_PEERS_NAMED:
--- a/magnoliacove/placement/balance.py
+++ b/magnoliacove/placement/balance.py
@@ -119,9 +119,7 @@
     """A placement without one engine, to which a range of it is added.
 
     The search looks at some hundred ranges of each engine, in a process
-    that passes events on meanwhile.  Running sums make each a few steps:
-    a search in a data centre of 14 engines takes 9 ms of an idle core, where
-    adding up all layers for each range took 45 ms.
+    that passes events on meanwhile.  Running sums make each a few steps.
     """
 
     def __init__(
--- a/magnoliacove/placement/duty.py
+++ b/magnoliacove/placement/duty.py
@@ -329,9 +329,9 @@
                 result = await self._sources.calls.place(
                     target,
                     item.layers,
-                    # Waiting for what passes through took up to 10 s, in
-                    # which the data centre had no path; what is cut off is
-                    # led around the engine in half a second.
+                    # The data centre has no path while it waits for what
+                    # passes through; what is cut off is led around the
+                    # engine sooner.
                     interrupt=item.closes_gap,
                     orders=report.orders if report else None,
                 )
--- a/magnoliacove/placement/plan.py
+++ b/magnoliacove/placement/plan.py
@@ -203,8 +203,8 @@
         """Close all gaps by moving the range of every engine a little.
 
         No engine can be spared.  Each keeps most of its layers and loads
-        few: measured, a load took 0.3 to 0.9 s where that of a whole range
-        takes 1.4 to 1.9 s, and a lost engine is back after seconds only.
+        few, which is done sooner than a whole range is loaded, and much
+        sooner than a lost engine is back.
         """
         engines = [e for e in self._engines.values() if e.target in self._held]
         kinds = [engine.accelerator for engine in engines]
--- a/magnoliacove/placement/rooms.py
+++ b/magnoliacove/placement/rooms.py
@@ -24,22 +24,16 @@
     "measure_layer",
 ]
 
-# The part of an engine's batch for which a path has room at most: 57
-# requests of 96.
+# The part of an engine's batch for which a path has room at most.
 _BATCH_PART = 0.6
 # A path with room for fewer requests than these is not worth its engines.
 _LEAST_STREAMS = 4
 # The least room is taken with which a path carries this part of the most
-# tokens a second that it could.  Played with the same room in all data
-# centres, a fleet of four kinds was best at 40 requests (worth of its days
-# with trouble 0.55, with 28 0.44, with 57 0.48) and one of three kinds at 28
-# (0.78, with 21 0.76, with 40 0.77, with 57 0.70): a part of 0.8 in both.
+# tokens a second that it could.
 _RATE_PART = 0.8
 # Where the engines hold the model so many times with the most room, slower
 # ones make whole paths as well.  Requests beyond a smaller room then go there
-# instead of to another data centre: 52 engines under 158 requests a second
-# had first events after 0.6 s instead of 0.1 s, and a worth of 0.450 instead
-# of 0.723 with the most room.
+# instead of to another data centre, and their first events come late.
 _ABUNDANT = 2.5
 # A token that arrives at an engine waits for half a pass on the mean.
 _PASS_WAIT = 0.5
--- a/magnoliacove/routing/paths.py
+++ b/magnoliacove/routing/paths.py
@@ -43,7 +43,7 @@
 ]
 
 # Requests ahead are placed in so many groups at most, each of which costs a
-# search of one data centre: 0.4 ms of processor for 26 engines.
+# search of one data centre.
 _MOST_GROUPS = 8
 
 
--- a/magnoliacove/routing/search.py
+++ b/magnoliacove/routing/search.py
@@ -83,9 +83,8 @@
     """Return the engines without those that another one makes needless.
 
     One that holds the same layers or more, takes no longer for any of them
-    and has room for the request in all of them can always stand in.  Of 26
-    engines of a data centre six are left, and a search of them takes 0.4 ms
-    of processor instead of 0.9 ms.
+    and has room for the request in all of them can always stand in.  Few are
+    left of a data centre's engines, which makes the search quick.
     """
     ranked = sorted(
         (costs.layer_seconds(option), -option.layers.count, number, option)
