Wait longer on the store while the duty's holder is heard

In calm each gateway waited on two watches for 10 s at a time and looked at the lease each 10 s, and while the list of targets fills at a start each entry of it woke all.

Ruled out: no waits on the store at all but by one gateway for the others; a list from a peer costs bytes between data centres instead, and a gateway that hears no peer would know nothing of a drain.

Change: waits of 25 s and looks each 30 s while a peer with the duty is heard, which tells when a list stays behind and whose silence is noticed at once; until the first request changes of the list are gathered for a sixth of the drain bound.

--- a/magnoliacove/gateway/store.py
+++ b/magnoliacove/gateway/store.py
@@ -28,14 +28,16 @@
 # holder of the placement duty waits shortly and tells the others how new its
 # view is, so theirs may wait longer.
 WATCH_SECONDS = 2.5
-WATCH_SECONDS_FOLLOWING = 10.0
+WATCH_SECONDS_FOLLOWING = 25.0
 # The list is read on after so long, in seconds, so that changes which come
 # together cost one call.  It is a tenth of the shortest time in which a target
 # that leaves must be known to leave.
 _GATHER = 0.2
 # Who is told by a peer how new its list is waits for this part of that time
 # instead, since a change in the list wakes all gateways.  Requests go by what
-# the duty's holder says of engines, which is younger than the list.
+# the duty's holder says of engines, which is younger than the list.  So does
+# who has no requests yet: after a start of the fleet the list fills, and each
+# entry of it would wake all.
 _GATHER_PART = 1 / 6
 # Versions of the configuration that follow each other within _QUICKLY, in
 # seconds, are read on after _GATHER_VERSIONS, and then the newest only.  Each
@@ -284,8 +286,12 @@
                 self._take_event(event)
             self._state.targets.expire()
             if events:
-                following = self._is_following()
-                await trio.sleep(self._gather if following else _GATHER)
+                await trio.sleep(self._choose_gather())
+
+    def _choose_gather(self) -> float:
+        if self._is_following() or not self._state.seen_traffic:
+            return self._gather
+        return _GATHER
 
     def _choose_wait(self) -> float:
         return (
--- a/magnoliacove/placement/leadership.py
+++ b/magnoliacove/placement/leadership.py
@@ -29,7 +29,7 @@
 _RENEW_TIMEOUT = 0.6
 # How often a lease is looked at whose holder's heartbeats are heard, seconds.
 # When they stop it is looked at at once.
-_LOOK_EVERY = 10.0
+_LOOK_EVERY = 30.0
 # The store is taken for away so long after the first call that failed,
 # seconds.  A holder learns of an outage from its next renewal, 1.4 s after
 # the last one at the latest, and goes on if the store counts as away before
--- a/tests/gateway/test_store.py
+++ b/tests/gateway/test_store.py
@@ -28,6 +28,7 @@
 async def _start(nursery):
     stage = stubs.Stage(nursery)
     stage.state.routes = None
+    stage.state.seen_traffic = True
     store = object_api.ObjectStore()
     follower = StoreFollower(stage.state, store)
     nursery.start_soon(follower.run)
@@ -293,6 +294,7 @@
     calls = []
     for following in (False, True):
         stage = stubs.Stage(nursery)
+        stage.state.seen_traffic = True
         store = _CountingStore()
         follower = StoreFollower(
             stage.state, store, lambda following=following: following, 4.0
@@ -309,3 +311,28 @@
         assert target.slots == 100
         calls.append(store.answers - before)
     assert calls[1] < 0.5 * calls[0]
+
+
+async def test_a_list_that_fills_before_any_request_costs_few_calls(
+    autojump_clock, nursery
+):
+    """A fleet starts and its engines write their entries one after the other,
+    over four seconds.  Each would wake every gateway, which have nothing to
+    answer yet; the store counts and prices the calls of all.
+    """
+    calls = []
+    for seen in (True, False):
+        stage = stubs.Stage(nursery)
+        stage.state.seen_traffic = seen
+        store = object_api.ObjectStore()
+        follower = StoreFollower(stage.state, store, drain=4.0)
+        nursery.start_soon(follower.run)
+        await trio.sleep(0.5)
+        for number in range(40):
+            entry = {**_ENTRY, "slots": number + 1}
+            await store.put(f"servers/i-{number}", json.dumps(entry).encode())
+            await trio.sleep(0.1)
+        await trio.sleep(1.0)
+        assert len(stage.state.targets.list_all()) == 40
+        calls.append(store.counts["watch"])
+    assert calls[1] < 0.5 * calls[0]
