Keep a watch and its end in one place

Both watches of a gateway can be ended now, and did so in the same lines twice. The tests of the store share their entry. No behaviour is changed.

--- a/magnoliacove/gateway/store.py
+++ b/magnoliacove/gateway/store.py
@@ -59,6 +59,30 @@
 _CONFIGURATION_NAME = "/".join(CONFIGURATION)
 
 
+class _Watch:
+    """The watch on one kind of objects, which others may end."""
+
+    def __init__(self, api: platform.ObjectApi, kind: str) -> None:
+        self.kind = f"{kind}/"
+        self._api = api
+        self._scope = trio.CancelScope()
+
+    async def wait(
+        self, after: int, seconds: float
+    ) -> tuple[tuple[platform.WatchEvent, ...], int] | None:
+        """Return changes and the revision to go on from.
+
+        :returns: None when the watch was ended; all is to be read again.
+        """
+        with trio.CancelScope() as self._scope:
+            return await self._api.watch(self.kind, after, seconds)
+        return None
+
+    def end(self) -> None:
+        """Wait no longer."""
+        self._scope.cancel()
+
+
 class StoreFollower:
     """Brings the beliefs of a gateway up to date with the store.
 
@@ -87,8 +111,8 @@
         self._api = api
         self._is_following = is_following
         self._gather = max(_GATHER, drain * _GATHER_PART)
-        self._list_watch = trio.CancelScope()
-        self._configuration_watch = trio.CancelScope()
+        self._list_watch = _Watch(api, SERVERS)
+        self._configuration_watch = _Watch(api, CONFIGURATION[0])
         self._behind_since: float | None = None
         # Whether the list of targets may lack some that live: the store was
         # away since it was read last.  The two watches fail and recover one
@@ -160,8 +184,8 @@
         self._state.targets.note_restored()
         self._list_lapsed = True
         self.note_outage()
-        self._list_watch.cancel()
-        self._configuration_watch.cancel()
+        self._list_watch.end()
+        self._configuration_watch.end()
 
     def compare_list(self, newest_change: int) -> None:
         """Read the list of targets again if it stays behind a peer's.
@@ -179,7 +203,7 @@
             self._state.recorder.record(
                 "watch-stuck", why="the duty's holder has a newer list"
             )
-            self._list_watch.cancel()
+            self._list_watch.end()
 
     def take_configuration(self, value: bytes, source: str) -> None:
         """Put a configuration in force, unless it cannot be read."""
@@ -215,18 +239,14 @@
                 await backoff.pause()
 
     async def _follow_configuration(self, backoff: Backoff) -> None:
-        kind = f"{CONFIGURATION[0]}/"
-        listing = await self._api.list_records(kind)
+        watch = self._configuration_watch
+        listing = await self._api.list_records(watch.kind)
         self.note_answered()
         self._take_records(listing.records)
         backoff.reset()
         revision, changed_at = listing.revision, -math.inf
         while True:
-            found = None
-            with trio.CancelScope() as self._configuration_watch:
-                found = await self._api.watch(
-                    kind, revision, self._choose_wait()
-                )
+            found = await watch.wait(revision, self._choose_wait())
             if found is None:
                 return
             events, revision = found
@@ -261,8 +281,8 @@
             self.take_configuration(newest.value, _SOURCE)
 
     async def _follow_targets(self, backoff: Backoff) -> None:
-        kind = f"{SERVERS}/"
-        listing = await self._api.list_records(kind)
+        watch = self._list_watch
+        listing = await self._api.list_records(watch.kind)
         self.note_answered()
         self._state.targets.replace(
             self._read_targets(listing.records),
@@ -273,11 +293,7 @@
         backoff.reset()
         revision = listing.revision
         while True:
-            found = None
-            with trio.CancelScope() as self._list_watch:
-                found = await self._api.watch(
-                    kind, revision, self._choose_wait()
-                )
+            found = await watch.wait(revision, self._choose_wait())
             if found is None:
                 return
             events, revision = found
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -21,13 +21,7 @@
 from tests.gateway import stubs
 from tests.platform import samples
 
-_ENTRY = {
-    "service": "llm",
-    "address": "10.0.0.1:80",
-    "zone": "a",
-    "state": "ready",
-    "slots": 96,
-}
+_ENTRY = samples.ENTRY
 _LEAVING = {**_ENTRY, "state": "draining"}
 _BAD = "00c3b2a190817263"
 # Writes of the time that the store loses; as many are made again after it.
--- a/tests/gateway/test_store.py
+++ b/tests/gateway/test_store.py
@@ -10,13 +10,7 @@
 from tests.gateway import stubs
 from tests.platform import samples
 
-_ENTRY = {
-    "service": "llm",
-    "address": "10.0.0.1:80",
-    "zone": "a",
-    "state": "ready",
-    "slots": 96,
-}
+_ENTRY = samples.ENTRY
 
 
 def _write(version, **changes):
--- a/tests/platform/samples.py
+++ b/tests/platform/samples.py
@@ -2,6 +2,15 @@
 
 import json
 
+# An engine's entry among the servers, of one that holds nothing yet.
+ENTRY = {
+    "service": "llm",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "state": "ready",
+    "slots": 96,
+}
+
 SETTINGS = {
     "node_name": "front-gent-a-1",
     "ip": "10.1.0.40",
