--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -8,6 +8,8 @@
 import pytest
 import trio
 
+from magnoliacove.directory.holdings import Holding
+from magnoliacove.directory.targets import LayerRange
 from tests.gateway import stubs
 
 _HEADERS = {"x_token_usage": "100,20", "x_deadline_ms": "20000"}
@@ -525,3 +527,44 @@
         assert _is_whole(answer)
         assert dying.callers_requests
         assert third.callers_requests
+
+
+@pytest.mark.parametrize(
+    ("kept", "led"), [((40, 80), False), ((50, 80), True)]
+)
+async def test_only_what_uses_layers_that_are_given_up_is_led_around(
+    kept, led
+):
+    """To close a gap the engines of a data centre each give up a few layers
+    and take others, and some orders for that get no answer for seconds.  New
+    streams were sent through the layers that they keep and led elsewhere at
+    once, each by an order: thousands of them, which moved what the engines
+    held through the pipe, until hardly a stream came to its end.
+    """
+    orders = []
+
+    async def first(received, stream):
+        if received.target == "/v1/order":
+            orders.append(received.body)
+        if received.target in ("/v1/order", "/v1/report"):
+            await stream.send_all(stubs.make_answer(b"{}"))
+            return
+        await stream.send_all(stubs.STREAM)
+        for number in range(1, 30):
+            event = stubs.make_events(number, number)
+            await stream.send_all(stubs.chunk(event))
+            await trio.sleep(0.03)
+        await stream.send_all(stubs.END)
+
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", first, layers=(0, 40))
+        await stage.add("i-2", stubs.stay_silent, layers=(40, 80))
+        await stage.add(
+            "i-3", stubs.stay_silent, layers=(40, 80), accelerator="t4"
+        )
+        holding = Holding(LayerRange(*kept), True, moving=True)
+        stage.nursery.start_soon(_ask, stage)
+        await trio.sleep(0.2)
+        stage.state.holdings.note("i-2", holding)
+        await trio.sleep(0.4)
+        assert bool(orders) == led
