Lead away only what passes through layers that are given up

Cause: while an engine closes a gap elsewhere it is told as moving, and every stream through it was led around it, also through layers that it keeps. Those were chosen for new streams all the same, so each was sent there and led away at once by an order. Where all engines of a data centre move by a few layers, or orders for that get no answer, that is every stream.

Change: a stream is led around a moving engine only if the engine gives up a layer that the stream runs there.

--- a/magnoliacove/directory/holdings.py
+++ b/magnoliacove/directory/holdings.py
@@ -98,13 +98,16 @@
             return Holding(target.layers)
         return known[1]
 
-    def list_moving(self) -> list[str]:
-        """Return the engines that cut off what passes through old layers."""
-        return [
-            target
+    def list_moving(self) -> dict[str, LayerRange | None]:
+        """Return the engines that cut off what passes through old layers.
+
+        :returns: for each the layers that it keeps, None for none.
+        """
+        return {
+            target: holding.layers
             for target, _, holding in self.list_fresh()
             if holding.moving
-        ]
+        }
 
     def list_fresh(self) -> list[tuple[str, float, Holding]]:
         """Return targets, ages of reports and what they hold."""
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -9,16 +9,19 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Protocol
 
 import trio
 
+from magnoliacove.directory.targets import LayerRange
 from magnoliacove.directory.targets import ListedTarget
 from magnoliacove.gateway.detours import Detours
 from magnoliacove.gateway.detours import PathUser
 from magnoliacove.gateway.engines import EngineCalls
 from magnoliacove.gateway.presence import EngineChecks
 from magnoliacove.gateway.state import GatewayState
+from magnoliacove.routing.paths import PathStage
 
 __all__ = ["StallWatch", "WatchedStream"]
 
@@ -94,18 +97,20 @@
             for suspicion in state.health.list_suspicions()
             if not suspicion.leaving
         }
-        # What passes through layers that are given up for a gap elsewhere
-        # is cut off; it need not wait until that shows.
-        lost.update(state.holdings.list_moving())
+        moving = state.holdings.list_moving()
         # One that started again has lost what it held of these streams.
         lost.update(state.targets.list_former())
-        if not lost:
+        if not lost and not moving:
             return
         for stream in tuple(self.streams):
             path = stream.path
             if path is None:
                 continue
-            gone = frozenset(lost.intersection(path.targets))
+            gone = frozenset(
+                stage.target
+                for stage in path.stages
+                if stage.target in lost or _is_cut_off(stage, moving)
+            )
             if gone:
                 names = ", ".join(sorted(gone))
                 self._detours.start(
@@ -197,3 +202,21 @@
             self._state.health.suspect(
                 target.name, f"requests at {source} wait for it"
             )
+
+
+def _is_cut_off(
+    stage: PathStage, moving: Mapping[str, LayerRange | None]
+) -> bool:
+    """Return whether an engine gives up layers that a stage runs.
+
+    What passes through them is cut off, so it need not wait until that shows.
+    What passes through layers that the engine keeps goes on: when all engines
+    of a data centre move by a few layers, every new stream would else be led
+    elsewhere as soon as it is sent, and all that is held moved with it.
+
+    :param moving: the layers that engines keep which give up others.
+    """
+    if stage.target not in moving:
+        return False
+    kept = moving[stage.target]
+    return kept is None or not kept.covers(stage.first, stage.end)
--- a/tests/directory/test_targets.py
+++ b/tests/directory/test_targets.py
@@ -135,7 +135,7 @@
     moving = Holding(LayerRange(0, 4), loading=True, moving=True)
     assert holdings.note("i-1", moving)
     assert holdings.read(target).layers == LayerRange(0, 4)
-    assert holdings.list_moving() == ["i-1"]
+    assert holdings.list_moving() == {"i-1": LayerRange(0, 4)}
     # Older news, through a slower peer.
     assert not holdings.note("i-1", Holding(None), age=0.5)
     time.now += 2.0
