--- a/tests/placement/test_duty.py
+++ b/tests/placement/test_duty.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+import time
 
 import pytest
 import trio
@@ -11,6 +12,7 @@
 from magnoliacove import timeline
 from magnoliacove.directory.health import Health
 from magnoliacove.directory.holdings import Holdings
+from magnoliacove.directory.targets import LayerRange
 from magnoliacove.directory.targets import ListedTarget
 from magnoliacove.directory.targets import TargetList
 from magnoliacove.gateway.channels import TargetError
@@ -44,9 +46,10 @@
     def __init__(self):
         self.all = {}
         self.given = []
+        self.report_after = 0.001
 
     async def read_report(self, target):
-        await trio.sleep(0.001)
+        await trio.sleep(self.report_after)
         engine = self.all[target.name]
         if engine.dead:
             raise TargetError("nobody listens", errors.Outcome.NOT_RUN)
@@ -96,6 +99,7 @@
         self.replaced = False
         self.told = []
         self.lists = []
+        self.healths = []
         self.duties = {}
         for number, kind in enumerate(kinds):
             self.calls.all[f"i-{number}"] = _Engine(kind)
@@ -148,10 +152,11 @@
             ),
             recorder,
         )
+        self.healths.append(Health(recorder))
         made = duty.PlacementDuty(
             duty.DutySources(
                 targets,
-                Health(recorder),
+                self.healths[-1],
                 Holdings(),
                 LoadBook(),
                 self.calls,
@@ -342,3 +347,21 @@
     await _wait_whole(fleet, 15.0)
     await trio.sleep(5.0)
     assert fleet.is_whole()
+
+
+async def test_engines_are_not_blamed_for_the_holder_s_own_delay(nursery):
+    """The duty's holder is an instance with little processor, and is held up
+    while all engines' reports are on their way.  Taken for silence, that
+    makes all engines suspects of all gateways at once: each leads all of its
+    streams around them, which keeps the holder busy and the engines too.
+    """
+    fleet = _Fleet(nursery)
+    fleet.calls.report_after = 0.05
+    for number, engine in enumerate(fleet.calls.all.values()):
+        engine.layers = LayerRange(8 * number, 8 * number + 8)
+    fleet.add_gateway("g-1")
+    await trio.sleep(1.0)
+    for _ in range(12):
+        time.sleep(0.5)  # noqa: ASYNC251
+        await trio.sleep(0.02)
+        assert not fleet.healths[0].list_suspicions()
