Take no silence for an engine's while this process was held up

Cause: a gateway that gets no processor for some tenths of a second finds all reports that it asked for too late, and all streams silent. The duty's holder then suspected every engine it had asked, and told all others; every gateway asked all engines of all its streams and led streams around sound ones.

Change: reports that fail, and streams that look silent, count only if the wait itself ended in time. The rule stood for questions about refusals only.

--- a/magnoliacove/gateway/engines.py
+++ b/magnoliacove/gateway/engines.py
@@ -1,5 +1,7 @@
 """Calls to model engines beside requests: reports and orders."""
 
+import trio
+
 from magnoliacove import errors
 from magnoliacove.directory.targets import LayerRange
 from magnoliacove.directory.targets import ListedTarget
@@ -8,11 +10,25 @@
 from magnoliacove.platform import engines
 from magnoliacove.routing.paths import Path
 
-__all__ = ["EngineCalls"]
+__all__ = ["EngineCalls", "was_held_up"]
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
 _OK = 200
+# When a wait ends this much later than it should, in seconds, this process
+# itself was held up, and the silence says nothing of the engine.
+_OWN_DELAY = 0.1
+
+
+def was_held_up(began: float, timeout: float) -> bool:
+    """Return whether this process was held up while it waited.
+
+    What came in time lies there unread then.
+
+    :param began: when it began to wait, by trio's clock.
+    :param timeout: seconds that it was to wait at most.
+    """
+    return trio.current_time() - began - timeout >= _OWN_DELAY
 
 
 class EngineCalls:
--- a/magnoliacove/gateway/presence.py
+++ b/magnoliacove/gateway/presence.py
@@ -13,6 +13,7 @@
 from magnoliacove.directory.targets import ListedTarget
 from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.engines import EngineCalls
+from magnoliacove.gateway.engines import was_held_up
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.platform.engines import EngineReport
 
@@ -22,9 +23,6 @@
 # goes out after half of this, so that one lost packet, which is sent again
 # after 200 ms, makes no sound engine look lost.
 _REPORT_TIMEOUT = 0.2
-# When an answer is this much later than the timeout allows, this process
-# itself was held up, and the silence says nothing of the engine.
-_OWN_DELAY = 0.1
 # An engine that refuses is asked again after so long at the earliest.
 _ASK_AGAIN = 0.4
 _HEALTH_TIMEOUT = 0.35
@@ -78,8 +76,7 @@
                     nursery.start_soon(ask, delay, nursery.cancel_scope)
         if found:
             return found[0]
-        late = trio.current_time() - began - _REPORT_TIMEOUT
-        if late < _OWN_DELAY:
+        if not was_held_up(began, _REPORT_TIMEOUT):
             self._state.health.suspect(
                 target.name, f"{why}, and it gives no report"
             )
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -19,6 +19,7 @@
 from magnoliacove.gateway.detours import Detours
 from magnoliacove.gateway.detours import PathUser
 from magnoliacove.gateway.engines import EngineCalls
+from magnoliacove.gateway.engines import was_held_up
 from magnoliacove.gateway.presence import EngineChecks
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.routing.paths import PathStage
@@ -79,7 +80,12 @@
             self._nursery = nursery
             try:
                 while True:
+                    began = trio.current_time()
                     await trio.sleep(_CHECK_EVERY)
+                    if was_held_up(began, _CHECK_EVERY):
+                        # What came meanwhile is still unread: every stream
+                        # looks silent, and would be led from sound engines.
+                        continue
                     self._lead_around(nursery)
                     self._check_silence(nursery)
             finally:
--- a/magnoliacove/placement/duty.py
+++ b/magnoliacove/placement/duty.py
@@ -21,6 +21,7 @@
 from magnoliacove.directory.targets import TargetList
 from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.engines import EngineCalls
+from magnoliacove.gateway.engines import was_held_up
 from magnoliacove.limits.load import LoadBook
 from magnoliacove.placement.balance import find_better
 from magnoliacove.placement.leadership import Leadership
@@ -172,6 +173,7 @@
         report: EngineReport | None = None
         suspected = not self._sources.health.is_usable(target.name)
         timeout = _SUSPECT_TIMEOUT if suspected else _REPORT_TIMEOUT
+        began = trio.current_time()
         with trio.move_on_after(timeout):
             try:
                 report = await self._sources.calls.read_report(target)
@@ -189,6 +191,10 @@
                 return
             self._take_report(target, engine, report)
             return
+        if was_held_up(began, timeout):
+            # All engines that were asked would be suspected by all gateways
+            # at once, and all streams led around them.
+            return
         engine.failures += 1
         suspected = not self._sources.health.is_usable(target.name)
         if engine.failures >= _FAILURES or suspected:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import re
+import time
 
 import pytest
 import trio
@@ -568,3 +569,32 @@
         stage.state.holdings.note("i-2", holding)
         await trio.sleep(0.4)
         assert bool(orders) == led
+
+
+async def test_streams_do_not_look_silent_for_our_own_delay():
+    """This process was held up for longer than streams may be silent.  Their
+    events lie there unread; taken for silence, every engine of every path is
+    asked, and streams are led away from sound engines.
+    """
+    asked = []
+
+    async def script(received, stream):
+        if received.target == "/v1/report":
+            asked.append(received)
+            await stream.send_all(stubs.make_answer(b"{}"))
+            return
+        await stream.send_all(stubs.STREAM)
+        for number in range(1, 40):
+            event = stubs.make_events(number, number)
+            await stream.send_all(stubs.chunk(event))
+            await trio.sleep(0.02)
+        await stream.send_all(stubs.END)
+
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", script, layers=(0, 80))
+        stage.nursery.start_soon(_ask, stage)
+        await trio.sleep(0.3)
+        for _ in range(3):
+            time.sleep(0.6)  # noqa: ASYNC251
+            await trio.sleep(0.1)
+        assert not asked
