--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -1,7 +1,13 @@
 """What one gateway takes from its peers' heartbeats."""
 
+import random
+
+import pytest
+
 from magnoliacove import peers
 from magnoliacove import wire
+from magnoliacove.directory.holdings import Holding
+from magnoliacove.directory.targets import LayerRange
 from magnoliacove.gateway.peering import PeerExchange
 from magnoliacove.gateway.store import StoreFollower
 from magnoliacove.peers.snapshots import PeerSnapshot
@@ -133,3 +139,29 @@
         assert exchange.read_store_silence() == 0.0
         exchange._store.note_lost("refused")
         assert 0.0 <= exchange.read_store_silence() < 1.0
+
+
+@pytest.mark.parametrize("engines", [130, 850, 3000, 4000])
+async def test_a_holder_is_heard_however_many_engines_there_are(
+    tmp_path, engines
+):
+    """The duty's holder tells what each engine holds.  Before 3,500 engines
+    that was more than fits one datagram, and it sent none at all: the others
+    took it for gone and all asked the store for its lease.
+    """
+    async with stubs.open_stage() as stage:
+        exchange = _make_exchange(stage, tmp_path)
+        exchange._is_acting = lambda: True
+        rng = random.Random(1)
+        names = [f"i-{rng.randrange(16**10):010x}" for _ in range(engines)]
+        for name in names:
+            first = rng.randrange(70)
+            layers = LayerRange(first, first + 10)
+            held = Holding(layers, used=rng.uniform(0.0, 1e6))
+            stage.state.holdings.note(name, held, rng.random())
+        told = set()
+        for sequence in range(40):
+            made = exchange._make_heartbeat(sequence, ())
+            assert len(made.encode()) <= 60_000
+            told.update(item.target for item in made.holdings)
+        assert told == set(names)
