Tell of a thousand engines' layers in one heartbeat at most

Cause: the duty's holder tells in each heartbeat what every engine holds. A heartbeat over 60 KB is not sent, so before about 3,300 engines it was not heard at all, and every other gateway asked the store for the lease.

Change: others each time where there are more than a thousand.

Before: the test of the commit before is red at 4,000 engines. After: green.

--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -34,6 +34,9 @@
 # callers of a fleet that starts would wait while what that needs is loaded; a
 # peer asks another gateway meanwhile.
 _SNAPSHOTS_AFTER = 1.0
+# Engines of which one heartbeat tells what they hold: more than a few hundred
+# gateways need, and a third of what one datagram has room for.
+_MOST_HOLDINGS = 1_000
 
 
 class PeerExchange:
@@ -138,9 +141,16 @@
         )
 
     def _list_holdings(self) -> list[tuple[str, float, Holding]]:
-        """Return what the duty's holder, or a refusal, told of engines."""
+        """Return what the duty's holder, or a refusal, told of engines.
+
+        Others each time where there are more than fit: a heartbeat that is
+        too long for one datagram is not sent, and its sender taken for gone.
+        """
         if self._is_acting():
-            return self._state.holdings.list_fresh()
+            fresh = self._state.holdings.list_fresh()
+            if len(fresh) <= _MOST_HOLDINGS:
+                return fresh
+            return self._state.rng.sample(fresh, _MOST_HOLDINGS)
         return self._state.holdings.list_corrected()
 
     def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
