Bound what a gateway that is held up again and again passes over

A gateway without processor for good would never look at silent streams, nor count a refused connection. It skips one look at a time now, leads streams around known losses in any case, and a refusal counts whenever it is read.

--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -79,15 +79,18 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             try:
+                held_up = False
                 while True:
                     began = trio.current_time()
                     await trio.sleep(_CHECK_EVERY)
-                    if was_held_up(began, _CHECK_EVERY):
-                        # What came meanwhile is still unread: every stream
-                        # looks silent, and would be led from sound engines.
-                        continue
                     self._lead_around(nursery)
-                    self._check_silence(nursery)
+                    # What came while this process was held up is still
+                    # unread: every stream looks silent, and all engines
+                    # would be asked.  One round later it is read; who is
+                    # held up again and again has to look all the same.
+                    held_up = not held_up and was_held_up(began, _CHECK_EVERY)
+                    if not held_up:
+                        self._check_silence(nursery)
             finally:
                 self._nursery = None
 
--- a/magnoliacove/placement/duty.py
+++ b/magnoliacove/placement/duty.py
@@ -191,7 +191,8 @@
                 return
             self._take_report(target, engine, report)
             return
-        if was_held_up(began, timeout):
+        refused = engine.failures >= _FAILURES
+        if not refused and was_held_up(began, timeout):
             # All engines that were asked would be suspected by all gateways
             # at once, and all streams led around them.
             return
