--- a/magnoliacove/gateway/store.py
+++ b/magnoliacove/gateway/store.py
@@ -172,14 +172,14 @@
         """Take it that the store came back from a copy.
 
         Both watches would go on from revisions that it gives out again, and
-        bring changes of another story; so both are read anew.  Entries that
+        bring changes of another history; so both are read anew.  Entries that
         the copy lacks are kept as after any outage, since their targets write
         them again.
         """
         self._state.recorder.record(
             "store-restored",
             era=era,
-            why=f"it came back from a copy, by the word of {source}",
+            why=f"it came back from a copy, as {source} says",
         )
         self._state.targets.note_restored()
         self._list_lapsed = True
--- a/magnoliacove/platform/client.py
+++ b/magnoliacove/platform/client.py
@@ -71,7 +71,7 @@
         """Return the objects of a kind.
 
         :returns: None when the store came back from a copy between two
-            pages, which then tell different stories.
+            pages, which then belong to different histories.
         """
         records: list[api.Record] = []
         after, revision, era = "", 0, 0
