Tell what targets say of themselves, from every answer

On-call could not tell whether a gateway was told of a limit, a leaving engine or a rest, by which answer and when: no line and no reader had the words. One reader in the adapter now decodes them from all answers, to requests, reports, orders and health checks, into one typed value; a line target-notice tells each change. Nothing acts on it yet.

--- a/magnoliacove/gateway/channels.py
+++ b/magnoliacove/gateway/channels.py
@@ -70,6 +70,11 @@
     headers: tuple[tuple[bytes, bytes], ...]
 
 
+# Told of each answer: the target that gave it, its head, and the path that
+# was asked for.
+Hear = Callable[[str, Answer, str], None]
+
+
 class Channel:
     """One connection to one target."""
 
@@ -78,12 +83,14 @@
         target: str,
         stream: trio.SocketStream,
         start_soon: Callable[..., object],
+        hear: "Hear",
     ) -> None:
         self.target = target
         self.used = False
         self.idle_until = 0.0
         self._stream = stream
         self._start_soon = start_soon
+        self._hear = hear
         self._sending = False
         self._parser = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
@@ -138,6 +145,7 @@
         for _ in range(_MOST_STRAY_ANSWERS):
             answer = await self._read_head()
             if read_id(answer) in ("", request):
+                self._hear(self.target, answer, self._read_path())
                 return answer
             await self._skip_answer()
         raise TargetError(
@@ -187,6 +195,11 @@
         self.idle_until = now + self._keep
         return clean and self._keep > 0
 
+    def _read_path(self) -> str:
+        """Return the path of the request that was sent, without its query."""
+        target = self._request.target if self._request is not None else b""
+        return bytes(target).partition(b"?")[0].decode("latin-1")
+
     def _write_request(self, body: bytes) -> bytes:
         request = self._request
         if request is None:
@@ -291,14 +304,17 @@
     """Idle connections to targets, and the opening of new ones.
 
     :param start_soon: starts a task that may outlive an exchange.
+    :param hear: told of each answer of a target, whatever it was asked.
     """
 
     def __init__(
         self,
         start_soon: Callable[..., object] = trio.lowlevel.spawn_system_task,
+        hear: Hear = lambda target, answer, path: None,
     ) -> None:
         self.opened = 0
         self.start_soon = start_soon
+        self._hear = hear
         self._idle: dict[str, list[Channel]] = defaultdict(list)
 
     @contextlib.asynccontextmanager
@@ -345,7 +361,7 @@
             await channel.close()
         stream = await self._open(target.address)
         self.opened += 1
-        return Channel(target.name, stream, self.start_soon)
+        return Channel(target.name, stream, self.start_soon, self._hear)
 
     async def release(self, channel: Channel) -> None:
         """Keep a connection after a whole exchange, if it can be kept."""
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -21,6 +21,7 @@
 from magnoliacove.gateway.channels import ChannelPool
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.engines import EngineCalls
+from magnoliacove.gateway.notices import make_listener
 from magnoliacove.gateway.peering import PeerExchange
 from magnoliacove.gateway.quarantine_records import QuarantineRecords
 from magnoliacove.gateway.relay import Relay
@@ -28,6 +29,7 @@
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.store import StoreFollower
 from magnoliacove.gateway.supervision import run_supervised
+from magnoliacove.limits.backpressure import BackpressureBook
 from magnoliacove.limits.crashes import CrashHistory
 from magnoliacove.limits.quarantine import QuarantineBook
 from magnoliacove.metrics import Meters
@@ -85,7 +87,8 @@
         targets = TargetList(recorder, grace=max(0.0, grace))
         health, holdings = Health(recorder), Holdings()
         loads, unheard = limits.LoadBook(), limits.UnheardRequests()
-        pool = ChannelPool()
+        backpressure = BackpressureBook(recorder)
+        pool = ChannelPool(hear=make_listener(backpressure))
         self.state = GatewayState(
             name=settings.name,
             data_centre=settings.data_centre,
@@ -112,6 +115,7 @@
             ),
             rng=rng,
             crashes=CrashHistory(),
+            backpressure=backpressure,
             quarantine=QuarantineBook(
                 recorder, lambda fingerprint: self._peers.owns(fingerprint)
             ),
@@ -341,6 +345,7 @@
             state.health.forget(known)
             state.holdings.forget(known)
             state.candidates.forget(known)
+            state.backpressure.forget(known)
             self._stalls.forget(known)
             self._crashes.forget()
             await state.pool.close_expired(known)
--- a/magnoliacove/gateway/state.py
+++ b/magnoliacove/gateway/state.py
@@ -12,6 +12,7 @@
 from magnoliacove.directory.holdings import Holdings
 from magnoliacove.directory.targets import TargetList
 from magnoliacove.gateway.channels import ChannelPool
+from magnoliacove.limits.backpressure import BackpressureBook
 from magnoliacove.limits.crashes import CrashHistory
 from magnoliacove.limits.gaps import GapClock
 from magnoliacove.limits.load import LoadBook
@@ -50,6 +51,7 @@
     candidates: Candidates
     rng: random.Random
     crashes: CrashHistory
+    backpressure: BackpressureBook
     quarantine: QuarantineBook
     routes: RouteTable | None = None
     routes_at: float = 0.0
--- a/magnoliacove/logs.py
+++ b/magnoliacove/logs.py
@@ -44,6 +44,7 @@
         "call-failed",
         "target-suspected",
         "target-ended",
+        "target-notice",
         "quarantine-begun",
         "quarantine-ended",
         "quarantine-tried",
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -17,6 +17,7 @@
 from magnoliacove.gateway.channels import ChannelPool
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.engines import EngineCalls
+from magnoliacove.gateway.notices import make_listener
 from magnoliacove.gateway.relay import Relay
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.gateway.state import GatewayState
@@ -24,6 +25,7 @@
 from magnoliacove.limits import RoomQueue
 from magnoliacove.limits import SharedRetryBudget
 from magnoliacove.limits import UnheardRequests
+from magnoliacove.limits.backpressure import BackpressureBook
 from magnoliacove.limits.crashes import CrashHistory
 from magnoliacove.limits.quarantine import QuarantineBook
 from magnoliacove.metrics import Meters
@@ -180,7 +182,9 @@
         self.recorder = timeline.Recorder("gateway")
         targets = TargetList(self.recorder, grace=1.8)
         health, holdings = Health(self.recorder), Holdings()
-        loads, pool = LoadBook(), ChannelPool(nursery.start_soon)
+        backpressure = BackpressureBook(self.recorder)
+        hear = make_listener(backpressure)
+        loads, pool = LoadBook(), ChannelPool(nursery.start_soon, hear)
         unheard, rng = UnheardRequests(), random.Random(1)
         self.state = GatewayState(
             "gateway",
@@ -198,6 +202,7 @@
             Candidates("a", targets, health, holdings, loads, unheard, rng),
             rng,
             CrashHistory(),
+            backpressure,
             QuarantineBook(self.recorder),
         )
         self.state.routes = make_table()
--- /dev/null
+++ b/tests/gateway/test_notices.py
@@ -0,0 +1,47 @@
+"""What targets say of themselves reaches the gateway's lines."""
+
+import json
+
+from tests.gateway import stubs
+
+_HEADERS = {"x_token_usage": "100,20", "x_deadline_ms": "20000"}
+_LIMITED = b"server-limit: 1.2\r\n"
+
+
+def _list_notices(stage):
+    return [
+        event
+        for event in stage.recorder.list_events()
+        if event.kind == "target-notice"
+    ]
+
+
+async def test_a_limit_is_told_once_and_its_end_too():
+    """On-call could not tell whether a gateway had heard of a limit."""
+    heads = [stubs.OK + _LIMITED, stubs.OK + _LIMITED, stubs.OK]
+
+    async def script(_, stream):
+        await stream.send_all(stubs.make_answer(b"ok", heads.pop(0)))
+
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", script)
+        for _ in range(3):
+            await stage.ask("/get/1")
+        told = _list_notices(stage)
+        assert [event.detail["rate_limit"] for event in told] == [1.2, None]
+        assert {event.target for event in told} == {"i-1"}
+
+
+async def test_reports_are_heard_as_well_as_requests():
+    async def script(received, stream):
+        head = stubs.OK + (
+            _LIMITED if received.target == "/v1/report" else b""
+        )
+        await stream.send_all(stubs.make_answer(json.dumps({}).encode(), head))
+
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", script, layers=(0, 80))
+        target = stage.state.targets.find("i-1")
+        await stage.calls.read_report(target)
+        [told] = _list_notices(stage)
+        assert told.detail["source"] == "/v1/report"
