--- a/soak/callers.py
+++ b/soak/callers.py
@@ -53,6 +53,7 @@
 
     :param broken: one line for each promise that was broken.
     :param seen: how often each kind of request ended how.
+    :param sent_to: the gateway that each request was sent to.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
     ) -> None:
         self.broken: list[str] = []
         self.seen: Counter[tuple[str, int]] = Counter()
+        self.sent_to: dict[str, str] = {}
         self._gateways = gateways
         self._ledger = ledger
         self._rng = random.Random(seed)
@@ -84,7 +86,7 @@
         stream = await trio.open_tcp_stream(gateway.host, gateway.callers_port)
         parser = h11.Connection(h11.CLIENT)
         try:
-            return await self._exchange(stream, parser, kind)
+            return await self._exchange(gateway, stream, parser, kind)
         finally:
             await trio.aclose_forcefully(stream)
 
@@ -110,7 +112,7 @@
         try:
             while True:
                 kind = self._rng.choice(tuple(KINDS))
-                reply = await self._exchange(stream, parser, kind)
+                reply = await self._exchange(gateway, stream, parser, kind)
                 kept = self._rng.random() < _KEPT_PART
                 if not reply.whole or parser.our_state is not h11.DONE:
                     return
@@ -121,9 +123,14 @@
             await trio.aclose_forcefully(stream)
 
     async def _exchange(
-        self, stream: trio.SocketStream, parser: h11.Connection, kind: str
+        self,
+        gateway: GatewayProcess,
+        stream: trio.SocketStream,
+        parser: h11.Connection,
+        kind: str,
     ) -> Reply:
         request = f"{kind.strip('/')}-{next(self._numbers)}"
+        self.sent_to[request] = gateway.name
         path, method = KINDS.get(kind, (kind, "GET"))
         body = b"bid" if method == "POST" else b""
         head = h11.Request(
--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -14,19 +14,20 @@
 import pathlib
 import random
 import re
-import signal
 import socket
 import struct
 import time
 
 import trio
 
+from soak.endings import GatewayEnds
+from soak.endings import end_gateways
 from soak.gateways import GatewayProcess
 from soak.play import Soak
 from soak.targets import Ledger
 from soak.targets import Target
 
-__all__ = ["CrashPlay", "EngineEnds", "Ending", "GatewayEnds", "Reply"]
+__all__ = ["CrashPlay", "EngineEnds", "Ending", "Reply"]
 
 _ENGINES = 9
 _GATEWAYS = 4
@@ -40,27 +41,12 @@
 _ENDS_AFTER = 0.1
 _BACK_AFTER = 2.5
 _GIVE_UP = 8.0
-# When gateways are killed, and how long until each is started again; how long
-# each is frozen, one after the other.
-_KILL_AT = 6.0
-_KILL_EVERY = 2.0
-_START_AFTER = 0.5
-_FROZEN_FOR = 1.5
 # Closing a connection resets it instead of ending it in order.
 _RESET = struct.pack("ii", 1, 0)
 CRASHING = "/stream/crash"
 REPEATED = "/stream/again"
 
 
-class GatewayEnds(enum.StrEnum):
-    """What befalls the gateways meanwhile."""
-
-    NONE = "none"
-    IN_TURN = "each killed in turn"
-    ALL = "all killed at once"
-    FROZEN = "each frozen in turn"
-
-
 class EngineEnds(enum.StrEnum):
     """What callers of an engine that ended meet until it is back."""
 
@@ -252,7 +238,7 @@
         }
         with trio.move_on_after(seconds):
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._end_gateways)
+                nursery.start_soon(end_gateways, self._gateways, self._ends)
                 for path, count in callers.items():
                     for _ in range(count):
                         nursery.start_soon(self._call, path)
@@ -260,35 +246,6 @@
     async def _check_recovery(self) -> None:
         """Nothing is left to recover from."""
 
-    async def _end_gateways(self) -> None:
-        if self._ends is GatewayEnds.NONE:
-            return
-        if self._ends is GatewayEnds.FROZEN:
-            # From the start, so that some miss what the others find out.
-            for gateway in self._gateways:
-                await self._freeze(gateway)
-            return
-        await trio.sleep(_KILL_AT)
-        if self._ends is GatewayEnds.ALL:
-            async with trio.open_nursery() as nursery:
-                for gateway in self._gateways:
-                    nursery.start_soon(self._replace, gateway)
-            return
-        async with trio.open_nursery() as nursery:
-            for gateway in self._gateways:
-                nursery.start_soon(self._replace, gateway)
-                await trio.sleep(_KILL_EVERY)
-
-    async def _freeze(self, gateway: GatewayProcess) -> None:
-        gateway.send(signal.SIGSTOP)
-        await trio.sleep(_FROZEN_FOR)
-        gateway.send(signal.SIGCONT)
-
-    async def _replace(self, gateway: GatewayProcess) -> None:
-        await gateway.end(signal.SIGKILL)
-        await trio.sleep(_START_AFTER)
-        gateway.start()
-
     async def _call(self, path: str) -> None:
         """Send the same request, or ever new ones, until cancelled."""
         while True:
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -49,6 +49,7 @@
     """One target, listening on a free port of loopback.
 
     :param failing: the part of a plain service's runs that fail.
+    :param words: headers of all its answers.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         self._failing = failing
         self.name = name
         self.port = 0
+        self.words: dict[str, str] = {}
         self._ledger = ledger
         self._rng = random.Random(seed)
 
@@ -103,9 +105,12 @@
                 return False
         assert request is not None
         headers = {n.decode(): v.decode() for n, v in request.headers}
-        answer = _Answer(stream, parser)
+        answer = _Answer(stream, parser, self.words)
         path = request.target.decode()
-        if path in ("/v1/report", "/health", "/v1/order"):
+        refusal = self._take(path, headers)
+        if refusal is not None:
+            await answer.send(503, refusal, b"")
+        elif path in ("/v1/report", "/health", "/v1/order"):
             await answer.send(200, {"x-instance-id": self.name}, _REPORT)
         elif headers.get("x-target-instance") != self.name:
             await answer.send(421, {"x-not-executed": "1"}, b"")
@@ -115,6 +120,12 @@
             await self._answer_plain(answer, headers)
         return parser.our_state is h11.DONE
 
+    def _take(
+        self, path: str, headers: dict[str, str]
+    ) -> dict[str, str] | None:
+        """Return the headers of a refusal, None to serve the request."""
+        return None
+
     async def _answer_plain(self, answer, headers: dict[str, str]) -> None:
         request = headers["x-request-id"]
         self._ledger.runs[request].append(self.name)
@@ -159,10 +170,14 @@
     """One answer that is being written."""
 
     def __init__(
-        self, stream: trio.SocketStream, parser: h11.Connection
+        self,
+        stream: trio.SocketStream,
+        parser: h11.Connection,
+        words: dict[str, str],
     ) -> None:
         self._stream = stream
         self._parser = parser
+        self._words = words
 
     async def send(
         self, status: int, headers: dict[str, str], body: bytes
@@ -174,9 +189,8 @@
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Write the head; without a length the body comes in chunks."""
-        await self._send(
-            h11.Response(status_code=status, headers=list(headers.items()))
-        )
+        told = list({**self._words, **headers}.items())
+        await self._send(h11.Response(status_code=status, headers=told))
 
     async def write(self, data: bytes) -> None:
         """Write a part of the body."""
--- a/tests/soak/test_crashes.py
+++ b/tests/soak/test_crashes.py
@@ -19,6 +19,7 @@
 import trio
 
 from soak import crashes
+from soak.endings import GatewayEnds
 
 # What the users allow: three more runs, by gateways that had this long to
 # hear of the third end, seconds.
@@ -38,14 +39,12 @@
 # alive, so no end was ever put down to the request: 50 engines ended in 24
 # seconds, 42 of them later than three seconds after the third.
 _SILENT = [
-    (crashes.GatewayEnds.NONE, crashes.EngineEnds.RESETS),
-    (crashes.GatewayEnds.ALL, crashes.EngineEnds.RESETS),
-    (crashes.GatewayEnds.NONE, crashes.EngineEnds.SILENT),
-    (crashes.GatewayEnds.IN_TURN, crashes.EngineEnds.SILENT),
-]
-_REFUSING = [
-    (ends, crashes.EngineEnds.REFUSES) for ends in crashes.GatewayEnds
+    (GatewayEnds.NONE, crashes.EngineEnds.RESETS),
+    (GatewayEnds.ALL, crashes.EngineEnds.RESETS),
+    (GatewayEnds.NONE, crashes.EngineEnds.SILENT),
+    (GatewayEnds.IN_TURN, crashes.EngineEnds.SILENT),
 ]
+_REFUSING = [(ends, crashes.EngineEnds.REFUSES) for ends in GatewayEnds]
 
 
 @pytest.mark.parametrize(
