Leave a target alone for as long as it asks

What callers and engines saw: an engine that turned a request away with 503 and asked for 3 s of rest got three requests in that time from each of two gateways; two are allowed.

Cause: the time in the answer was not read. An engine that refuses was left alone for 0.3 s, then twice as long each time, whatever it had asked for; a target of a plain service was asked again at once. By the lines the pauses fit to a tenth of a second. Ruled out: that it is read and got around, as all 18 refused requests of the lines began at the engine and were first tries.

Change: until the time is over nothing goes from that gateway to the target: requests as first or inner engine, repeats, reports, orders, health checks. It says so to one gateway and means that one, so the others are not told. Where all targets want rest, callers are refused at once and told when the first of them takes requests again.

--- a/magnoliacove/limits/permits.py
+++ b/magnoliacove/limits/permits.py
@@ -40,15 +40,20 @@
         """Return whether a request may go to a target now."""
         return self.read_wait(target) <= 0.0
 
+    def is_closed(self, target: str) -> bool:
+        """Return whether nothing at all may go to a target now."""
+        return self._book.read_rest(target) > 0.0
+
     def is_limited(self, target: str) -> bool:
         """Return whether a target has a limit for all gateways."""
         return self._book.read_limit(target) is not None
 
     def read_wait(self, target: str) -> float:
         """Return seconds until a request may go there, infinity for never."""
-        if not self.is_limited(target):
-            return 0.0
-        return self._grants.read_wait(target)
+        wait = self._book.read_rest(target)
+        if self.is_limited(target):
+            wait = max(wait, self._grants.read_wait(target))
+        return wait
 
     def note_sent(self, targets: Iterable[str]) -> None:
         """Count a request that goes to some targets."""
@@ -60,6 +65,9 @@
 
         It counts as much as a caller's request.
         """
+        if self.is_closed(target):
+            self.withheld += 1
+            return False
         if not self.is_limited(target):
             return True
         if not self._grants.may_send(target):
@@ -70,6 +78,8 @@
 
     def may_call_for_duty(self, target: str) -> bool:
         """Return whether the duty's holder may ask a target now."""
+        if self.is_closed(target):
+            return False
         if not self.is_limited(target):
             return True
         return self._read_time() >= self._duty_next.get(target, 0.0)
--- a/magnoliacove/routing/candidates.py
+++ b/magnoliacove/routing/candidates.py
@@ -124,6 +124,8 @@
                 continue
             if target.accelerator not in shape.accelerators:
                 continue
+            if self._permits.is_closed(target.name):
+                continue
             inner = holding.layers.first > 0
             if not (spare and inner or self._permits.may_send(target.name)):
                 continue
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -126,3 +126,55 @@
         assert len(stub.requests) == len(stub.callers_requests) == 1
         assert stage.state.health.is_usable("i-1")
         assert stage.state.permits.withheld
+
+
+_WANTS_REST = (
+    b"HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\n"
+    b"retry-after: 3\r\ncontent-length: 0\r\n\r\n"
+)
+
+
+async def test_a_target_that_asks_for_rest_is_told_apart_from_a_full_one():
+    """It was left alone for 0.3 s, and twice as long each time, though it had
+    asked for more.  One that is full asks for nothing.
+    """
+    wants_long_rest = _WANTS_REST.replace(b": 3", b": 30")
+    async with stubs.open_stage() as stage:
+        resting = await stage.add(
+            "i-1", _answer(wants_long_rest), layers=(0, 80)
+        )
+        full = await stage.add("i-2", _answer(stubs.NOT_RUN), layers=(0, 80))
+        sound = await stage.add("i-3", _answer(_STREAM), layers=(0, 80))
+        while not (resting.callers_requests and full.callers_requests):
+            await _ask_stream(stage)
+        await trio.sleep(1.0)
+        for _ in range(12):
+            assert b"piece 3" in await _ask_stream(stage)
+            await trio.sleep(0.1)
+        assert len(resting.requests) == 1
+        assert len(full.callers_requests) > 1
+        assert len(sound.callers_requests) >= 12
+
+
+async def test_callers_come_back_after_the_shortest_rest():
+    """All targets of a plain service want rest: a caller is refused at once,
+    and told when the first of them takes requests again.
+    """
+    async with stubs.open_stage() as stage:
+        for name in ("i-1", "i-2"):
+            await stage.add(name, stubs.answer_with(_WANTS_REST))
+        answer = await stage.ask("/post/1", method="POST", body=b"bid")
+        assert answer.split(b" ")[1] == b"503"
+        answer = await stage.ask("/post/1", method="POST", body=b"bid")
+        assert answer.split(b" ")[1] == b"503"
+        wait = float(answer.lower().partition(b"retry-after: ")[2].split()[0])
+        assert 2.5 <= wait <= 3.0
+
+
+async def test_a_stream_does_not_pass_through_an_engine_that_rests():
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", _answer(_STREAM), layers=(0, 40))
+        await stage.add("i-2", _answer(_STREAM), layers=(40, 80))
+        notice = TargetNotice(rest=3.0)
+        stage.state.backpressure.take("i-2", notice, "a test")
+        assert (await _ask_stream(stage)).split(b" ")[1] == b"503"
--- a/tests/limits/test_grants.py
+++ b/tests/limits/test_grants.py
@@ -120,6 +120,16 @@
     assert permits.try_call("i-2")
 
 
+def test_a_rest_holds_for_requests_and_questions_alike():
+    permits, book, _, clock = _make_permits()
+    book.take("i-1", TargetNotice(rest=3.0), "a request")
+    for allowed in (False, True):
+        assert permits.may_send("i-1") is allowed
+        assert permits.try_call("i-1") is allowed
+        assert permits.try_call_for_duty("i-1") is allowed
+        clock.now += 3.1
+
+
 @pytest.mark.parametrize(
     "trouble", [{}, {"kill_every": 3.0}, {"cut_every": 3.0}]
 )
