Send nothing more to a target that says that it leaves

Cause: only entries and health checks told that a target leaves. Change: an answer that says so counts for the rest of the target's life, at the gateway that heard it; the others hear of it as of any target that leaves, for 10 s at a time while answers go on saying so. It is given no layers, runs nothing that other engines hand on, and may still be asked and told how to end its streams. A plain service without any other target refuses at once.

--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -92,7 +92,7 @@
         backpressure = BackpressureBook(recorder)
         grants = GrantBook(settings.name)
         permits = Permits(backpressure, grants)
-        pool = ChannelPool(hear=make_listener(backpressure))
+        pool = ChannelPool(hear=make_listener(backpressure, health))
         self.state = GatewayState(
             name=settings.name,
             data_centre=settings.data_centre,
--- a/magnoliacove/limits/permits.py
+++ b/magnoliacove/limits/permits.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import math
 
 import trio
 
@@ -41,8 +42,15 @@
         return self.read_wait(target) <= 0.0
 
     def is_closed(self, target: str) -> bool:
-        """Return whether nothing at all may go to a target now."""
-        return self._book.read_rest(target) > 0.0
+        """Return whether a target may not even run what others hand on."""
+        return self.is_leaving(target) or self._book.read_rest(target) > 0.0
+
+    def is_leaving(self, target: str) -> bool:
+        """Return whether a target said that it leaves.
+
+        It may be asked questions, and is told how to end what it runs.
+        """
+        return self._book.is_leaving(target)
 
     def is_limited(self, target: str) -> bool:
         """Return whether a target has a limit for all gateways."""
@@ -50,6 +58,8 @@
 
     def read_wait(self, target: str) -> float:
         """Return seconds until a request may go there, infinity for never."""
+        if self.is_leaving(target):
+            return math.inf
         wait = self._book.read_rest(target)
         if self.is_limited(target):
             wait = max(wait, self._grants.read_wait(target))
@@ -65,7 +75,7 @@
 
         It counts as much as a caller's request.
         """
-        if self.is_closed(target):
+        if self._book.read_rest(target) > 0.0:
             self.withheld += 1
             return False
         if not self.is_limited(target):
@@ -78,7 +88,7 @@
 
     def may_call_for_duty(self, target: str) -> bool:
         """Return whether the duty's holder may ask a target now."""
-        if self.is_closed(target):
+        if self._book.read_rest(target) > 0.0:
             return False
         if not self.is_limited(target):
             return True
--- a/magnoliacove/placement/duty.py
+++ b/magnoliacove/placement/duty.py
@@ -305,7 +305,9 @@
         engine = self._engines[target.name]
         report = engine.report
         suspicion = self._sources.health.find(target.name)
-        leaving = suspicion is not None and suspicion.leaving
+        leaving = self._sources.permits.is_leaving(target.name) or (
+            suspicion is not None and suspicion.leaving
+        )
         askable = self._sources.permits.may_call_for_duty(target.name)
         withheld = not askable and not engine.failures
         layers = engine.ordered
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -187,7 +187,7 @@
         backpressure = BackpressureBook(self.recorder)
         grants = GrantBook("gateway")
         permits = Permits(backpressure, grants)
-        hear = make_listener(backpressure)
+        hear = make_listener(backpressure, health)
         loads, pool = LoadBook(), ChannelPool(nursery.start_soon, hear)
         unheard, rng = UnheardRequests(), random.Random(1)
         self.state = GatewayState(
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -178,3 +178,38 @@
         notice = TargetNotice(rest=3.0)
         stage.state.backpressure.take("i-2", notice, "a test")
         assert (await _ask_stream(stage)).split(b" ")[1] == b"503"
+
+
+def _leave(answer):
+    """Return an answer whose target says that it leaves."""
+    head, _, rest = answer.partition(b"\r\n")
+    return head + b"\r\nserver-leaving: 1\r\n" + rest
+
+
+async def test_a_target_that_says_that_it_leaves_gets_no_more_for_good():
+    """Its entry says nothing, and a suspicion ends by itself: after that it
+    got requests again until it was gone.
+    """
+    async with stubs.open_stage() as stage:
+        left = await stage.add(
+            "i-1", stubs.answer_with(_leave(stubs.make_answer(b"ok")))
+        )
+        await stage.ask("/get/1")
+        assert stage.state.health.find("i-1").leaving
+        stage.state.health.forget(set())
+        assert stage.state.health.is_usable("i-1")
+        answer = await stage.ask("/get/1")
+        assert answer.split(b" ")[1] == b"503"
+        assert len(left.requests) == 1
+
+
+async def test_an_engine_that_leaves_runs_nothing_that_others_hand_on():
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", _answer(_STREAM), layers=(0, 40))
+        inner = await stage.add(
+            "i-2", _answer(_leave(_STREAM)), layers=(40, 80)
+        )
+        notice = TargetNotice(rate_limit=1.0, leaving=True)
+        stage.state.backpressure.take("i-2", notice, "a test")
+        assert (await _ask_stream(stage)).split(b" ")[1] == b"503"
+        assert not inner.callers_requests
