Let no stream that passes a limited engine use up its requests

Beyond its limit an engine runs what others hand on where nothing else can. Each such stream was taken off what this gateway saved up, below nothing, so the engine would have got no request for minutes after. The new test failed before (no request allowed after 1.1 s at one a second).

--- a/magnoliacove/limits/permits.py
+++ b/magnoliacove/limits/permits.py
@@ -66,9 +66,13 @@
         return wait
 
     def note_sent(self, targets: Iterable[str]) -> None:
-        """Count a request that goes to some targets."""
+        """Count a request that goes to some targets.
+
+        What passes a target beyond its limit takes nothing of what comes.
+        """
         for target in targets:
-            self._grants.spend(target)
+            if self._grants.may_send(target):
+                self._grants.spend(target)
 
     def try_call(self, target: str) -> bool:
         """Count a question to a target, if it may be asked one now.
--- a/tests/limits/test_grants.py
+++ b/tests/limits/test_grants.py
@@ -120,6 +120,20 @@
     assert permits.try_call("i-2")
 
 
+def test_what_passes_beyond_a_limit_leaves_its_requests_alone():
+    """Streams that only an engine with a limit can go on with pass through
+    it.  Counted as its requests, they would use up those of minutes to come.
+    """
+    permits, book, grants, clock = _make_permits()
+    book.take("i-1", TargetNotice(rate_limit=1.0), "a request")
+    grants.take("g-2", [Grant("i-1", "g-1", 1.0)])
+    grants.renew({"i-1": "g-2"})
+    for _ in range(20):
+        permits.note_sent(["i-1"])
+    clock.now += 1.1
+    assert permits.may_send("i-1")
+
+
 def test_a_rest_holds_for_requests_and_questions_alike():
     permits, book, _, clock = _make_permits()
     book.take("i-1", TargetNotice(rest=3.0), "a request")
