Let streams wait for a limit only as long as their callers would

Where all first engines have limits, a stream was let in to wait if the next request of the limit came in time, whoever waited before it: at 1.2 requests a second and dozens of callers most waited for two seconds in vain. Who waits before it counts now, by what this gateway may send to all first engines; who cannot be served is refused at once.

Refusals by plain services are spread in time, or all callers come back at the moment at which one is served.

--- a/magnoliacove/gateway/holds.py
+++ b/magnoliacove/gateway/holds.py
@@ -93,7 +93,9 @@
             and one of the first ones takes requests.
         """
         service = self._routed.service.name
-        wait = self._state.candidates.read_first_wait(service)
+        wait = self._state.candidates.read_first_wait(
+            service, self._state.room.waiting
+        )
         if wait > 0.0:
             return wait
         gaps = self._state.find_gaps(service)
--- a/magnoliacove/gateway/requests.py
+++ b/magnoliacove/gateway/requests.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 import hashlib
+import random
 
 from magnoliacove import errors
 from magnoliacove.configuration.routes import Route
@@ -31,6 +32,7 @@
 # their limits; and what they want lasts for seconds.
 _LEAST_UNWANTED = 0.5
 _MOST_UNWANTED = 4.0
+_UNWANTED_SPREAD = 1.5
 # Bytes of a fingerprint.  Of a billion requests two share one of 8 bytes with
 # a chance of 3 in 100; it names a request in lines and heartbeats.
 _FINGERPRINT_BYTES = 8
@@ -141,7 +143,9 @@
     return errors.RequestError(
         "targets_in_need",
         f"the targets of {service} take no more requests now; it did not run",
-        retry_after=min(max(wait, _LEAST_UNWANTED), _MOST_UNWANTED),
+        # Spread, or all that were refused come back at the same moment.
+        retry_after=min(max(wait, _LEAST_UNWANTED), _MOST_UNWANTED)
+        * random.uniform(1.0, _UNWANTED_SPREAD),
     )
 
 
--- a/magnoliacove/limits/grants.py
+++ b/magnoliacove/limits/grants.py
@@ -187,6 +187,11 @@
             allowance.refresh(self._read_time())
             allowance.saved -= 1.0
 
+    def read_rate(self, target: str) -> float:
+        """Return the requests a second that may go there from here."""
+        allowance = self._allowances.get(target)
+        return allowance.rate if allowance is not None else 0.0
+
     def read_wait(self, target: str) -> float:
         """Return seconds until a request may go there, infinity for never."""
         allowance = self._allowances.get(target)
--- a/magnoliacove/limits/permits.py
+++ b/magnoliacove/limits/permits.py
@@ -65,6 +65,14 @@
             wait = max(wait, self._grants.read_wait(target))
         return wait
 
+    def read_rate(self, target: str) -> float:
+        """Return the requests a second that a target takes from here."""
+        if self.is_leaving(target):
+            return 0.0
+        if self.is_limited(target):
+            return self._grants.read_rate(target)
+        return math.inf
+
     def note_sent(self, targets: Iterable[str]) -> None:
         """Count a request that goes to some targets.
 
--- a/magnoliacove/routing/candidates.py
+++ b/magnoliacove/routing/candidates.py
@@ -232,18 +232,21 @@
         pause = min(pause * 2, _MOST_PAUSE) if again else _FIRST_PAUSE
         self._refused[target] = (pause, now + pause)
 
-    def read_first_wait(self, service: str) -> float:
+    def read_first_wait(self, service: str, waiting: int) -> float:
         """Return seconds until a model's first engines take a request.
 
-        :returns: 0 when one may be sent a request now or none is known,
-            infinity when this gateway has no part of their limits.
+        :param waiting: requests that go before it.
+        :returns: 0 when one takes any or none is known, infinity when this
+            gateway has no part of their limits.
         """
-        waits = [
-            self._permits.read_wait(target.name)
+        firsts = [
+            target.name
             for target in self._targets.list_service(service)
             if self._health.is_usable(target.name) and self._is_first(target)
         ]
-        return min(waits, default=0.0)
+        wait = min(map(self._permits.read_wait, firsts), default=0.0)
+        rate = sum(map(self._permits.read_rate, firsts))
+        return wait + waiting / rate if rate else wait
 
     def _is_first(self, target: ListedTarget) -> bool:
         layers = self._holdings.read(target).layers
