Cut two circles of imports, and two modules that had grown large

directory/listed.py has what a target announces, limits/runs.py a run that broke off, so directory/targets and doubts, limits/crashes and silences do not import each other any more. Connections that are kept stand in gateway/pool.py, gauges in gateway/gauges.py.

--- a/magnoliacove/commands/timeline.py
+++ b/magnoliacove/commands/timeline.py
@@ -14,7 +14,7 @@
 from magnoliacove import wire
 from magnoliacove.commands import running
 from magnoliacove.directory.instances import read_entry
-from magnoliacove.directory.targets import split_incarnation
+from magnoliacove.directory.listed import split_incarnation
 from magnoliacove.timeline import Event
 from magnoliacove.timeline import gather
 from magnoliacove.timeline import losses
--- a/magnoliacove/directory/doubts.py
+++ b/magnoliacove/directory/doubts.py
@@ -8,10 +8,8 @@
 from collections.abc import Callable
 from collections.abc import Collection
 import math
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import ListedTarget
 
 __all__ = ["EntryDoubts"]
 
@@ -60,7 +58,7 @@
         self.keep({t.entry for t in self._waiting.values()} - {entry})
 
     def holds_back(
-        self, target: "ListedTarget", known: "ListedTarget | None"
+        self, target: ListedTarget, known: ListedTarget | None
     ) -> bool:
         """Return whether an entry is not to be believed yet.
 
@@ -84,7 +82,7 @@
         del self._waiting[target.name]
         return False
 
-    def take_believed(self) -> list["ListedTarget"]:
+    def take_believed(self) -> list[ListedTarget]:
         """Return the entries that stand for so long that they are true."""
         if not self._gone and not self._waiting:
             return []
--- a/magnoliacove/directory/holdings.py
+++ b/magnoliacove/directory/holdings.py
@@ -12,8 +12,8 @@
 
 import trio
 
-from magnoliacove.directory.targets import LayerRange
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import LayerRange
+from magnoliacove.directory.listed import ListedTarget
 
 __all__ = ["Holding", "Holdings"]
 
--- a/magnoliacove/directory/targets.py
+++ b/magnoliacove/directory/targets.py
@@ -11,25 +11,19 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from dataclasses import dataclass
 from dataclasses import replace
 import math
 
 import trio
 
 from magnoliacove.directory.doubts import EntryDoubts
+from magnoliacove.directory.listed import ListedTarget
+from magnoliacove.directory.listed import name_incarnation
+from magnoliacove.directory.listed import split_incarnation
 from magnoliacove.timeline import Recorder
-from magnoliacove.wire.network import Address
 
-__all__ = [
-    "LayerRange",
-    "ListedTarget",
-    "TargetList",
-    "name_incarnation",
-    "split_incarnation",
-]
+__all__ = ["TargetList"]
 
-_SEPARATOR = "@"
 # Former incarnations are remembered for so long, in seconds: what they were
 # asked to do is over by then, and late news of them has come.
 _FORMER_KEPT = 30.0
@@ -38,79 +32,6 @@
 _MOST_ON_A_LINE = 40
 
 
-def name_incarnation(entry: str, incarnation: int) -> str:
-    """Return the name of one incarnation of a target.
-
-    :param incarnation: 0 for a target that does not tell it.
-    """
-    return f"{entry}{_SEPARATOR}{incarnation}" if incarnation else entry
-
-
-def split_incarnation(name: str) -> tuple[str, int]:
-    """Return the entry's name and the incarnation, 0 for none."""
-    entry, _, number = name.rpartition(_SEPARATOR)
-    if not entry or not number.isdecimal():
-        return name, 0
-    return entry, int(number)
-
-
-@dataclass(frozen=True)
-class LayerRange:
-    """A range of a model's layers.
-
-    :param end: one past the last layer.
-    """
-
-    first: int
-    end: int
-
-    @property
-    def count(self) -> int:
-        """How many layers the range has."""
-        return self.end - self.first
-
-    def intersect(self, other: "LayerRange") -> "LayerRange | None":
-        """Return the layers that both ranges have, or None."""
-        first = max(self.first, other.first)
-        end = min(self.end, other.end)
-        return LayerRange(first, end) if first < end else None
-
-    def covers(self, first: int, end: int) -> bool:
-        """Return whether another range lies within this one."""
-        return self.first <= first and end <= self.end
-
-
-@dataclass(frozen=True)
-class ListedTarget:
-    """A target as it announced itself.
-
-    :param name: differs from that of each other incarnation.
-    :param draining: it is leaving and is to get no new work.
-    :param slots: how many requests it runs at a time.
-    :param accelerator: the kind of accelerator of a model engine, or "".
-    :param layers: what a model engine holds, or None.
-    :param revision: the store's revision of the entry.
-    :param incarnation: milliseconds of its start since 1970, 0 when the
-        target does not tell.
-    """
-
-    name: str
-    service: str
-    address: Address
-    data_centre: str
-    draining: bool = False
-    slots: int = 1
-    accelerator: str = ""
-    layers: LayerRange | None = None
-    revision: int = 0
-    incarnation: int = 0
-
-    @property
-    def entry(self) -> str:
-        """The name of its entry, to which the target answers."""
-        return split_incarnation(self.name)[0]
-
-
 class TargetList:
     """The newest list of targets.
 
--- a/magnoliacove/gateway/calls.py
+++ b/magnoliacove/gateway/calls.py
@@ -5,7 +5,7 @@
 import trio
 
 from magnoliacove import errors
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.callers import Exchange
 from magnoliacove.gateway.channels import Answer
 from magnoliacove.gateway.channels import Channel
--- a/magnoliacove/gateway/channels.py
+++ b/magnoliacove/gateway/channels.py
@@ -1,4 +1,4 @@
-"""Connections to targets, one HTTP request at a time on each.
+"""A connection to a target, one HTTP request at a time on it.
 
 The parser is h11 itself: the pool of the usual client closes a connection
 on which a stray answer lies, and with it the answer behind that one, and
@@ -6,36 +6,24 @@
 that broke afterwards.
 """
 
-from collections import defaultdict
-from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Sequence
-import contextlib
 from dataclasses import dataclass
 import select
-import socket
 
 import h11
 import trio
 
 from magnoliacove import errors
-from magnoliacove.directory.targets import ListedTarget
-from magnoliacove.wire.network import Address
 
-__all__ = ["Answer", "Channel", "ChannelPool", "TargetError"]
+__all__ = ["Answer", "Channel", "Hear", "TargetError"]
 
 Headers = Sequence[tuple[bytes, bytes]]
 
-# A connection inside a region opens in a few milliseconds; a lost opening
-# packet is sent again after a second, which is too late to wait for.
-CONNECT_TIMEOUT = 0.4
 # Idle connections are used again for so long, or as long as the target
 # says, less a margin for what is on its way.
 KEEP_IDLE = 8.0
 _KEEP_MARGIN = 1.0
-# What is sent unacknowledged for so long breaks the connection.  Without
-# it a connection through a cut link hangs for many minutes.
-_UNSENT_TIMEOUT_MS = 3000
 _READ_SIZE = 65536
 # Bodies up to this size fit the socket's buffer and need no second task.
 _SMALL_BODY = 8192
@@ -83,7 +71,7 @@
         target: str,
         stream: trio.SocketStream,
         start_soon: Callable[..., object],
-        hear: "Hear",
+        hear: Hear,
     ) -> None:
         self.target = target
         self.used = False
@@ -298,107 +286,3 @@
                 key, _, seconds = part.strip().partition(b"=")
                 if key.lower() == b"timeout" and seconds.isdigit():
                     self._keep = min(KEEP_IDLE, int(seconds) - _KEEP_MARGIN)
-
-
-class ChannelPool:
-    """Idle connections to targets, and the opening of new ones.
-
-    :param start_soon: starts a task that may outlive an exchange.
-    :param hear: told of each answer of a target, whatever it was asked.
-    """
-
-    def __init__(
-        self,
-        start_soon: Callable[..., object] = trio.lowlevel.spawn_system_task,
-        hear: Hear = lambda target, answer, path: None,
-    ) -> None:
-        self.opened = 0
-        self.start_soon = start_soon
-        self._hear = hear
-        self._idle: dict[str, list[Channel]] = defaultdict(list)
-
-    @contextlib.asynccontextmanager
-    async def use(
-        self, target: ListedTarget, *, fresh: bool = False
-    ) -> AsyncIterator[Channel]:
-        """Hold a connection for one exchange; close it if that breaks.
-
-        Closing is also what ends a target's work when its caller left.
-
-        :param fresh: as for :meth:`acquire`.
-        :raises TargetError: when the target cannot be reached; the
-            request did not run.
-        """
-        channel = await self.acquire(target, fresh=fresh)
-        whole = False
-        try:
-            yield channel
-            whole = True
-        finally:
-            if whole:
-                await self.release(channel)
-            else:
-                with trio.CancelScope(shield=True):
-                    await channel.close()
-
-    async def acquire(
-        self, target: ListedTarget, *, fresh: bool = False
-    ) -> Channel:
-        """Return a connection for one exchange.
-
-        :param fresh: never one that was used before: a target may drop an
-            idle connection just as a request goes out, and whether the
-            request ran is then unknown.
-        :raises TargetError: when the target cannot be reached; the
-            request did not run.
-        """
-        idle = self._idle[target.name]
-        now = trio.current_time()
-        while idle:
-            channel = idle.pop()
-            if not fresh and now < channel.idle_until and channel.is_quiet:
-                return channel
-            await channel.close()
-        stream = await self._open(target.address)
-        self.opened += 1
-        return Channel(target.name, stream, self.start_soon, self._hear)
-
-    async def release(self, channel: Channel) -> None:
-        """Keep a connection after a whole exchange, if it can be kept."""
-        if channel.finish(trio.current_time()):
-            self._idle[channel.target].append(channel)
-            return
-        await channel.close()
-
-    async def close_expired(self, known: set[str]) -> None:
-        """Close what is idle for too long, or leads to nobody any more."""
-        now = trio.current_time()
-        for name, idle in list(self._idle.items()):
-            for channel in list(idle):
-                if now < channel.idle_until and name in known:
-                    continue
-                idle.remove(channel)
-                await channel.close()
-            if not idle:
-                del self._idle[name]
-
-    async def _open(self, address: Address) -> trio.SocketStream:
-        try:
-            with trio.fail_after(CONNECT_TIMEOUT):
-                stream = await trio.open_tcp_stream(address.host, address.port)
-        except (OSError, trio.TooSlowError) as why:
-            raise TargetError(
-                f"{address} cannot be reached; check that it runs",
-                errors.Outcome.NOT_RUN,
-                refused=_is_refusal(why),
-            ) from why
-        stream.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNSENT_TIMEOUT_MS
-        )
-        return stream
-
-
-def _is_refusal(why: Exception) -> bool:
-    """Return whether nobody listens where a connection was to lead."""
-    tries = getattr(why.__cause__, "exceptions", (why.__cause__ or why,))
-    return all(isinstance(one, ConnectionRefusedError) for one in tries)
--- a/magnoliacove/gateway/crashes.py
+++ b/magnoliacove/gateway/crashes.py
@@ -16,13 +16,13 @@
 
 import trio
 
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.engines import EngineCalls
 from magnoliacove.gateway.requests import RoutedRequest
 from magnoliacove.gateway.state import GatewayState
-from magnoliacove.limits.crashes import CrashedRun
 from magnoliacove.limits.quarantine import Quarantine
+from magnoliacove.limits.runs import CrashedRun
 
 __all__ = ["CrashWatch"]
 
--- a/magnoliacove/gateway/detours.py
+++ b/magnoliacove/gateway/detours.py
@@ -13,7 +13,7 @@
 import trio
 
 from magnoliacove.configuration.routes import ModelShape
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.engines import EngineCalls
 from magnoliacove.gateway.state import GatewayState
--- a/magnoliacove/gateway/engines.py
+++ b/magnoliacove/gateway/engines.py
@@ -3,10 +3,10 @@
 import trio
 
 from magnoliacove import errors
-from magnoliacove.directory.targets import LayerRange
-from magnoliacove.directory.targets import ListedTarget
-from magnoliacove.gateway.channels import ChannelPool
+from magnoliacove.directory.listed import LayerRange
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.channels import TargetError
+from magnoliacove.gateway.pool import ChannelPool
 from magnoliacove.limits.permits import Permits
 from magnoliacove.platform import engines
 from magnoliacove.routing.paths import Path
--- a/magnoliacove/gateway/exchanges.py
+++ b/magnoliacove/gateway/exchanges.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.channels import Answer
 from magnoliacove.gateway.channels import Channel
 from magnoliacove.gateway.requests import RoutedRequest
--- /dev/null
+++ b/magnoliacove/gateway/gauges.py
@@ -0,0 +1,27 @@
+"""What a gateway's metrics tell of its beliefs."""
+
+import trio
+
+from magnoliacove.gateway.state import GatewayState
+
+__all__ = ["read_gauges"]
+
+
+def read_gauges(state: GatewayState) -> dict[str, float]:
+    """Return the present value of each gauge that follows from the state."""
+    table = state.routes
+    return {
+        "configuration_version": table.version if table else 0,
+        "configuration_age_seconds": trio.current_time() - state.routes_at,
+        "targets_listed": len(state.targets.list_all()),
+        "targets_suspected": len(state.health.list_suspicions()),
+        "targets_limited": len(state.backpressure.list_limits()),
+        "calls_withheld": state.permits.withheld,
+        "requests_in_progress": state.open_requests,
+        "requests_waiting": state.room.waiting,
+        "requests_refused": state.room.refused,
+        "retries_denied": state.budget.denied,
+        "requests_quarantined": len(state.quarantine.list_all()),
+        "quarantine_refusals": state.quarantine.refused,
+        "connections_opened": state.pool.opened,
+    }
--- a/magnoliacove/gateway/holds.py
+++ b/magnoliacove/gateway/holds.py
@@ -4,7 +4,7 @@
 
 from magnoliacove import errors
 from magnoliacove.configuration.routes import ModelShape
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.requests import RoutedRequest
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.limits.load import Reservation
--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -7,7 +7,7 @@
 
 from magnoliacove import wire
 from magnoliacove.directory.holdings import Holding
-from magnoliacove.directory.targets import split_incarnation
+from magnoliacove.directory.listed import split_incarnation
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.limit_sharing import LimitSharing
 from magnoliacove.gateway.state import GatewayState
--- a/magnoliacove/gateway/presence.py
+++ b/magnoliacove/gateway/presence.py
@@ -10,7 +10,7 @@
 import trio
 
 from magnoliacove.directory.holdings import Holding
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.engines import EngineCalls
 from magnoliacove.gateway.engines import was_held_up
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -18,11 +18,12 @@
 from magnoliacove.directory.targets import TargetList
 from magnoliacove.gateway.callers import CallerConnection
 from magnoliacove.gateway.callers import Exchange
-from magnoliacove.gateway.channels import ChannelPool
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.engines import EngineCalls
+from magnoliacove.gateway.gauges import read_gauges
 from magnoliacove.gateway.notices import make_listener
 from magnoliacove.gateway.peering import PeerExchange
+from magnoliacove.gateway.pool import ChannelPool
 from magnoliacove.gateway.quarantine_records import QuarantineRecords
 from magnoliacove.gateway.relay import Relay
 from magnoliacove.gateway.stalls import StallWatch
@@ -60,6 +61,8 @@
 _TIDY_EVERY = 1.0
 # Seconds after the start until metrics are served.
 _METERS_AFTER = 2.0
+# A store that was never reached is told as one lost so long ago, seconds.
+_MOST_SILENCE = 1e6
 
 
 class Gateway:
@@ -360,29 +363,13 @@
             await state.pool.close_expired(known)
 
     def _read_gauges(self) -> dict[str, float]:
-        state = self.state
-        now = trio.current_time()
         return {
-            "configuration_version": state.routes.version
-            if state.routes
-            else 0,
-            "configuration_age_seconds": now - state.routes_at,
+            **read_gauges(self.state),
             "store_silence_seconds": min(
-                1e6, self._peers.read_store_silence()
+                _MOST_SILENCE, self._peers.read_store_silence()
             ),
             "store_era": self._store.era.number,
             "store_calls": getattr(self._api, "calls", 0),
-            "targets_listed": len(state.targets.list_all()),
-            "targets_suspected": len(state.health.list_suspicions()),
-            "requests_in_progress": state.open_requests,
-            "requests_waiting": state.room.waiting,
-            "requests_refused": state.room.refused,
-            "retries_denied": state.budget.denied,
-            "targets_limited": len(state.backpressure.list_limits()),
-            "calls_withheld": state.permits.withheld,
-            "requests_quarantined": len(state.quarantine.list_all()),
-            "quarantine_refusals": state.quarantine.refused,
-            "connections_opened": state.pool.opened,
             "engine_reports": self._calls.reports,
             "engine_orders": self._calls.orders,
             "peers_live": len(self._peers.heartbeats.list_live()),
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -14,8 +14,8 @@
 
 import trio
 
-from magnoliacove.directory.targets import LayerRange
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import LayerRange
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.detours import Detours
 from magnoliacove.gateway.detours import PathUser
 from magnoliacove.gateway.engines import EngineCalls
--- a/magnoliacove/gateway/state.py
+++ b/magnoliacove/gateway/state.py
@@ -11,7 +11,7 @@
 from magnoliacove.directory.health import Health
 from magnoliacove.directory.holdings import Holdings
 from magnoliacove.directory.targets import TargetList
-from magnoliacove.gateway.channels import ChannelPool
+from magnoliacove.gateway.pool import ChannelPool
 from magnoliacove.limits.backpressure import BackpressureBook
 from magnoliacove.limits.crashes import CrashHistory
 from magnoliacove.limits.gaps import GapClock
--- a/magnoliacove/gateway/store.py
+++ b/magnoliacove/gateway/store.py
@@ -14,7 +14,7 @@
 from magnoliacove import errors
 from magnoliacove import platform
 from magnoliacove.directory.backoff import Backoff
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.platform.routes import CONFIGURATION
 from magnoliacove.platform.routes import read_routes
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -13,7 +13,7 @@
 
 from magnoliacove import errors
 from magnoliacove.configuration.routes import ModelShape
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.callers import Exchange
 from magnoliacove.gateway.channels import Answer
 from magnoliacove.gateway.channels import Channel
--- a/magnoliacove/limits/crashes.py
+++ b/magnoliacove/limits/crashes.py
@@ -17,9 +17,10 @@
 
 import trio
 
+from magnoliacove.limits.runs import CrashedRun
 from magnoliacove.limits.silences import SilentRuns
 
-__all__ = ["CrashHistory", "CrashedRun"]
+__all__ = ["CrashHistory"]
 
 # Ends of targets until a request is taken for their cause, for one that was
 # never answered; each answer asks for as many more.  Two ends come about by
@@ -54,22 +55,6 @@
 _MOST_TOLD = 16
 
 
-@dataclass(frozen=True)
-class CrashedRun:
-    """A run that broke off because its target ended.
-
-    :param fingerprint: names what was asked for.
-    :param attempt: names the caller's attempt.
-    :param target: the incarnation that ended.
-    :param seconds: how long the run had gone on since its first bytes.
-    """
-
-    fingerprint: str
-    attempt: int
-    target: str
-    seconds: float
-
-
 @dataclass
 class _Request:
     """What is known of one request.
--- a/magnoliacove/limits/silences.py
+++ b/magnoliacove/limits/silences.py
@@ -7,12 +7,10 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 import trio
 
-if TYPE_CHECKING:
-    from magnoliacove.limits.crashes import CrashedRun
+from magnoliacove.limits.runs import CrashedRun
 
 __all__ = ["SilentRuns"]
 
@@ -32,7 +30,7 @@
     :param own: this gateway asked the target; else a peer did.
     """
 
-    run: "CrashedRun"
+    run: CrashedRun
     since: float
     until: float
     own: bool
@@ -50,7 +48,7 @@
         self._read_time = read_time
         self._known: dict[tuple[str, str], _Silence] = {}
 
-    def note(self, run: "CrashedRun", *, own: bool = True) -> None:
+    def note(self, run: CrashedRun, *, own: bool = True) -> None:
         """Take it that the target of a run answers nothing since."""
         now = self._read_time()
         key = run.fingerprint, run.target
@@ -63,11 +61,11 @@
         if len(self._known) > _MOST_KEPT:
             del self._known[next(iter(self._known))]
 
-    def drop(self, run: "CrashedRun") -> None:
+    def drop(self, run: CrashedRun) -> None:
         """Take it that it is known now how a run broke off."""
         self._known.pop((run.fingerprint, run.target), None)
 
-    def find(self, fingerprint: str) -> list["CrashedRun"]:
+    def find(self, fingerprint: str) -> list[CrashedRun]:
         """Return the runs of a request that count now."""
         now = self._read_time()
         return [
@@ -76,7 +74,7 @@
             if one.run.fingerprint == fingerprint and now < one.until
         ]
 
-    def list_own(self) -> list[tuple["CrashedRun", float]]:
+    def list_own(self) -> list[tuple[CrashedRun, float]]:
         """Return what the peers are to be told, and the age of each."""
         now = self._read_time()
         found = [
--- a/magnoliacove/peers/datagram.py
+++ b/magnoliacove/peers/datagram.py
@@ -11,11 +11,11 @@
 
 from magnoliacove import errors
 from magnoliacove.directory.holdings import Holding
-from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.listed import LayerRange
 from magnoliacove.limits.backpressure import ToldLimit
-from magnoliacove.limits.crashes import CrashedRun
 from magnoliacove.limits.grants import Grant
 from magnoliacove.limits.load import TargetLoad
+from magnoliacove.limits.runs import CrashedRun
 
 __all__ = [
     "Heartbeat",
--- a/magnoliacove/peers/snapshots.py
+++ b/magnoliacove/peers/snapshots.py
@@ -14,8 +14,8 @@
 from magnoliacove import defaults
 from magnoliacove import errors
 from magnoliacove import wire
-from magnoliacove.directory.targets import LayerRange
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import LayerRange
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire import messages
 
--- a/magnoliacove/placement/balance.py
+++ b/magnoliacove/placement/balance.py
@@ -14,7 +14,7 @@
 import math
 
 from magnoliacove.configuration.routes import ModelShape
-from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.listed import LayerRange
 from magnoliacove.placement.plan import EngineState
 from magnoliacove.placement.plan import PlacedLayers
 from magnoliacove.placement.rooms import choose_room
--- a/magnoliacove/placement/duty.py
+++ b/magnoliacove/placement/duty.py
@@ -16,8 +16,8 @@
 from magnoliacove.directory.health import Health
 from magnoliacove.directory.holdings import Holding
 from magnoliacove.directory.holdings import Holdings
-from magnoliacove.directory.targets import LayerRange
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import LayerRange
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.directory.targets import TargetList
 from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.engines import EngineCalls
--- a/magnoliacove/placement/plan.py
+++ b/magnoliacove/placement/plan.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from magnoliacove.configuration.routes import ModelShape
-from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.listed import LayerRange
 from magnoliacove.placement.rooms import choose_room
 from magnoliacove.placement.rooms import count_layers
 from magnoliacove.placement.rooms import fit_room
--- a/magnoliacove/platform/engines.py
+++ b/magnoliacove/platform/engines.py
@@ -7,7 +7,7 @@
 import orjson
 
 from magnoliacove import errors
-from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.listed import LayerRange
 from magnoliacove.platform.fields import Fields
 from magnoliacove.platform.headers import write_path
 from magnoliacove.platform.servers import read_incarnation
--- a/magnoliacove/platform/headers.py
+++ b/magnoliacove/platform/headers.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.routing.paths import Path
 
 __all__ = [
--- a/magnoliacove/platform/servers.py
+++ b/magnoliacove/platform/servers.py
@@ -6,7 +6,7 @@
 import orjson
 
 from magnoliacove import errors
-from magnoliacove.directory import targets
+from magnoliacove.directory import listed
 from magnoliacove.platform import api
 from magnoliacove.platform.fields import Fields
 from magnoliacove.wire.network import Address
@@ -21,7 +21,7 @@
 _NAME = re.compile(r"[!-~]+")
 
 
-def read_server(record: api.Record) -> targets.ListedTarget:
+def read_server(record: api.Record) -> listed.ListedTarget:
     """Decode one engine's entry.
 
     Others may write such entries too.  One that is not as engines write
@@ -44,8 +44,8 @@
             f"use {_READY!r} or {_DRAINING!r}"
         )
     incarnation = read_incarnation(fields)
-    return targets.ListedTarget(
-        name=targets.name_incarnation(entry, incarnation),
+    return listed.ListedTarget(
+        name=listed.name_incarnation(entry, incarnation),
         service=fields.text("service"),
         address=_read_address(fields),
         data_centre=fields.text("zone"),
@@ -85,13 +85,13 @@
     return address
 
 
-def read_layers(fields: Fields) -> targets.LayerRange | None:
+def read_layers(fields: Fields) -> listed.LayerRange | None:
     """Return the layers that an engine says it holds, or None."""
     held = fields.object("layers")
     if held is None or not held.has("to"):
         return None
     # The field "to" is one past the last layer.
-    found = targets.LayerRange(held.integer("from"), held.integer("to"))
+    found = listed.LayerRange(held.integer("from"), held.integer("to"))
     if found.first < 0:
         raise errors.ProtocolError(
             f"{held.where} begins before the first layer; correct 'from'"
--- a/magnoliacove/routing/candidates.py
+++ b/magnoliacove/routing/candidates.py
@@ -11,7 +11,7 @@
 from magnoliacove.configuration.routes import ModelShape
 from magnoliacove.directory.health import Health
 from magnoliacove.directory.holdings import Holdings
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.directory.targets import TargetList
 from magnoliacove.limits.load import LoadBook
 from magnoliacove.limits.permits import Permits
--- a/magnoliacove/routing/stages.py
+++ b/magnoliacove/routing/stages.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.listed import LayerRange
 from magnoliacove.wire.network import Address
 
 __all__ = [
--- a/measure/gateway.py
+++ b/measure/gateway.py
@@ -14,7 +14,7 @@
 from magnoliacove.configuration.routes import Accelerator
 from magnoliacove.configuration.routes import ModelShape
 from magnoliacove.directory.holdings import Holding
-from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.listed import LayerRange
 from magnoliacove.limits import TargetLoad
 from magnoliacove.placement.balance import find_better
 from magnoliacove.placement.plan import EngineState
--- a/measure/limits.py
+++ b/measure/limits.py
@@ -14,7 +14,7 @@
 import sys
 from typing import Protocol
 
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.directory.targets import TargetList
 from magnoliacove.gateway.limit_sharing import LimitSharing
 from magnoliacove.limits.backpressure import BackpressureBook
--- a/measure/peering.py
+++ b/measure/peering.py
@@ -21,13 +21,13 @@
 from magnoliacove import peers
 from magnoliacove import platform
 from magnoliacove.directory.holdings import Holding
-from magnoliacove.directory.targets import LayerRange
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import LayerRange
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway import Gateway
 from magnoliacove.limits import LoadBook
 from magnoliacove.limits import TargetLoad
-from magnoliacove.limits.crashes import CrashedRun
 from magnoliacove.limits.crashes import CrashHistory
+from magnoliacove.limits.runs import CrashedRun
 from magnoliacove.platform.settings import Bounds
 from magnoliacove.platform.settings import NodeSettings
 from magnoliacove.wire import Address
--- a/tests/directory/test_targets.py
+++ b/tests/directory/test_targets.py
@@ -8,10 +8,10 @@
 from magnoliacove.directory.health import Health
 from magnoliacove.directory.holdings import Holding
 from magnoliacove.directory.holdings import Holdings
-from magnoliacove.directory.targets import LayerRange
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import LayerRange
+from magnoliacove.directory.listed import ListedTarget
+from magnoliacove.directory.listed import name_incarnation
 from magnoliacove.directory.targets import TargetList
-from magnoliacove.directory.targets import name_incarnation
 from magnoliacove.wire import Address
 
 
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -10,14 +10,14 @@
 from magnoliacove.configuration import routes
 from magnoliacove.directory.health import Health
 from magnoliacove.directory.holdings import Holdings
-from magnoliacove.directory.targets import LayerRange
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import LayerRange
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.directory.targets import TargetList
 from magnoliacove.gateway.callers import CallerConnection
-from magnoliacove.gateway.channels import ChannelPool
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.engines import EngineCalls
 from magnoliacove.gateway.notices import make_listener
+from magnoliacove.gateway.pool import ChannelPool
 from magnoliacove.gateway.relay import Relay
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.gateway.state import GatewayState
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from magnoliacove.limits.crashes import CrashedRun
+from magnoliacove.limits.runs import CrashedRun
 from tests.gateway import stubs
 
 _HEADERS = {"x_token_usage": "100,20", "x_deadline_ms": "20000"}
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -7,7 +7,7 @@
 from magnoliacove import peers
 from magnoliacove import wire
 from magnoliacove.directory.holdings import Holding
-from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.listed import LayerRange
 from magnoliacove.gateway.peering import PeerExchange
 from magnoliacove.gateway.store import StoreFollower
 from magnoliacove.peers.snapshots import PeerSnapshot
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -10,7 +10,7 @@
 import trio
 
 from magnoliacove.directory.holdings import Holding
-from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.listed import LayerRange
 from tests.gateway import stubs
 
 _HEADERS = {"x_token_usage": "100,20", "x_deadline_ms": "20000"}
--- a/tests/limits/test_crashes.py
+++ b/tests/limits/test_crashes.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies
 import pytest
 
-from magnoliacove.limits.crashes import CrashedRun
 from magnoliacove.limits.crashes import CrashHistory
+from magnoliacove.limits.runs import CrashedRun
 
 
 class _Clock:
--- a/tests/limits/test_silences.py
+++ b/tests/limits/test_silences.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from magnoliacove.limits.crashes import CrashedRun
 from magnoliacove.limits.crashes import CrashHistory
+from magnoliacove.limits.runs import CrashedRun
 
 _BAD = "00c3b2a190817263"
 
--- a/tests/peers/samples.py
+++ b/tests/peers/samples.py
@@ -2,11 +2,11 @@
 
 from magnoliacove import peers
 from magnoliacove.directory.holdings import Holding
-from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.listed import LayerRange
 from magnoliacove.limits import TargetLoad
 from magnoliacove.limits.backpressure import ToldLimit
-from magnoliacove.limits.crashes import CrashedRun
 from magnoliacove.limits.grants import Grant
+from magnoliacove.limits.runs import CrashedRun
 from magnoliacove.platform.eras import MOST_ERA
 from magnoliacove.platform.eras import join_revision
 
--- a/tests/peers/test_heartbeats.py
+++ b/tests/peers/test_heartbeats.py
@@ -5,8 +5,8 @@
 from magnoliacove import peers
 from magnoliacove import timeline
 from magnoliacove import wire
-from magnoliacove.directory.targets import LayerRange
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import LayerRange
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.peers import snapshots
 from tests.peers.samples import make_heartbeat
 
--- a/tests/placement/test_plan.py
+++ b/tests/placement/test_plan.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.listed import LayerRange
 from magnoliacove.placement import balance
 from magnoliacove.placement import plan
 from magnoliacove.placement import rooms
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -6,7 +6,7 @@
 
 from magnoliacove import errors
 from magnoliacove import platform
-from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.listed import LayerRange
 from magnoliacove.platform import engines
 from magnoliacove.platform.servers import read_server
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,6 +1,6 @@
 """Headers on the way to a target and back."""
 
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.platform import headers
 from magnoliacove.routing.paths import Path
 from magnoliacove.routing.paths import PathStage
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -4,7 +4,7 @@
 import pytest
 
 from magnoliacove import errors
-from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.listed import LayerRange
 from magnoliacove.platform import Record
 from magnoliacove.platform.servers import read_server
 
--- a/tests/routing/test_candidates.py
+++ b/tests/routing/test_candidates.py
@@ -8,8 +8,8 @@
 from magnoliacove.directory.health import Health
 from magnoliacove.directory.holdings import Holding
 from magnoliacove.directory.holdings import Holdings
-from magnoliacove.directory.targets import LayerRange
-from magnoliacove.directory.targets import ListedTarget
+from magnoliacove.directory.listed import LayerRange
+from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.directory.targets import TargetList
 from magnoliacove.limits import LoadBook
 from magnoliacove.limits import TargetLoad
--- a/tests/shapes.py
+++ b/tests/shapes.py
@@ -2,7 +2,7 @@
 
 from magnoliacove.configuration.routes import Accelerator
 from magnoliacove.configuration.routes import ModelShape
-from magnoliacove.directory.targets import LayerRange
+from magnoliacove.directory.listed import LayerRange
 from magnoliacove.routing.paths import StageOption
 from magnoliacove.wire import Address
 
