Let no shorter wish for rest cut a longer one short

Two requests are on their way to a target that wants rest; the second refusal may ask for less than the first, which still counts. The new test failed before.

--- a/magnoliacove/limits/backpressure.py
+++ b/magnoliacove/limits/backpressure.py
@@ -102,7 +102,9 @@
         """
         now = self._read_time()
         if notice.rest:
-            self._rests[target] = now + notice.rest
+            # One that was on its way may ask for less than was asked before.
+            until = max(self._rests.get(target, 0.0), now + notice.rest)
+            self._rests[target] = until
         if notice.leaving:
             self._leaving.add(target)
         if notice.rate_limit is not None or (
--- a/tests/limits/test_backpressure.py
+++ b/tests/limits/test_backpressure.py
@@ -90,6 +90,17 @@
     assert book.read_rest("i-1") == 0.0
 
 
+def test_a_rest_that_is_asked_for_is_not_cut_short():
+    """Two requests are on their way to a target.  It turns the first away for
+    ten seconds and the second for one, and still wants nothing for ten.
+    """
+    book, clock = _make_book()
+    book.take("i-1", TargetNotice(rest=10.0), "a request")
+    book.take("i-1", TargetNotice(rest=1.0), "a request")
+    clock.now += 9.0
+    assert book.read_rest("i-1") > 0.9
+
+
 def test_a_new_limit_is_news_once():
     book, _ = _make_book()
     news = []
