Let only a target's own answer to a request end its limit

A health check's answer without the word, or a 421 that may come from another target at the address, ended a limit for all gateways. The new test covers both. What passes an engine beyond its limit is called so, and calls to engines carry no permits that they do not use.

--- a/magnoliacove/gateway/channels.py
+++ b/magnoliacove/gateway/channels.py
@@ -58,9 +58,9 @@
     headers: tuple[tuple[bytes, bytes], ...]
 
 
-# Told of each answer: the target that gave it, its head, and the path that
-# was asked for.
-Hear = Callable[[str, Answer, str], None]
+# Told of each answer: the target that gave it, its head, the path that was
+# asked for, and the id of the caller's request, "" for a question of our own.
+Hear = Callable[[str, Answer, str, str], None]
 
 
 class Channel:
@@ -133,7 +133,7 @@
         for _ in range(_MOST_STRAY_ANSWERS):
             answer = await self._read_head()
             if read_id(answer) in ("", request):
-                self._hear(self.target, answer, self._read_path())
+                self._hear(self.target, answer, self._read_path(), request)
                 return answer
             await self._skip_answer()
         raise TargetError(
--- a/magnoliacove/gateway/detours.py
+++ b/magnoliacove/gateway/detours.py
@@ -126,7 +126,7 @@
         prompt, answer = stream.read_tokens()
         state = self._state
         options = state.candidates.list_options(
-            stream.service, stream.shape, left, spare=True
+            stream.service, stream.shape, left, beyond_limits=True
         )
         costs = state.candidates.make_costs(stream.shape, prompt, answer)
         ahead = state.candidates.draw_displaced(left)
--- a/magnoliacove/gateway/engines.py
+++ b/magnoliacove/gateway/engines.py
@@ -7,7 +7,6 @@
 from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.pool import ChannelPool
-from magnoliacove.limits.permits import Permits
 from magnoliacove.platform import engines
 from magnoliacove.routing.paths import Path
 
@@ -35,11 +34,10 @@
 class EngineCalls:
     """Asks engines for reports and gives them orders."""
 
-    def __init__(self, pool: ChannelPool, permits: Permits) -> None:
+    def __init__(self, pool: ChannelPool) -> None:
         self.reports = 0
         self.orders = 0
         self._pool = pool
-        self._permits = permits
 
     async def is_reachable(self, target: ListedTarget) -> bool:
         """Return whether an engine takes a connection.
@@ -50,6 +48,7 @@
             async with self._pool.use(target, fresh=True):
                 return True
         except TargetError:
+            # Whoever asked writes down what follows from it.
             return False
 
     async def read_report(
--- a/magnoliacove/gateway/holds.py
+++ b/magnoliacove/gateway/holds.py
@@ -60,8 +60,8 @@
         state = self._state
         costs = state.candidates.make_costs(self.shape, *self.read_tokens())
         ahead = state.candidates.draw_ahead(self._routed.service.name)
-        for avoided, spare in self._list_tries():
-            path = self._search(costs, avoided, ahead, spare)
+        for avoided, beyond_limits in self._list_tries():
+            path = self._search(costs, avoided, ahead, beyond_limits)
             first = state.targets.find(path.targets[0]) if path else None
             if path is None or first is None:
                 continue
@@ -74,17 +74,16 @@
         return None
 
     def _list_tries(self) -> list[tuple[Collection[str], bool]]:
-        """Return what to leave out in each search, and whether to be spare.
+        """Return what each search leaves out, and whether it obeys no limit.
 
         An engine with a limit is used within it where there is a path.  What
         another engine hands on to it is no request of a gateway; without it
         some layers may have no engine, and no caller an answer.
         """
-        spares = (
-            (False, True) if self._state.backpressure.any_limit else (False,)
-        )
+        any_limit = self._state.backpressure.any_limit
+        ways = (False, True) if any_limit else (False,)
         sets = (self._avoided, ()) if self._avoided else ((),)
-        return [(avoided, spare) for avoided in sets for spare in spares]
+        return [(avoided, way) for avoided in sets for way in ways]
 
     def read_delay(self) -> float:
         """Return the seconds until there can be a path at all, probably.
@@ -148,20 +147,23 @@
         costs: PathCosts,
         avoided: Collection[str],
         ahead: Ahead,
-        spare: bool = False,
+        beyond_limits: bool = False,
     ) -> Path | None:
         """Return the best path that has room and may be taken, or None."""
-        options = self._list_options(avoided, spare)
+        options = self._list_options(avoided, beyond_limits)
         path = find_path(options, costs, self._list_firsts(), ahead)
         if path is None or not path.crossings:
             return path
         return path if self._may_cross() else None
 
     def _list_options(
-        self, avoided: Collection[str], spare: bool = False
+        self, avoided: Collection[str], beyond_limits: bool = False
     ) -> list[StageOption]:
         return self._state.candidates.list_options(
-            self._routed.service.name, self.shape, avoided, spare=spare
+            self._routed.service.name,
+            self.shape,
+            avoided,
+            beyond_limits=beyond_limits,
         )
 
     def _may_cross(self) -> bool:
--- a/magnoliacove/gateway/pool.py
+++ b/magnoliacove/gateway/pool.py
@@ -35,7 +35,7 @@
     def __init__(
         self,
         start_soon: Callable[..., object] = trio.lowlevel.spawn_system_task,
-        hear: Hear = lambda target, answer, path: None,
+        hear: Hear = lambda target, answer, path, request: None,
     ) -> None:
         self.opened = 0
         self.start_soon = start_soon
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -130,7 +130,7 @@
                 recorder, lambda fingerprint: self._peers.owns(fingerprint)
             ),
         )
-        self._calls = EngineCalls(pool, permits)
+        self._calls = EngineCalls(pool)
         self._quarantines = QuarantineRecords(
             api, self.state.quarantine, recorder
         )
--- a/magnoliacove/limits/backpressure.py
+++ b/magnoliacove/limits/backpressure.py
@@ -92,13 +92,13 @@
         notice: TargetNotice,
         source: str,
         *,
-        of_request: bool = True,
+        ends_limit: bool = True,
     ) -> None:
         """Take what a target says of itself.
 
         :param source: the answer that says so, for the log.
-        :param of_request: it answers a caller's request.  Only then does a
-            limit end that it does not name.
+        :param ends_limit: a limit that it does not name is over.  Answers to
+            questions of our own may not name what answers to requests do.
         """
         now = self._read_time()
         if notice.rest:
@@ -108,7 +108,7 @@
         if notice.leaving:
             self._leaving.add(target)
         if notice.rate_limit is not None or (
-            of_request and self.read_limit(target) is not None
+            ends_limit and self.read_limit(target) is not None
         ):
             self._set_limit(target, _Limit(notice.rate_limit, now, True))
         known = self._notices.get(target, _NOTHING)
--- a/magnoliacove/routing/candidates.py
+++ b/magnoliacove/routing/candidates.py
@@ -104,13 +104,13 @@
         shape: ModelShape,
         avoided: Collection[str] = (),
         *,
-        spare: bool = False,
+        beyond_limits: bool = False,
     ) -> list[StageOption]:
         """Return the engines of a model with their layers and room.
 
         :param avoided: engines that are not to be used.
-        :param spare: also engines that may be sent no request now, where
-            another engine would hand it on to them.
+        :param beyond_limits: also engines that may be sent no request now,
+            where another engine would hand it on to them.
         """
         now = trio.current_time()
         options = []
@@ -126,8 +126,9 @@
                 continue
             if self._permits.is_closed(target.name):
                 continue
+            taking = self._permits.may_send(target.name)
             inner = holding.layers.first > 0
-            if not (spare and inner or self._permits.may_send(target.name)):
+            if not taking and not (beyond_limits and inner):
                 continue
             load = self._loads.read(target.name)
             room = shape.count_room(target.accelerator, holding.layers.count)
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -214,7 +214,7 @@
             QuarantineBook(self.recorder),
         )
         self.state.routes = make_table()
-        self.calls = EngineCalls(pool, permits)
+        self.calls = EngineCalls(pool)
         self.stalls = StallWatch(self.state, self.calls)
         self.crashes = CrashWatch(self.state, self.calls)
         self.relay = Relay(self.state, self.stalls, self.crashes)
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from magnoliacove.limits.backpressure import TargetNotice
 from magnoliacove.limits.grants import Grant
 from tests.gateway import stubs
 
@@ -51,3 +52,24 @@
         await stage.calls.read_report(target)
         [told] = _list_notices(stage)
         assert told.detail["source"] == "/v1/report"
+
+
+async def test_only_an_answer_of_the_target_itself_ends_its_limit():
+    """A health check may not name what answers to requests do, and a 421 may
+    come from another target that has the address by now.
+    """
+    not_here = (
+        b"HTTP/1.1 421 Misdirected Request\r\nx-not-executed: 1\r\n"
+        b"content-length: 0\r\n\r\n"
+    )
+    async with stubs.open_stage() as stage:
+        await stage.add("i-1", stubs.answer_with(not_here), layers=(0, 80))
+        book = stage.state.backpressure
+        book.take("i-1", TargetNotice(rate_limit=50.0), "a request")
+        target = stage.state.targets.find("i-1")
+        await stage.calls.is_leaving(target, "/health")
+        stage.state.grants.take("gateway", [Grant("i-1", "gateway", 50.0)])
+        stage.state.grants.renew({"i-1": "gateway"})
+        await trio.sleep(0.05)
+        await stage.ask("/stream/1", method="POST", **_HEADERS)
+        assert book.read_limit("i-1") == 50.0
--- a/tests/limits/test_backpressure.py
+++ b/tests/limits/test_backpressure.py
@@ -33,10 +33,10 @@
     """
     book, _ = _make_book()
     book.take("i-1", TargetNotice(rate_limit=1.2), "a request")
-    book.take("i-1", TargetNotice(), "/v1/report", of_request=False)
+    book.take("i-1", TargetNotice(), "/v1/report", ends_limit=False)
     assert book.read_limit("i-1") == 1.2
     book.take(
-        "i-1", TargetNotice(rate_limit=2.0), "/v1/report", of_request=False
+        "i-1", TargetNotice(rate_limit=2.0), "/v1/report", ends_limit=False
     )
     assert book.read_limit("i-1") == 2.0
 
