Log who ended an answer that had begun, and what else could have been done

What on-call saw: a begun answer that ends early left request-failed with started, or caller-left, and caller-left was written for every broken or closed connection that ended a request, also for one inside the gateway and for a process that stops. So the hypotheses of the incident could not be told apart.

answer-cut names who ended it (caller, gateway, engine), why, the configuration that the request ran under, and the route, quarantine, retry budget, other path and time at that moment. caller-left is written only if the caller's connection closed or broke; request-abandoned if this process stops; a broken channel inside the gateway is a request-fault and answered as one.

--- a/magnoliacove/gateway/callers.py
+++ b/magnoliacove/gateway/callers.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
+import contextlib
 from dataclasses import dataclass
 from http import HTTPStatus
 import socket
@@ -18,7 +19,7 @@
 
 from magnoliacove.configuration.routes import CallerLimits
 
-__all__ = ["CallerConnection", "Exchange", "Request"]
+__all__ = ["CallerConnection", "CallerLeftError", "Exchange", "Request"]
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -38,6 +39,10 @@
 _CONTINUE_STATUS = 100
 
 
+class CallerLeftError(Exception):
+    """The caller closed its connection or stopped reading."""
+
+
 @dataclass(frozen=True)
 class Request:
     """A request of a caller with its whole body.
@@ -69,6 +74,9 @@
     """A request and its answer.
 
     :param started: whether the answer has been started.
+    :param ended: whether the whole answer has been sent.
+    :param caller_left: whether the caller closed the connection, or stopped
+        reading, before that.
     """
 
     def __init__(
@@ -80,6 +88,8 @@
     ) -> None:
         self.request = request
         self.started = False
+        self.ended = False
+        self.caller_left = False
         self._parser = parser
         self._send = send
         self._must_close = must_close
@@ -93,18 +103,23 @@
         return trio.current_time() - self._written_at
 
     async def start(self, status: int, headers: Headers) -> None:
-        """Send the status and the headers."""
+        """Send the status and the headers.
+
+        This and the other methods that send raise :class:`CallerLeftError`
+        when the caller can no longer be reached.
+        """
         self.started = True
-        await self._send(self._write_head(status, headers))
+        await self._send_part(self._write_head(status, headers))
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
-        await self._send(self._parser.send(h11.Data(data=data)) or b"")
+        await self._send_part(self._parser.send(h11.Data(data=data)) or b"")
         self._written_at = trio.current_time()
 
     async def end(self) -> None:
         """Send the end of the body, which marks the answer as complete."""
-        await self._send(self._parser.send(h11.EndOfMessage()) or b"")
+        await self._send_part(self._parser.send(h11.EndOfMessage()) or b"")
+        self.ended = True
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole answer."""
@@ -115,7 +130,15 @@
         if body and self.request.method != b"HEAD":
             parts.append(self._parser.send(h11.Data(data=body)) or b"")
         parts.append(self._parser.send(h11.EndOfMessage()) or b"")
-        await self._send(b"".join(parts))
+        await self._send_part(b"".join(parts))
+        self.ended = True
+
+    async def _send_part(self, data: bytes) -> None:
+        try:
+            await self._send(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            self.caller_left = True
+            raise CallerLeftError from exc
 
     def _write_head(self, status: int, headers: Headers) -> bytes:
         extra = [(b"connection", b"close")] if self._must_close() else []
@@ -215,23 +238,19 @@
 
     async def _answer(self, exchange: Exchange) -> bool:
         """Call the handler; return whether it sent a complete answer."""
-        disconnected = False
 
         async def watch(scope: trio.CancelScope) -> None:
-            nonlocal disconnected
             await self._wait_disconnect()
-            disconnected = True
+            exchange.caller_left = True
             scope.cancel()
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch, nursery.cancel_scope)
-            try:
+            # A write may detect first that the caller disconnected.
+            with contextlib.suppress(CallerLeftError):
                 await self._handle(exchange)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                # The write detected first that the caller disconnected.
-                disconnected = True
             nursery.cancel_scope.cancel()
-        if disconnected:
+        if exchange.caller_left:
             return False
         return self._parser.our_state in (h11.DONE, h11.MUST_CLOSE)
 
--- a/magnoliacove/gateway/delivery.py
+++ b/magnoliacove/gateway/delivery.py
@@ -23,6 +23,8 @@
     :param ran: whether the request may have run.
     :param answer: an engine's error answer, forwarded to the caller when no
         other path is tried.
+    :param left: whether this gateway left the path, while its engine may
+        still have served the stream.
     """
 
     def __init__(
@@ -31,12 +33,15 @@
         ran: bool,
         answer: Answer | None = None,
         body: bytes = b"",
+        *,
+        left: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.ran = ran
         self.answer = answer
         self.body = body
+        self.left = left
 
 
 class EventDelivery:
--- a/magnoliacove/gateway/relay.py
+++ b/magnoliacove/gateway/relay.py
@@ -9,6 +9,7 @@
 from magnoliacove import errors
 from magnoliacove.configuration.routes import Route
 from magnoliacove.configuration.routes import RouteTable
+from magnoliacove.gateway.callers import CallerLeftError
 from magnoliacove.gateway.callers import Exchange
 from magnoliacove.gateway.calls import PlainCall
 from magnoliacove.gateway.crashes import CrashWatch
@@ -61,22 +62,41 @@
         state.open_requests += 1
         caller_headers = headers.read_caller(exchange.request.headers)
         began = exchange.request.arrived
-        outcome = _Outcome("caller-left", 0)
+        outcome: _Outcome | None = None
         try:
             outcome = await self._serve(exchange, caller_headers)
         finally:
             state.open_requests -= 1
             seconds = trio.current_time() - began
+            if outcome is None:
+                outcome = self._record_abandoned(
+                    exchange, caller_headers, seconds
+                )
             state.meters.count("requests_total", result=outcome.result)
             state.meters.observe("request_duration_seconds", seconds)
-            if outcome.result == "caller-left":
-                state.recorder.record(
-                    "caller-left",
-                    request=caller_headers.request,
-                    why="the caller closed its connection",
-                    seconds=round(seconds, 3),
-                    silent=round(exchange.read_silence(), 3),
-                )
+
+    def _record_abandoned(
+        self,
+        exchange: Exchange,
+        caller_headers: headers.CallerHeaders,
+        seconds: float,
+    ) -> _Outcome:
+        """Record who abandoned a request that was neither answered nor failed.
+
+        :param seconds: since the request arrived.
+        """
+        kind, why = "request-abandoned", "this process stops"
+        if exchange.caller_left:
+            kind, why = "caller-left", "the caller closed its connection"
+        self._state.recorder.record(
+            kind,
+            request=caller_headers.request,
+            why=why,
+            started=exchange.started,
+            seconds=round(seconds, 3),
+            silent=round(exchange.read_silence(), 3),
+        )
+        return _Outcome(kind, 0)
 
     async def _serve(
         self, exchange: Exchange, caller_headers: headers.CallerHeaders
@@ -87,8 +107,8 @@
             await self._run(exchange, routed)
         except errors.RequestError as exc:
             return await self._answer_error(exchange, caller_headers, exc)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            # The caller's connection broke; CallerConnection closes it.
+        except CallerLeftError:
+            # CallerConnection closes the connection.
             raise
         except Exception as exc:
             return await self._answer_fault(exchange, caller_headers, exc)
--- a/magnoliacove/gateway/stream_log.py
+++ b/magnoliacove/gateway/stream_log.py
@@ -1,12 +1,32 @@
 """Log events of one stream: its paths, their failures and its answer."""
 
+from dataclasses import dataclass
+import enum
+
 from magnoliacove.gateway.delivery import BrokenRunError
 from magnoliacove.gateway.delivery import EventDelivery
 from magnoliacove.gateway.requests import RoutedRequest
+from magnoliacove.limits.reruns import RerunOptions
 from magnoliacove.routing.paths import Path
 from magnoliacove.timeline import Recorder
 
-__all__ = ["StreamLog"]
+__all__ = ["Cut", "EndedBy", "StreamLog"]
+
+
+class EndedBy(enum.StrEnum):
+    """Who ended an answer that had begun and was not complete."""
+
+    CALLER = "caller"
+    GATEWAY = "gateway"
+    ENGINE = "engine"
+
+
+@dataclass(frozen=True)
+class Cut:
+    """The end of an answer that had begun and was not complete."""
+
+    by: EndedBy
+    why: str
 
 
 class StreamLog:
@@ -21,6 +41,7 @@
         self._recorder = recorder
         self._request = routed.caller_headers.request
         self._arrived = routed.request.arrived
+        self._version = routed.version
         self._delivery = delivery
 
     def record_path(self, path: Path, number: int, now: float) -> None:
@@ -58,6 +79,28 @@
             last_event=self._delivery.last_event,
         )
 
+    def record_cut(self, cut: Cut, options: RerunOptions, runs: int) -> None:
+        """Record who ended an answer that had begun, and what else could be.
+
+        :param runs: the number of runs that failed or were left.
+        """
+        self._recorder.record(
+            "answer-cut",
+            request=self._request,
+            why=cut.why,
+            by=cut.by,
+            events=self._delivery.count,
+            last_event=self._delivery.last_event,
+            configuration=self._version,
+            runs=runs,
+            refusals=options.refusals,
+            repeatable=options.repeatable,
+            quarantined=options.quarantined,
+            retries_left=round(options.retries_left, 1),
+            other_path=options.other_path,
+            seconds_left=round(options.seconds_left, 3),
+        )
+
     def record_answer(self, runs: int, slowness: float, now: float) -> float:
         """Record that the answer is complete.
 
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -33,8 +33,11 @@
 from magnoliacove.gateway.requests import read_caller_timeout
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.gateway.state import GatewayState
+from magnoliacove.gateway.stream_log import Cut
+from magnoliacove.gateway.stream_log import EndedBy
 from magnoliacove.gateway.stream_log import StreamLog
 from magnoliacove.limits.load import Reservation
+from magnoliacove.limits.reruns import RerunOptions
 from magnoliacove.platform import headers
 from magnoliacove.routing.paths import Path
 
@@ -53,6 +56,7 @@
 # as a usual first event takes; the maximum fits into a caller's timeout.
 _INITIAL_PAUSE = 0.05
 _MAX_PAUSE = 0.4
+_STOPPED = Cut(EndedBy.GATEWAY, "this process stops")
 
 
 class StreamCall:
@@ -85,6 +89,8 @@
         self._runs = 0
         self._refusals = 0
         self._slowness = 1.0
+        # Who ends the answer if it is not complete when this call ends.
+        self._cut = _STOPPED
 
     async def run(self) -> None:
         """Answer the request.
@@ -92,16 +98,42 @@
         :raises magnoliacove.errors.RequestError: when the stream cannot be
             completed.
         """
+        try:
+            await self._run_until_deadline()
+        finally:
+            if self._exchange.started and not self._exchange.ended:
+                self._record_cut()
+        first = self._log.record_answer(
+            self._runs + 1, self._slowness, trio.current_time()
+        )
+        self._state.meters.observe("first_event_seconds", first)
+
+    async def _run_until_deadline(self) -> None:
         done = False
         with trio.move_on_at(self._routed.deadline):
             await self._run()
             done = True
         if not done:
+            self._cut = Cut(EndedBy.GATEWAY, "its deadline passed")
             raise make_timeout(self._runs > 0)
-        first = self._log.record_answer(
-            self._runs + 1, self._slowness, trio.current_time()
+
+    def _record_cut(self) -> None:
+        cut = self._cut
+        if self._exchange.caller_left:
+            why = "the caller closed its connection"
+            cut = Cut(EndedBy.CALLER, why)
+        self._log.record_cut(cut, self._read_rerun_options(), self._runs)
+
+    def _read_rerun_options(self) -> RerunOptions:
+        state, routed = self._state, self._routed
+        return RerunOptions(
+            repeatable=routed.route.repeatable,
+            quarantined=not state.may_repeat(self.fingerprint),
+            retries_left=state.retry_budget.read_remaining(self.service),
+            other_path=self._path_reservation.has_other_path(),
+            refusals=self._refusals,
+            seconds_left=routed.deadline - trio.current_time(),
         )
-        self._state.meters.observe("first_event_seconds", first)
 
     # Called by the stall watch.
 
@@ -255,6 +287,8 @@
         self, first: ListedTarget | None, failure: BrokenRunError
     ) -> None:
         self._log.record_path_failure(first.name if first else "", failure)
+        by = EndedBy.GATEWAY if failure.left else EndedBy.ENGINE
+        self._cut = Cut(by, failure.reason)
         if first is not None and failure.ran and failure.answer is None:
             age = self._delivery.read_run_age()
             self._crash_watch.check_broken_run(first, self._routed, age)
@@ -317,6 +351,7 @@
         number = self._runs + self._refusals + 1
         self._log.record_path(path, number, trio.current_time())
         self._move_reason = ""
+        self._cut = _STOPPED
         sent = False
         self._delivery.prepare_run()
         self._path_started_at = self._delivery.received_at
@@ -337,7 +372,7 @@
         finally:
             self._scope = None
             self._stalls.streams.discard(self)
-        raise BrokenRunError(self._move_reason, sent)
+        raise BrokenRunError(self._move_reason, sent, left=True)
 
     @contextlib.asynccontextmanager
     async def _open_channel(
--- a/magnoliacove/limits/retries.py
+++ b/magnoliacove/limits/retries.py
@@ -79,6 +79,17 @@
 
     def try_spend(self, service: str) -> bool:
         """Spend one retry and return whether the budget allowed it."""
+        if self.read_remaining(service) <= 0.0:
+            self.denied += 1
+            return False
+        self._retries.note(service)
+        return True
+
+    def read_remaining(self, service: str) -> float:
+        """Return the number of retries that the budget still allows.
+
+        :returns: not above 0 when it allows none.
+        """
         requests, retries = self._count(service)
         others = [
             counts.get(service, (0, 0)) for counts in self._others.values()
@@ -86,11 +97,7 @@
         requests += sum(counts[0] for counts in others)
         retries += sum(counts[1] for counts in others)
         bound = _USABLE_FRACTION * (self._ratio * requests + self._slack)
-        if retries >= bound:
-            self.denied += 1
-            return False
-        self._retries.note(service)
-        return True
+        return bound - retries
 
     def list_counts(self) -> dict[str, tuple[int, int]]:
         """Return each service's requests and retries in the window."""
--- a/magnoliacove/logs.py
+++ b/magnoliacove/logs.py
@@ -41,6 +41,8 @@
     [
         "request-failed",
         "request-fault",
+        "request-abandoned",
+        "answer-cut",
         "connection-failed",
         "task-failed",
         "path-lost",
--- a/magnoliacove/timeline/losses.py
+++ b/magnoliacove/timeline/losses.py
@@ -28,7 +28,9 @@
 _MIN_SLOWNESS = 1.5
 # Failure codes of callers' mistakes, which do not count as losses.
 _CALLER_ERRORS = frozenset(["unknown_key", "no_route"])
-_END_KINDS = frozenset(["request-answered", "request-failed", "caller-left"])
+_END_KINDS = frozenset(
+    ["request-answered", "request-failed", "request-abandoned", "caller-left"]
+)
 
 
 class Cause(enum.StrEnum):
@@ -191,6 +193,8 @@
         if code in _CALLER_ERRORS:
             return None
         return False, _explain_failure(code, own, context)
+    if last.kind == "request-abandoned":
+        return False, Cause.GATEWAY_ENDED
     if last.kind == "caller-left":
         silent = float(last.detail.get("silent", 0.0))
         if silent < _MIN_CALLER_SILENCE:
--- a/magnoliacove/timeline/render.py
+++ b/magnoliacove/timeline/render.py
@@ -104,6 +104,11 @@
                 f"left its path after event {detail.get('last_event') or 0} "
                 f"because {why}"
             )
+        case "answer-cut":
+            return (
+                f"the {detail.get('by')} cut the answer off after event "
+                f"{detail.get('last_event') or 0} because {why}"
+            )
         case "request-waiting":
             return (
                 f"waits: {why}; layer and tokens of capacity in each data "
--- /dev/null
+++ b/tests/gateway/test_cut_answers.py
@@ -0,0 +1,130 @@
+"""Answers that had begun and ended early: by whom, and what the log tells."""
+
+import contextlib
+
+import trio
+
+from tests.gateway import stubs
+
+_HEADERS = {"x_token_usage": "100,20", "x_deadline_ms": "20000"}
+
+
+def _begin_then(act, events=3):
+    """Return a script that sends some events and then acts.
+
+    :param act: a coroutine of the connection.
+    """
+
+    async def script(received, stream):
+        if received.method == "GET":
+            await stream.send_all(stubs.make_answer(b"{}"))
+            return
+        first = stubs.chunk(stubs.make_events(1, events))
+        await stream.send_all(stubs.STREAM + first)
+        await act(stream)
+
+    return script
+
+
+async def _pause_for_ever(_):
+    await trio.sleep_forever()
+
+
+async def _ask(harness, path="/once/1", **headers):
+    return await harness.ask(path, method="POST", **{**_HEADERS, **headers})
+
+
+def _list_cuts(harness):
+    """Return who ended each answer that was cut off, and why."""
+    return [
+        (event.detail["by"], event.why)
+        for event in harness.recorder.list_events()
+        if event.kind == "answer-cut"
+    ]
+
+
+async def test_the_log_tells_that_an_engine_cut_an_answer():
+    """Guards against cuts that nobody can attribute: here the engine's."""
+    async with stubs.open_harness() as harness:
+        script = _begin_then(trio.aclose_forcefully)
+        await harness.add("i-1", script, layers=(0, 80))
+        await _ask(harness)
+        [(by, _)] = _list_cuts(harness)
+        assert by == "engine"
+        [cut] = [
+            event
+            for event in harness.recorder.list_events()
+            if event.kind == "answer-cut"
+        ]
+        assert not cut.detail["repeatable"]
+        assert cut.detail["retries_left"] > 0.0
+        assert cut.detail["configuration"] == 7
+        assert cut.detail["last_event"] == "3"
+
+
+async def test_the_log_tells_that_the_deadline_cut_an_answer():
+    """Guards against cuts that nobody can attribute: here the deadline's."""
+    async with stubs.open_harness() as harness:
+        script = _begin_then(_pause_for_ever)
+        await harness.add("i-1", script, layers=(0, 80))
+        await _ask(harness, x_deadline_ms="400")
+        assert _list_cuts(harness) == [("gateway", "its deadline passed")]
+
+
+async def test_the_log_tells_that_the_caller_cut_an_answer():
+    """Guards against cuts that nobody can attribute: here the caller's."""
+    async with stubs.open_harness() as harness:
+        script = _begin_then(_pause_for_ever)
+        await harness.add("i-1", script, layers=(0, 80))
+        await _begin_and_close(harness)
+        [(by, _)] = _list_cuts(harness)
+        assert by == "caller"
+        assert "caller-left" in harness.list_kinds()
+
+
+async def _begin_and_close(harness):
+    """Ask for a stream and close the connection after its first event."""
+    stream, _ = await harness.connect()
+    await stream.send_all(stubs.make_request("/once/1", "POST", **_HEADERS))
+    data = b""
+    while b"id: 1" not in data:
+        data += await stream.receive_some()
+    await stream.aclose()
+    with trio.fail_after(1.0):
+        while harness.state.open_requests:
+            await trio.sleep(0.01)
+
+
+async def test_a_stop_of_the_gateway_is_not_logged_as_the_callers_departure():
+    """Guards against cuts of a process that stops, told as its callers'."""
+    async with stubs.open_harness() as harness:
+        script = _begin_then(_pause_for_ever)
+        await harness.add("i-1", script, layers=(0, 80))
+        stream, _ = await harness.connect()
+        await stream.send_all(
+            stubs.make_request("/once/1", "POST", **_HEADERS)
+        )
+        data = b""
+        while b"id: 1" not in data:
+            data += await stream.receive_some()
+        harness.nursery.cancel_scope.cancel()
+    assert _list_cuts(harness) == [("gateway", "this process stops")]
+    assert "request-abandoned" in harness.list_kinds()
+    assert "caller-left" not in harness.list_kinds()
+
+
+async def test_a_broken_channel_inside_is_not_logged_as_the_callers_departure(
+    monkeypatch,
+):
+    """Guards against a fault of the gateway that is told as its caller's."""
+    async with stubs.open_harness() as harness:
+
+        async def fail(*_):
+            raise trio.ClosedResourceError
+
+        monkeypatch.setattr(harness.relay, "_run", fail)
+        with contextlib.suppress(trio.BrokenResourceError):
+            answer = await _ask(harness)
+        assert answer.split(b" ")[1] == b"502"
+        assert "request-fault" in harness.list_kinds()
+        assert "caller-left" not in harness.list_kinds()
