A red test: a sound engine's answer is cut off by the gateway

Callers saw an answer that had begun close in the middle, while its engine still served it. In the test an engine sends three of six events and pauses for 1.7 s, or is wrongly suspected after 0.2 s; another engine is free; the route allows one run, or the retry budget is spent. In all four cases the caller gets three events and a closed connection.

--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -1,9 +1,12 @@
 """Answers that had begun and ended early: by whom, and what the log tells."""
 
 import contextlib
+import re
 
+import pytest
 import trio
 
+from magnoliacove.limits import SharedRetryBudget
 from tests.gateway import stubs
 
 _HEADERS = {"x_token_usage": "100,20", "x_deadline_ms": "20000"}
@@ -128,3 +131,62 @@
         assert answer.split(b" ")[1] == b"502"
         assert "request-fault" in harness.list_kinds()
         assert "caller-left" not in harness.list_kinds()
+
+
+async def _pause_then_end(stream):
+    await trio.sleep(1.7)
+    rest = stubs.chunk(stubs.make_events(4, 6))
+    await stream.send_all(rest + stubs.END)
+
+
+async def _serve_whole(received, stream):
+    if received.method == "GET":
+        await stream.send_all(stubs.make_answer(b"{}"))
+        return
+    first = int(received.headers.get("last-event-id", 0)) + 1
+    events = stubs.make_events(first, 6)
+    await stream.send_all(stubs.STREAM + stubs.chunk(events) + stubs.END)
+
+
+def _empty_retry_budget(harness):
+    harness.state.retry_budget = SharedRetryBudget(0.0, 0.0, 10.0)
+
+
+def _read_ids(answer):
+    """Return the ids of the events in an answer's chunks, in order."""
+    body = answer.partition(b"\r\n\r\n")[2]
+    return [int(n) for n in re.findall(rb"^id: (\d+)$", body, re.M)]
+
+
+async def _suspect_when_begun(harness, target):
+    """Suspect an engine once a stream has begun there."""
+    while not any(stream.began for stream in harness.stalls.streams):
+        await trio.sleep(0.01)
+    await trio.sleep(0.2)
+    harness.state.health.suspect(target, "the test says so")
+
+
+@pytest.mark.parametrize("cause", ["pause", "suspicion"])
+@pytest.mark.parametrize("refusal", ["route", "budget"])
+async def test_a_sound_engines_answer_is_not_given_up(cause, refusal):
+    """Guards against cutting off an answer that its engine would finish.
+
+    An engine sends three events, pauses for 1.7 s, or is wrongly suspected
+    meanwhile, and another one is free.  The stream may not run once more: its
+    route allows one run, or the retry budget is spent.  If it left its path,
+    the caller's connection would be closed in the middle of the answer.
+    """
+    async with stubs.open_harness() as harness:
+        pausing = _begin_then(_pause_then_end)
+        await harness.add("i-1", pausing, layers=(0, 80))
+        await harness.add(
+            "i-2", _serve_whole, layers=(0, 80), accelerator="a100s"
+        )
+        if refusal == "budget":
+            _empty_retry_budget(harness)
+        if cause == "suspicion":
+            harness.nursery.start_soon(_suspect_when_begun, harness, "i-1")
+        path = "/once/1" if refusal == "route" else "/stream/1"
+        answer = await _ask(harness, path)
+        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        assert answer.endswith(stubs.END)
