Leave a path only after the next run is certain

What callers saw: an answer that had begun closed in the middle, 0.3 s after its first event or after 118 events and 5 s, with most of its time left, while its engine served it.

Cause: a stream whose path was silent or held a suspected engine left the path first, which closes the engine's connection. Only then it was asked whether it may run once more. Where the retry budget was spent, or the route allowed one run, the gateway closed the caller's connection within a millisecond.

Ruled out: a reload of the configuration (no line of a reload near these ends, and none in the code closes a connection).

A begun stream stays meanwhile; if an engine is lost it waits in the queue of capacity, first in line as before, until another path is reserved or its own goes on. What it cannot do is logged once (path-kept).

Why it works: nothing that may refuse the next run is asked after the engine's connection is closed. An answer that has not begun still leaves without a reserved path, but with its retry spent.

--- a/magnoliacove/gateway/path_reservations.py
+++ b/magnoliacove/gateway/path_reservations.py
@@ -1,6 +1,7 @@
 """Reservations of paths, and of capacity on their engines, for streams."""
 
 from collections.abc import Collection
+from dataclasses import dataclass
 
 from magnoliacove import errors
 from magnoliacove.configuration.routes import ModelShape
@@ -23,25 +24,46 @@
 _RESERVED_ANSWER_FRACTION = 0.8
 
 
+@dataclass(frozen=True)
+class _ReservedPath:
+    """A path with the capacity that is reserved on it.
+
+    :param first: the first engine of the path.
+    """
+
+    path: Path
+    first: ListedTarget
+    reservation: Reservation
+
+
 class PathReservation:
     """Finds, reserves and releases the paths of one stream.
 
-    :param path: the current path, or None while there is none.
-    :param first_target: the first engine of the path.
+    A stream has one current path, and a second one just before it changes to
+    it.
     """
 
     def __init__(self, state: GatewayState, routed: RoutedRequest) -> None:
-        self.path: Path | None = None
-        self.first_target: ListedTarget | None = None
         self.shape = _require_shape(routed)
         self._state = state
         self._routed = routed
         self._answer_tokens = _estimate_answer_tokens(routed, self.shape)
-        self._reservation: Reservation | None = None
+        self._current: _ReservedPath | None = None
+        self._next: _ReservedPath | None = None
         self._avoided: set[str] = set()
         self._first_engines: set[str] = set()
         self._waiting_recorded = False
 
+    @property
+    def path(self) -> Path | None:
+        """The current path, or None while there is none."""
+        return self._current.path if self._current else None
+
+    @property
+    def first_target(self) -> ListedTarget | None:
+        """The first engine of the current path."""
+        return self._current.first if self._current else None
+
     def read_tokens(self) -> tuple[float, float]:
         """Return the numbers of prompt tokens and of tokens to generate."""
         prompt = (
@@ -50,9 +72,9 @@
         )
         return prompt, self._answer_tokens * _RESERVED_ANSWER_FRACTION
 
-    def avoid(self, target: str) -> None:
-        """Use an engine only if there is no path without it."""
-        self._avoided.add(target)
+    def avoid(self, *targets: str) -> None:
+        """Use engines only if there is no path without them."""
+        self._avoided.update(targets)
 
     def reserve(self) -> Path | None:
         """Reserve a path with capacity; return None when there is none.
@@ -60,23 +82,80 @@
         Engines on which this stream failed or was refused are used only if
         there is no path without them.
         """
+        reserved = self._try_reserve(self._avoided, forbidden=())
+        if reserved is None:
+            self._note_waiting()
+            return None
+        self._current = reserved
+        self._state.permits.note_sent(reserved.path.targets)
+        gaps = self._state.get_gap_estimator(self._routed.service.name)
+        gaps.note(True)
+        return reserved.path
+
+    def reserve_next(self, left: Collection[str]) -> Path | None:
+        """Reserve a path to change to while the current one is still used.
+
+        The capacity of the current path counts as free, since the change
+        releases it.
+
+        :param left: engines that the new path must not contain.
+        """
+        loads, current = self._state.loads, self._current
+        if current is not None:
+            loads.release(current.reservation)
+        try:
+            avoided = self._avoided | set(left)
+            self._next = self._try_reserve(avoided, forbidden=left)
+        finally:
+            if current is not None:
+                loads.reserve(current.reservation)
+        return self._next.path if self._next else None
+
+    def take_next(self) -> bool:
+        """Make the path that was reserved beforehand the current one.
+
+        :returns: False when there is none, or its first engine is gone.
+        """
+        reserved, self._next = self._next, None
+        if reserved is None:
+            return False
+        if self._state.targets.find(reserved.first.name) is None:
+            self._state.loads.release(reserved.reservation)
+            return False
+        self._current = reserved
+        self._state.permits.note_sent(reserved.path.targets)
+        return True
+
+    def release_next(self) -> None:
+        """Release a path that was reserved beforehand and is not needed."""
+        if self._next is not None:
+            self._state.loads.release(self._next.reservation)
+            self._next = None
+            self._state.capacity_queue.fill()
+
+    def _try_reserve(
+        self, avoided: Collection[str], forbidden: Collection[str]
+    ) -> _ReservedPath | None:
+        """Reserve the best path with capacity, or return None.
+
+        :param avoided: engines to avoid if there is a path without them.
+        :param forbidden: those among them to avoid in any case.
+        """
         state = self._state
         costs = state.candidates.make_costs(self.shape, *self.read_tokens())
         ahead = state.candidates.sample_ahead(self._routed.service.name)
-        for avoided, beyond_limits in self._list_searches():
-            path = self._search(costs, avoided, ahead, beyond_limits)
+        for excluded, beyond_limits in self._list_searches(avoided, forbidden):
+            path = self._search(costs, excluded, ahead, beyond_limits)
             first = state.targets.find(path.targets[0]) if path else None
             if path is None or first is None:
                 continue
-            self.path, self.first_target = path, first
-            self._reservation = state.loads.reserve_path(path, costs.tokens)
-            state.permits.note_sent(path.targets)
-            state.get_gap_estimator(self._routed.service.name).note(True)
-            return path
-        self._note_waiting(costs.tokens)
+            reservation = state.loads.reserve_path(path, costs.tokens)
+            return _ReservedPath(path, first, reservation)
         return None
 
-    def _list_searches(self) -> list[tuple[Collection[str], bool]]:
+    def _list_searches(
+        self, avoided: Collection[str], forbidden: Collection[str]
+    ) -> list[tuple[Collection[str], bool]]:
         """Return the searches: engines to avoid, and whether to exceed limits.
 
         Paths within the engines' request limits come first.  Beyond them, an
@@ -86,10 +165,11 @@
         """
         any_limit = self._state.backpressure.any_limit
         limit_modes = (False, True) if any_limit else (False,)
-        avoided_sets = (self._avoided, ()) if self._avoided else ((),)
+        differ = len(avoided) > len(forbidden)
+        avoided_sets = (avoided, forbidden) if differ else (forbidden,)
         return [
-            (avoided, beyond_limits)
-            for avoided in avoided_sets
+            (excluded, beyond_limits)
+            for excluded in avoided_sets
             for beyond_limits in limit_modes
         ]
 
@@ -112,9 +192,14 @@
         return gaps.estimate_remaining()
 
     def has_other_path(self) -> bool:
-        """Return whether a path exists without the current first engine."""
+        """Return whether there is a path without engines that failed it.
+
+        The current first engine counts as one of them.
+        """
         first = self.first_target
-        avoided = {first.name} if first is not None else set()
+        avoided = self._avoided | (
+            {first.name} if first is not None else set()
+        )
         candidates = self._state.candidates
         costs = candidates.make_costs(self.shape, *self.read_tokens())
         # Requests ahead affect which path is chosen, not whether one exists.
@@ -127,17 +212,19 @@
 
     def replace_path(self, path: Path, reservation: Reservation) -> None:
         """Replace the reserved path by one with the same first stage."""
-        if self._reservation is not None:
-            self._state.loads.release(self._reservation)
-        self.path, self._reservation = path, reservation
+        if self._current is None:
+            self._state.loads.release(reservation)
+            return
+        self._state.loads.release(self._current.reservation)
+        first = self._current.first
+        self._current = _ReservedPath(path, first, reservation)
         self._state.capacity_queue.fill()
 
     def release_path(self) -> None:
         """Release the path and its capacity."""
-        if self._reservation is not None:
-            self._state.loads.release(self._reservation)
-            self._reservation = None
-        self.path = self.first_target = None
+        if self._current is not None:
+            self._state.loads.release(self._current.reservation)
+            self._current = None
         self._waiting_recorded = False
         self._state.capacity_queue.fill()
 
@@ -146,9 +233,9 @@
 
         :returns: how many times longer than usual it takes; 1 without a path.
         """
-        if self.path is None:
+        if self._current is None:
             return 1.0
-        targets = map(self._state.targets.find, self.path.targets)
+        targets = map(self._state.targets.find, self._current.path.targets)
         read = self._state.engine_statuses.read
         return max(
             (read(target).slowness for target in targets if target),
@@ -196,17 +283,19 @@
         )
         return used if len(used) >= self._routed.route.max_attempts else None
 
-    def _note_waiting(self, tokens: float) -> None:
+    def _note_waiting(self) -> None:
         if self._waiting_recorded:
             return
         self._waiting_recorded = True
+        candidates = self._state.candidates
+        costs = candidates.make_costs(self.shape, *self.read_tokens())
         self._state.recorder.record(
             "request-waiting",
             request=self._routed.caller_headers.request,
             why="no path has room"
             if self._may_cross()
             else "no path has room, and the pipe between data centres is full",
-            tokens=round(tokens),
+            tokens=round(costs.tokens),
             room=describe_bottlenecks(
                 self._list_options(()), self.shape.layers
             ),
--- a/magnoliacove/gateway/rerouting.py
+++ b/magnoliacove/gateway/rerouting.py
@@ -7,6 +7,7 @@
 it.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import Protocol
@@ -69,8 +70,17 @@
     def take_path(self, path: Path, reservation: Reservation) -> None:
         """Continue on another path with the same first stage."""
 
-    def move(self, reason: str) -> None:
-        """Leave the current path and continue on another one."""
+    def may_be_rerouted(self, now: float) -> bool:
+        """Return whether to try a reroute, after one that failed."""
+
+    def move(
+        self, reason: str, left: Collection[str] = (), *, wait: bool = False
+    ) -> None:
+        """Leave the current path, once a run on another one is certain.
+
+        :param left: engines that the other path must not contain.
+        :param wait: whether to wait for capacity on another path.
+        """
 
     def note_unusable_engines(self, targets: Iterable[str]) -> None:
         """Record that engines of the current path are unusable."""
@@ -103,6 +113,8 @@
         """
         if stream.request in self._in_progress:
             return
+        if not stream.may_be_rerouted(trio.current_time()):
+            return
         self._in_progress.add(stream.request)
         stream.note_unusable_engines(unusable)
         nursery.start_soon(self._reroute, stream, unusable, reason)
@@ -116,7 +128,7 @@
             self._in_progress.discard(stream.request)
         silent = stream.read_silence(trio.current_time())
         if not changed and silent >= _MIN_SILENCE:
-            stream.move(reason)
+            stream.move(reason, unusable, wait=True)
 
     async def _try_change_path(
         self, stream: ReroutableStream, unusable: frozenset[str], reason: str
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -57,9 +57,6 @@
         :returns: 0 while no event is due.
         """
 
-    def has_other_path(self) -> bool:
-        """Return whether a path exists without the current first engine."""
-
 
 class StallWatch:
     """Monitors all streams of one gateway.
@@ -144,8 +141,9 @@
             if waited >= MOVE_TIMEOUT and stream.began:
                 # Without another path the stream stays on the current one: it
                 # may continue, and its caller disconnects on its own.
-                if stream.has_other_path():
-                    stream.move("it was silent for too long")
+                first = stream.first_target
+                left = [first.name] if first is not None else []
+                stream.move("it was silent for too long", left)
                 continue
             if stream.read_silence(now) >= SILENCE_TIMEOUT:
                 self._check_path(stream, now, nursery)
--- a/magnoliacove/gateway/stream_log.py
+++ b/magnoliacove/gateway/stream_log.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 import enum
+from typing import Any
 
 from magnoliacove.gateway.delivery import BrokenRunError
 from magnoliacove.gateway.delivery import EventDelivery
@@ -79,10 +80,31 @@
             last_event=self._delivery.last_event,
         )
 
-    def record_cut(self, cut: Cut, options: RerunOptions, runs: int) -> None:
+    def record_path_kept(
+        self, reason: str, refusal: str, options: RerunOptions
+    ) -> None:
+        """Record that the stream stays on a path that it should leave.
+
+        :param reason: why it should leave.
+        :param refusal: why it cannot run elsewhere.
+        """
+        self._recorder.record(
+            "path-kept",
+            request=self._request,
+            why=reason,
+            refused=refusal,
+            events=self._delivery.count,
+            **_describe_options(options),
+        )
+
+    def record_cut(
+        self, cut: Cut, options: RerunOptions, runs: int, other_path: bool
+    ) -> None:
         """Record who ended an answer that had begun, and what else could be.
 
         :param runs: the number of runs that failed or were left.
+        :param other_path: whether a path without the engines that failed it
+            had capacity.
         """
         self._recorder.record(
             "answer-cut",
@@ -93,12 +115,8 @@
             last_event=self._delivery.last_event,
             configuration=self._version,
             runs=runs,
-            refusals=options.refusals,
-            repeatable=options.repeatable,
-            quarantined=options.quarantined,
-            retries_left=round(options.retries_left, 1),
-            other_path=options.other_path,
-            seconds_left=round(options.seconds_left, 3),
+            other_path=other_path,
+            **_describe_options(options),
         )
 
     def record_answer(self, runs: int, slowness: float, now: float) -> float:
@@ -120,3 +138,14 @@
             slowness=slowness,
         )
         return first
+
+
+def _describe_options(options: RerunOptions) -> dict[str, Any]:
+    """Return the fields of a log event that tell what else could be done."""
+    return {
+        "refusals": options.refusals,
+        "repeatable": options.repeatable,
+        "quarantined": options.quarantined,
+        "retries_left": round(options.retries_left, 1),
+        "seconds_left": round(options.seconds_left, 3),
+    }
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Collection
 from collections.abc import Iterable
 import contextlib
 
@@ -21,6 +22,7 @@
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.delivery import BrokenRunError
 from magnoliacove.gateway.delivery import EventDelivery
+from magnoliacove.gateway.departures import PathDeparture
 from magnoliacove.gateway.exchanges import is_genuine
 from magnoliacove.gateway.exchanges import read_answer
 from magnoliacove.gateway.exchanges import send_request
@@ -80,12 +82,19 @@
         self._routed = routed
         self._path_reservation = PathReservation(state, routed)
         self._delivery = EventDelivery(
-            exchange, routed.caller_headers.last_event, self._cancel_if_moved
+            exchange, routed.caller_headers.last_event, self._handle_write
         )
         self._log = StreamLog(state.recorder, routed, self._delivery)
         self._path_started_at = 0.0
+        self._departure = PathDeparture(
+            state,
+            routed,
+            self._path_reservation,
+            self._read_rerun_options,
+            self._leave_path,
+            self._log,
+        )
         self._scope: trio.CancelScope | None = None
-        self._move_reason = ""
         self._runs = 0
         self._refusals = 0
         self._slowness = 1.0
@@ -101,6 +110,7 @@
         try:
             await self._run_until_deadline()
         finally:
+            self._path_reservation.release_next()
             if self._exchange.started and not self._exchange.ended:
                 self._record_cut()
         first = self._log.record_answer(
@@ -122,7 +132,12 @@
         if self._exchange.caller_left:
             why = "the caller closed its connection"
             cut = Cut(EndedBy.CALLER, why)
-        self._log.record_cut(cut, self._read_rerun_options(), self._runs)
+        self._log.record_cut(
+            cut,
+            self._read_rerun_options(),
+            self._runs,
+            self._path_reservation.has_other_path(),
+        )
 
     def _read_rerun_options(self) -> RerunOptions:
         state, routed = self._state, self._routed
@@ -130,7 +145,6 @@
             repeatable=routed.route.repeatable,
             quarantined=not state.may_repeat(self.fingerprint),
             retries_left=state.retry_budget.read_remaining(self.service),
-            other_path=self._path_reservation.has_other_path(),
             refusals=self._refusals,
             seconds_left=routed.deadline - trio.current_time(),
         )
@@ -175,38 +189,50 @@
             return 0.0
         return now - max(self._delivery.sent_at, self._path_started_at)
 
-    def has_other_path(self) -> bool:
-        """Return whether a path exists without the current first engine."""
-        return self._path_reservation.has_other_path()
-
     def read_tokens(self) -> tuple[float, float]:
         """Return the numbers of prompt tokens and of tokens to generate."""
         return self._path_reservation.read_tokens()
 
     def take_path(self, path: Path, reservation: Reservation) -> None:
         """Continue on another path with the same first stage."""
+        self._departure.abandon()
         self._path_reservation.replace_path(path, reservation)
         # The new stages read all tokens so far before the next event.
         self._delivery.received_at = trio.current_time()
 
-    def move(self, reason: str) -> None:
-        """Leave the current path and continue on another one."""
-        if self._scope is None or self._move_reason:
+    def may_be_rerouted(self, now: float) -> bool:
+        """Return whether to try a reroute, after one that failed."""
+        return self._departure.is_due(now)
+
+    def move(
+        self, reason: str, left: Collection[str] = (), *, wait: bool = False
+    ) -> None:
+        """Leave the current path, once a run on another one is certain.
+
+        :param left: engines that the other path must not contain.
+        :param wait: whether to wait for capacity on another path.
+        """
+        if self._scope is None:
             return
-        self._move_reason = reason
-        if not self._delivery.writing:
-            self._scope.cancel()
+        self._departure.consider(reason, left, begun=self.began, wait=wait)
 
     def note_unusable_engines(self, targets: Iterable[str]) -> None:
         """Record that engines of the current path are unusable."""
         age = self._delivery.read_run_age()
         self._crash_watch.check_failed_engines(targets, self._routed, age)
 
-    def _cancel_if_moved(self) -> None:
-        """Leave the path if the move was deferred until a write ended."""
-        if self._move_reason and self._scope is not None:
+    def _leave_path(self) -> None:
+        if self._scope is not None and not self._delivery.writing:
             self._scope.cancel()
 
+    def _handle_write(self) -> None:
+        """Leave the path if that was deferred until a write ended."""
+        if self._departure.reason:
+            self._leave_path()
+            return
+        # The path works, so the stream need not change to another one.
+        self._departure.abandon()
+
     # Choosing paths.
 
     async def _run(self) -> None:
@@ -233,6 +259,8 @@
     async def _find_path(self) -> None:
         """Wait until a path has capacity, and reserve it."""
         routed = self._routed
+        if self._path_reservation.take_next():
+            return
         now = trio.current_time()
         objective = routed.route.latency_objective
         caller_timeout = read_caller_timeout(routed.route)
@@ -306,6 +334,8 @@
             self._refusals += 1
             if self._refusals > _MAX_REFUSALS:
                 return False
+        if self._departure.take_retry():
+            return True
         return state.retry_budget.try_spend(self._routed.service.name)
 
     async def _pause(self) -> None:
@@ -350,7 +380,7 @@
             raise BrokenRunError("the first engine is gone", False)
         number = self._runs + self._refusals + 1
         self._log.record_path(path, number, trio.current_time())
-        self._move_reason = ""
+        self._departure.begin_path()
         self._cut = _STOPPED
         sent = False
         self._delivery.prepare_run()
@@ -371,8 +401,9 @@
                     raise BrokenRunError(str(exc), ran) from exc
         finally:
             self._scope = None
+            self._departure.abandon()
             self._stalls.streams.discard(self)
-        raise BrokenRunError(self._move_reason, sent, left=True)
+        raise BrokenRunError(self._departure.reason, sent, left=True)
 
     @contextlib.asynccontextmanager
     async def _open_channel(
--- a/magnoliacove/limits/capacity.py
+++ b/magnoliacove/limits/capacity.py
@@ -18,7 +18,7 @@
 from magnoliacove import errors
 from magnoliacove.routing.paths import Path
 
-__all__ = ["CapacityQueue"]
+__all__ = ["CapacityQueue", "Waiter"]
 
 # Waiting requests that are tried, in order, after each change; the capacity
 # that they leave is not enough for many more.
@@ -41,7 +41,7 @@
 
 
 @dataclass(eq=False)
-class _Waiter:
+class Waiter:
     """A request that waits for a path.
 
     :param find_path: tries to find and reserve a path.
@@ -67,7 +67,7 @@
     def __init__(self, max_waiting: int = 256) -> None:
         self.refused = 0
         self._max_waiting = max_waiting
-        self._waiters: list[_Waiter] = []
+        self._waiters: list[Waiter] = []
         self._numbers = itertools.count()
         # Moving average of the seconds between two grants, for Retry-After.
         self._grant_interval = _INITIAL_GRANT_INTERVAL
@@ -112,19 +112,39 @@
             # The request would time out while it waits; its caller can
             # retry once there is a path again.
             raise self._refuse(delay)
-        waiter = _Waiter(find_path, priority, fresh_until, next(self._numbers))
-        self._waiters.append(waiter)
+        waiter = self.add(
+            find_path, priority=priority, fresh_until=fresh_until
+        )
         try:
-            self.fill()
             with trio.move_on_after(timeout):
                 await waiter.decided.wait()
         finally:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
+            self.withdraw(waiter)
         if waiter.path is None:
             raise self._refuse()
         return waiter.path
 
+    def add(
+        self,
+        find_path: Callable[[], Path | None],
+        *,
+        priority: int,
+        fresh_until: float,
+    ) -> Waiter:
+        """Queue a request that does not wait here; see :meth:`wait_path`.
+
+        :param find_path: called repeatedly until it returns a path.
+        """
+        waiter = Waiter(find_path, priority, fresh_until, next(self._numbers))
+        self._waiters.append(waiter)
+        self.fill()
+        return waiter
+
+    def withdraw(self, waiter: Waiter) -> None:
+        """Remove a request from the queue if it is still there."""
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+
     async def run(self) -> None:
         """Grant capacity to waiting requests until cancelled."""
         while True:
@@ -149,7 +169,7 @@
             if path is None:
                 continue
             waiter.path = path
-            self._waiters.remove(waiter)
+            self.withdraw(waiter)
             waiter.decided.set()
             self._note_granted()
 
--- a/magnoliacove/limits/load.py
+++ b/magnoliacove/limits/load.py
@@ -90,11 +90,19 @@
             (stage.target, tokens * (stage.end - stage.first))
             for stage in path.stages
         )
-        return self._reserve(Reservation(parts, path.crossings))
+        return self.reserve(Reservation(parts, path.crossings))
 
     def reserve_target(self, target: str) -> Reservation:
         """Count a request at one target."""
-        return self._reserve(Reservation(((target, 0.0),)))
+        return self.reserve(Reservation(((target, 0.0),)))
+
+    def reserve(self, reservation: Reservation) -> Reservation:
+        """Count a request on the targets of a reservation."""
+        self.crossings += reservation.crossings
+        for target, token_layers in reservation.parts:
+            load = self._own.get(target, _NO_LOAD)
+            self._own[target] = load.add(1, token_layers)
+        return reservation
 
     def release(self, reservation: Reservation) -> None:
         """Stop counting a request."""
@@ -139,13 +147,6 @@
         for gateway in gateways:
             self._subtract(gateway)
 
-    def _reserve(self, reservation: Reservation) -> Reservation:
-        self.crossings += reservation.crossings
-        for target, token_layers in reservation.parts:
-            load = self._own.get(target, _NO_LOAD)
-            self._own[target] = load.add(1, token_layers)
-        return reservation
-
     def _subtract(self, gateway: str) -> None:
         """Subtract a gateway's last report from the sums."""
         previous = self._others.pop(gateway, None)
--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -190,3 +190,44 @@
         answer = await _ask(harness, path)
         assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
         assert answer.endswith(stubs.END)
+        assert "path-kept" in harness.list_kinds()
+
+
+async def test_a_stream_leaves_a_sound_engine_only_for_a_reserved_path():
+    """Guards against cutting off an answer for a path that has no capacity.
+
+    The engine is wrongly suspected, and no other one serves the model until
+    it has gone on.  The stream stays and no second run begins.
+    """
+    async with stubs.open_harness() as harness:
+        pausing = _begin_then(_pause_then_end)
+        stub = await harness.add("i-1", pausing, layers=(0, 80))
+        harness.nursery.start_soon(_suspect_when_begun, harness, "i-1")
+        answer = await _ask(harness, "/stream/1")
+        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        assert len(stub.callers_requests) == 1
+        assert not harness.state.capacity_queue.waiting
+        assert not harness.state.loads.list_own()
+
+
+async def test_a_suspected_stream_changes_to_a_path_that_gets_free():
+    """Guards against staying on a lost engine until the caller leaves.
+
+    The only engine stops for good and is suspected.  Another one is listed
+    later, and the stream, which waits for it, continues there at once.
+    """
+    async with stubs.open_harness() as harness:
+        script = _begin_then(_pause_for_ever)
+        await harness.add("i-1", script, layers=(0, 80))
+        harness.nursery.start_soon(_suspect_when_begun, harness, "i-1")
+
+        async def add_later():
+            await trio.sleep(0.9)
+            await harness.add("i-2", _serve_whole, layers=(0, 80))
+
+        harness.nursery.start_soon(add_later)
+        began = trio.current_time()
+        answer = await _ask(harness, "/stream/1")
+        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        assert trio.current_time() - began < 1.3
+        assert not harness.state.loads.list_own()
