Keep a stream from returning to the engine that it left

Cause: an engine that failed a stream was avoided for its further paths, one that the stream left for its silence or for a suspicion was not, and it is often the fastest one.

Evidence: test_a_stream_does_not_return_to_the_engine_that_it_left: the fastest engine falls silent, the next one breaks off, a third is free. Before, the silent one was asked twice; after, once, and the answer is whole.

Change: engines that a stream leaves are avoided by its later paths, if there is a path without them. Ruled out: forbidding them, since an engine that was suspected wrongly may be the only one left.

--- a/magnoliacove/gateway/departures.py
+++ b/magnoliacove/gateway/departures.py
@@ -87,7 +87,7 @@
         if refusal:
             self._stay(reason, refusal, options)
         elif not begun:
-            self._try_leave(reason)
+            self._try_leave(reason, left)
         elif self._try_change(reason, left) is None:
             self._stay(reason, "no other path has capacity", options)
             if wait:
@@ -122,16 +122,19 @@
         if path is None:
             return None
         self._waiter = None
-        if not self._try_leave(reason):
+        if not self._try_leave(reason, left):
             self._path_reservation.release_next()
         return path
 
-    def _try_leave(self, reason: str) -> bool:
+    def _try_leave(self, reason: str, left: Collection[str]) -> bool:
         """Spend a retry and leave the path; return False without a retry."""
         budget = self._state.retry_budget
         if not budget.try_spend(self._routed.service.name):
             self._stay(reason, RETRY_BUDGET_SPENT, self._read_options())
             return False
+        # Without this a further failure leads back to the engine just left,
+        # which may be the fastest one.
+        self._path_reservation.avoid(*left)
         self.reason, self.retry_spent = reason, True
         self._leave()
         return True
--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -1,15 +1,18 @@
 """Answers that had begun and ended early: by whom, and what the log tells."""
 
 import contextlib
+import dataclasses
 import re
 
 import pytest
 import trio
 
+from magnoliacove.configuration import routes
 from magnoliacove.limits import SharedRetryBudget
 from tests.gateway import stubs
 
 _HEADERS = {"x_token_usage": "100,20", "x_deadline_ms": "20000"}
+_ACCOUNT = routes.Account("lannoy", 3)
 
 
 def _begin_then(act, events=3):
@@ -231,3 +234,40 @@
         assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
         assert trio.current_time() - began < 1.3
         assert not harness.state.loads.list_own()
+
+
+def _allow_runs(harness, runs):
+    """Let each route use a number of first engines."""
+    table = harness.state.routes
+    changed = tuple(
+        dataclasses.replace(route, max_attempts=runs) for route in table.routes
+    )
+    harness.state.routes = routes.RouteTable(
+        8, changed, table.services, table.limits, {"k1": _ACCOUNT}
+    )
+
+
+async def test_a_stream_does_not_return_to_the_engine_that_it_left():
+    """Guards against runs that are spent on the engine just left.
+
+    The quickest engine falls silent, the next one breaks off, and a third
+    one is free.  On the first one the stream would get no event either.
+    """
+    async with stubs.open_harness() as harness:
+        _allow_runs(harness, 3)
+        silent = await harness.add(
+            "i-1", _begin_then(_pause_for_ever), layers=(0, 80)
+        )
+        await harness.add(
+            "i-2",
+            _begin_then(trio.aclose_forcefully, events=4),
+            layers=(0, 80),
+            accelerator="a100s",
+        )
+        await harness.add(
+            "i-3", _serve_whole, layers=(0, 80), accelerator="t4"
+        )
+        answer = await _ask(harness, "/stream/1")
+        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        assert answer.endswith(stubs.END)
+        assert len(silent.callers_requests) == 1
