--- /dev/null
+++ b/magnoliacove/gateway/path_runs.py
@@ -0,0 +1,145 @@
+"""One run of a stream on one path: the request is sent and its events read."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+
+from magnoliacove import errors
+from magnoliacove.directory.listed import ListedTarget
+from magnoliacove.gateway.channels import Answer
+from magnoliacove.gateway.channels import Channel
+from magnoliacove.gateway.channels import TargetError
+from magnoliacove.gateway.delivery import BrokenRunError
+from magnoliacove.gateway.delivery import EventDelivery
+from magnoliacove.gateway.exchanges import is_genuine
+from magnoliacove.gateway.exchanges import read_answer
+from magnoliacove.gateway.exchanges import send_request
+from magnoliacove.gateway.path_reservations import PathReservation
+from magnoliacove.gateway.requests import RoutedRequest
+from magnoliacove.gateway.state import GatewayState
+from magnoliacove.platform import headers
+from magnoliacove.routing.paths import Path
+
+__all__ = ["PathRun"]
+
+
+class PathRun:
+    """Sends one stream along one path and forwards the events.
+
+    :param check_refusal: starts a check of why an engine refused, given the
+        engine, the status and the path of its health check.
+    :param sent: whether the request has been sent.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        check_refusal: Callable[[ListedTarget, int, str], None],
+        routed: RoutedRequest,
+        path_reservation: PathReservation,
+        delivery: EventDelivery,
+    ) -> None:
+        self.sent = False
+        self._state = state
+        self._check_refusal = check_refusal
+        self._routed = routed
+        self._request = routed.caller_headers.request
+        self._path_reservation = path_reservation
+        self._delivery = delivery
+
+    async def run(self, target: ListedTarget, path: Path) -> None:
+        """Run the stream to its end.
+
+        :param target: the first engine of the path.
+        :raises BrokenRunError: when the stream does not complete.
+        """
+        try:
+            async with self._open_channel(target, path) as channel:
+                self.sent = True
+                await self._read_stream(channel)
+        except TargetError as exc:
+            ran = self.sent or exc.outcome is not errors.Outcome.NOT_RUN
+            if not ran:
+                self._state.health.suspect(target.name, str(exc))
+            self._avoid_engine(target)
+            raise BrokenRunError(str(exc), ran) from exc
+
+    @contextlib.asynccontextmanager
+    async def _open_channel(
+        self, target: ListedTarget, path: Path
+    ) -> AsyncIterator[Channel]:
+        """Send the request and yield its connection.
+
+        The connection is closed unless the exchange completes.
+        """
+        async with self._state.pool.use(target) as channel:
+            # Counted only once connected.  An unreachable engine would count
+            # towards the engines that the request may run on, and the stream
+            # would wait for it, with other engines free, until its caller
+            # disconnects.
+            self._path_reservation.count_first_engine()
+            await send_request(
+                channel, target, self._routed, self._delivery.last_event, path
+            )
+            yield channel
+
+    async def _read_stream(self, channel: Channel) -> None:
+        answer, decoded = await read_answer(channel, self._request)
+        if answer.status != 200:
+            await self._handle_failure(channel, answer, decoded)
+        if not is_genuine(answer, decoded):
+            raise BrokenRunError("the answer is not one of the model's", True)
+        self._delivery.begin_run(answer)
+        while (part := await channel.read_body()) is not None:
+            await self._delivery.deliver(part)
+        await self._delivery.finish()
+
+    async def _handle_failure(
+        self, channel: Channel, answer: Answer, decoded: headers.AnswerHeaders
+    ) -> None:
+        """Handle an answer that is not a stream.
+
+        :raises BrokenRunError: always.
+        """
+        body = await channel.read_whole_body()
+        if decoded.not_run:
+            self._handle_refusal(answer.status, decoded.faulty)
+            raise BrokenRunError(
+                f"refused with {answer.status} by "
+                f"{decoded.faulty or 'the first engine'}",
+                False,
+            )
+        if self._path_reservation.first_target is not None:
+            self._avoid_engine(self._path_reservation.first_target)
+        passed = answer if decoded.stamped and answer.status >= 400 else None
+        raise BrokenRunError(
+            f"the engine answered {answer.status}", True, passed, body
+        )
+
+    def _avoid_engine(self, target: ListedTarget) -> None:
+        """Avoid an engine for this stream, and for a while for new ones."""
+        self._path_reservation.avoid(target.name)
+        self._state.candidates.pause_engine(target.name)
+
+    def _handle_refusal(self, status: int, faulty: str) -> None:
+        """Avoid and check the engine that a refusal names.
+
+        :param faulty: the engine's address; "" for the first engine of the
+            path.
+        """
+        state = self._state
+        refusing = state.targets.list_at(faulty)
+        if not faulty and self._path_reservation.first_target is not None:
+            refusing = [self._path_reservation.first_target]
+        for target in refusing:
+            self._avoid_engine(target)
+            state.recorder.record(
+                "engine-refused",
+                request=self._request,
+                target=target.name,
+                status=status,
+                requests=state.loads.read(target.name).requests,
+            )
+            self._check_refusal(
+                target, status, self._routed.service.health_path
+            )
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -5,10 +5,8 @@
 the same answer, so that no event is missing and none is sent twice.
 """
 
-from collections.abc import AsyncIterator
 from collections.abc import Collection
 from collections.abc import Iterable
-import contextlib
 
 import trio
 
@@ -16,17 +14,12 @@
 from magnoliacove.configuration.routes import ModelShape
 from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.callers import Exchange
-from magnoliacove.gateway.channels import Answer
-from magnoliacove.gateway.channels import Channel
-from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.delivery import BrokenRunError
 from magnoliacove.gateway.delivery import EventDelivery
 from magnoliacove.gateway.departures import PathDeparture
-from magnoliacove.gateway.exchanges import is_genuine
-from magnoliacove.gateway.exchanges import read_answer
-from magnoliacove.gateway.exchanges import send_request
 from magnoliacove.gateway.path_reservations import PathReservation
+from magnoliacove.gateway.path_runs import PathRun
 from magnoliacove.gateway.requests import RoutedRequest
 from magnoliacove.gateway.requests import make_may_have_run
 from magnoliacove.gateway.requests import make_quarantined
@@ -382,105 +375,22 @@
         self._log.record_path(path, number, trio.current_time())
         self._departure.begin_path()
         self._cut = _STOPPED
-        sent = False
         self._delivery.prepare_run()
         self._path_started_at = self._delivery.received_at
+        run = PathRun(
+            self._state,
+            self._stalls.check_refusal,
+            self._routed,
+            self._path_reservation,
+            self._delivery,
+        )
         self._stalls.streams.add(self)
         try:
             with trio.CancelScope() as self._scope:
-                try:
-                    async with self._open_channel(target, path) as channel:
-                        sent = True
-                        await self._read_stream(channel)
-                        return
-                except TargetError as exc:
-                    ran = sent or exc.outcome is not errors.Outcome.NOT_RUN
-                    if not ran:
-                        self._state.health.suspect(target.name, str(exc))
-                    self._avoid_engine(target)
-                    raise BrokenRunError(str(exc), ran) from exc
+                await run.run(target, path)
+                return
         finally:
             self._scope = None
             self._departure.abandon()
             self._stalls.streams.discard(self)
-        raise BrokenRunError(self._departure.reason, sent, left=True)
-
-    @contextlib.asynccontextmanager
-    async def _open_channel(
-        self, target: ListedTarget, path: Path
-    ) -> AsyncIterator[Channel]:
-        """Send the request and yield its connection.
-
-        The connection is closed unless the exchange completes.
-        """
-        async with self._state.pool.use(target) as channel:
-            # Counted only once connected.  An unreachable engine would count
-            # towards the engines that the request may run on, and the stream
-            # would wait for it, with other engines free, until its caller
-            # disconnects.
-            self._path_reservation.count_first_engine()
-            await send_request(
-                channel, target, self._routed, self._delivery.last_event, path
-            )
-            yield channel
-
-    async def _read_stream(self, channel: Channel) -> None:
-        answer, decoded = await read_answer(channel, self.request)
-        if answer.status != 200:
-            await self._handle_failure(channel, answer, decoded)
-        if not is_genuine(answer, decoded):
-            raise BrokenRunError("the answer is not one of the model's", True)
-        self._delivery.begin_run(answer)
-        while (part := await channel.read_body()) is not None:
-            await self._delivery.deliver(part)
-        await self._delivery.finish()
-
-    async def _handle_failure(
-        self, channel: Channel, answer: Answer, decoded: headers.AnswerHeaders
-    ) -> None:
-        """Handle an answer that is not a stream.
-
-        :raises BrokenRunError: always.
-        """
-        body = await channel.read_whole_body()
-        if decoded.not_run:
-            self._handle_refusal(answer.status, decoded.faulty)
-            raise BrokenRunError(
-                f"refused with {answer.status} by "
-                f"{decoded.faulty or 'the first engine'}",
-                False,
-            )
-        if self.first_target is not None:
-            self._avoid_engine(self.first_target)
-        passed = answer if decoded.stamped and answer.status >= 400 else None
-        raise BrokenRunError(
-            f"the engine answered {answer.status}", True, passed, body
-        )
-
-    def _avoid_engine(self, target: ListedTarget) -> None:
-        """Avoid an engine for this stream, and for a while for new ones."""
-        self._path_reservation.avoid(target.name)
-        self._state.candidates.pause_engine(target.name)
-
-    def _handle_refusal(self, status: int, faulty: str) -> None:
-        """Avoid and check the engine that a refusal names.
-
-        :param faulty: the engine's address; "" for the first engine of the
-            path.
-        """
-        state = self._state
-        refusing = state.targets.list_at(faulty)
-        if not faulty and self.first_target is not None:
-            refusing = [self.first_target]
-        for target in refusing:
-            self._avoid_engine(target)
-            state.recorder.record(
-                "engine-refused",
-                request=self.request,
-                target=target.name,
-                status=status,
-                requests=state.loads.read(target.name).requests,
-            )
-            self._stalls.check_refusal(
-                target, status, self._routed.service.health_path
-            )
+        raise BrokenRunError(self._departure.reason, run.sent, left=True)
