Do not end an answer that has begun after four refusals

Cause: after five refusals of engines a stream fails. For a request that has not begun that is right, since its caller is told at once and can come back. An answer that has begun cannot be refused, only cut off; refusals cost it time and a retry each, and both have bounds of their own.

Evidence: test_refusals_do_not_end_an_answer_that_has_begun, 3 of 6 events before, 6 after.

Ruled out: a higher bound, which would only move the cut.

--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -38,9 +38,9 @@
 
 __all__ = ["StreamCall"]
 
-# Refusals after which a request fails.  A refusal before the run costs only
-# time, but after this many the engines have no capacity, whatever the
-# recorded loads say.
+# Refusals after which a request that has not begun fails.  A refusal before
+# the run costs only time, but after this many the engines have no capacity,
+# whatever the recorded loads say.  An answer that has begun cannot be refused.
 _MAX_REFUSALS = 4
 # Seconds of the caller's timeout that are reserved for the first event after
 # a path is found: twice the time to read a usual prompt on a busy path.
@@ -325,7 +325,7 @@
                 return False
         else:
             self._refusals += 1
-            if self._refusals > _MAX_REFUSALS:
+            if self._refusals > _MAX_REFUSALS and not self.began:
                 return False
         if self._departure.take_retry():
             return True
--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -271,3 +271,45 @@
         assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
         assert answer.endswith(stubs.END)
         assert len(silent.callers_requests) == 1
+
+
+async def _wait_for(harness, kind):
+    while kind not in harness.list_kinds():
+        await trio.sleep(0.001)
+
+
+async def test_refusals_do_not_end_an_answer_that_has_begun():
+    """Guards against cutting off an answer after some refusals.
+
+    The run breaks off, and the second engines of the next five paths are
+    full.  After four refusals a request that has not begun is refused, as its
+    caller can come back; this answer cannot be refused.
+    """
+    refusals = []
+
+    async def refuse_then_serve(received, stream):
+        if received.method == "POST" and len(refusals) < 5:
+            hops = received.headers["x-hops"].split(",")
+            refusals.append(hops[1].partition("=")[0])
+            at = f"at-server: {refusals[-1]}\r\ncontent-length".encode()
+            refusal = stubs.NOT_RUN.replace(b"content-length", at)
+            await stream.send_all(refusal)
+            return
+        await _serve_whole(received, stream)
+
+    async def replace(harness):
+        await _wait_for(harness, "path-lost")
+        harness.state.targets.remove("i-0", 2)
+        await harness.add("i-1", refuse_then_serve, layers=(0, 40))
+        for number in range(2, 9):
+            await harness.add(
+                f"i-{number}", stubs.stay_silent, layers=(40, 80)
+            )
+
+    async with stubs.open_harness() as harness:
+        script = _begin_then(trio.aclose_forcefully)
+        await harness.add("i-0", script, layers=(0, 80))
+        harness.nursery.start_soon(replace, harness)
+        answer = await _ask(harness, "/stream/1")
+        assert len(set(refusals)) == 5
+        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
