Let an answer that has begun wait in a full queue

What callers would see: an answer that had begun is cut off when its engine fails while 256 requests wait for capacity at its gateway.

Cause: a full queue refuses whoever comes, and for an answer that has begun a refusal is a cut. It goes before all others in the queue, so it was the last one to turn away.

Change: wait_path refuses for a full queue only requests that may be refused. Ruled out: turning a waiting request away for it; streams in progress are bounded by the engines' memory, so the queue grows by few.

--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -277,6 +277,7 @@
                 if self.began
                 else arrived + objective,
                 timeout=remaining,
+                may_refuse=not self.began,
                 # An answer that has begun is never refused.
                 read_delay=self._path_reservation.read_delay
                 if not self.began
--- a/magnoliacove/limits/capacity.py
+++ b/magnoliacove/limits/capacity.py
@@ -87,6 +87,7 @@
         fresh_until: float,
         timeout: float,
         read_delay: Callable[[], float] = lambda: 0.0,
+        may_refuse: bool = True,
     ) -> Path:
         """Return a path as soon as one has capacity.
 
@@ -97,6 +98,8 @@
         :param timeout: seconds after which the request is refused.
         :param read_delay: returns the seconds until any path can exist; a
             request with a shorter timeout is refused at once.
+        :param may_refuse: whether the request is refused when the queue is
+            full; an answer that has begun would be cut off.
         :raises magnoliacove.errors.RequestError: when no path has capacity
             in time; the request did not run.
         """
@@ -105,7 +108,7 @@
             if path is not None:
                 self._note_granted()
                 return path
-        if len(self._waiters) >= self._max_waiting:
+        if may_refuse and len(self._waiters) >= self._max_waiting:
             raise self._refuse()
         delay = read_delay()
         if delay > timeout:
--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -313,3 +313,34 @@
         answer = await _ask(harness, "/stream/1")
         assert len(set(refusals)) == 5
         assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+
+
+async def test_a_full_queue_does_not_end_an_answer_that_has_begun():
+    """Guards against cutting off an answer when the queue is full.
+
+    The only engine breaks off while as many requests wait as may.  New ones
+    are refused then, but this answer has begun and cannot be refused; another
+    engine is listed a little later.
+    """
+
+    async def break_off(stream):
+        await trio.sleep(0.1)
+        await trio.aclose_forcefully(stream)
+
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", _begin_then(break_off), layers=(0, 80))
+
+        async def replace():
+            while not any(stream.began for stream in harness.stalls.streams):
+                await trio.sleep(0.001)
+            queue = harness.state.capacity_queue
+            for _ in range(256):
+                queue.add(lambda: None, priority=5, fresh_until=0.0)
+            await _wait_for(harness, "path-lost")
+            harness.state.targets.remove("i-1", 2)
+            await trio.sleep(0.3)
+            await harness.add("i-2", _serve_whole, layers=(0, 80))
+
+        harness.nursery.start_soon(replace)
+        answer = await _ask(harness, "/stream/1")
+        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
