Decide about a further run of a stream in one place

What may refuse a stream one more run was asked in two places, before a path is left and after a run failed, with the same conditions written twice. limits/reruns.py answers both now, with the bound of refusals; the retry budget is spent last in both.

--- a/magnoliacove/gateway/departures.py
+++ b/magnoliacove/gateway/departures.py
@@ -17,7 +17,6 @@
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.stream_log import StreamLog
 from magnoliacove.limits.capacity import Waiter
-from magnoliacove.limits.reruns import RETRY_BUDGET_SPENT
 from magnoliacove.limits.reruns import RerunOptions
 from magnoliacove.limits.reruns import find_refusal
 from magnoliacove.routing.paths import Path
@@ -27,6 +26,7 @@
 # Seconds after a refused departure until the next one is considered.  Budgets
 # and capacity change with each heartbeat, and each search takes milliseconds.
 _RETRY_INTERVAL = 0.25
+_BUDGET_SPENT = "the retry budget is spent"
 
 
 class PathDeparture:
@@ -86,6 +86,9 @@
         refusal = find_refusal(options)
         if refusal:
             self._stay(reason, refusal, options)
+        elif options.retries_left <= 0.0:
+            # Known before another path is searched for.
+            self._stay(reason, _BUDGET_SPENT, options)
         elif not begun:
             self._try_leave(reason, left)
         elif self._try_change(reason, left) is None:
@@ -130,7 +133,7 @@
         """Spend a retry and leave the path; return False without a retry."""
         budget = self._state.retry_budget
         if not budget.try_spend(self._routed.service.name):
-            self._stay(reason, RETRY_BUDGET_SPENT, self._read_options())
+            self._stay(reason, _BUDGET_SPENT, self._read_options())
             return False
         # Without this a further failure leads back to the engine just left,
         # which may be the fastest one.
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -33,15 +33,12 @@
 from magnoliacove.gateway.stream_log import StreamLog
 from magnoliacove.limits.load import Reservation
 from magnoliacove.limits.reruns import RerunOptions
+from magnoliacove.limits.reruns import find_refusal
 from magnoliacove.platform import headers
 from magnoliacove.routing.paths import Path
 
 __all__ = ["StreamCall"]
 
-# Refusals after which a request that has not begun fails.  A refusal before
-# the run costs only time, but after this many the engines have no capacity,
-# whatever the recorded loads say.  An answer that has begun cannot be refused.
-_MAX_REFUSALS = 4
 # Seconds of the caller's timeout that are reserved for the first event after
 # a path is found: twice the time to read a usual prompt on a busy path.
 _FIRST_EVENT_MARGIN = 0.5
@@ -135,6 +132,7 @@
     def _read_rerun_options(self) -> RerunOptions:
         state, routed = self._state, self._routed
         return RerunOptions(
+            begun=self.began,
             repeatable=routed.route.repeatable,
             quarantined=not state.may_repeat(self.fingerprint),
             retries_left=state.retry_budget.read_remaining(self.service),
@@ -316,21 +314,18 @@
             self._crash_watch.check_broken_run(first, self._routed, age)
 
     def _may_retry(self, failure: BrokenRunError) -> bool:
-        """Return whether another path may be tried."""
-        state, route = self._state, self._routed.route
+        """Return whether another path may be tried; spend a retry for it."""
         if failure.ran:
             self._runs += 1
-            if not route.repeatable:
-                return False
-            if not state.may_repeat(self.fingerprint):
-                return False
         else:
             self._refusals += 1
-            if self._refusals > _MAX_REFUSALS and not self.began:
-                return False
-        if self._departure.take_retry():
-            return True
-        return state.retry_budget.try_spend(self._routed.service.name)
+        if failure.left and self._departure.take_retry():
+            # Decided and paid for before the path was left.  Only a crash that
+            # became known since then stops the stream.
+            return self._state.may_repeat(self.fingerprint)
+        if find_refusal(self._read_rerun_options(), ran=failure.ran):
+            return False
+        return self._state.retry_budget.try_spend(self.service)
 
     async def _pause(self) -> None:
         """Wait before the third attempt, and longer before each further one.
--- a/magnoliacove/limits/reruns.py
+++ b/magnoliacove/limits/reruns.py
@@ -1,16 +1,24 @@
-"""Decision whether a stream may run once more, made before its run is left."""
+"""Decision whether a stream may run once more.
+
+It is made before a run that still goes on is left, and after one that failed.
+"""
 
 from dataclasses import dataclass
 
-__all__ = ["RETRY_BUDGET_SPENT", "RerunOptions", "find_refusal"]
+__all__ = ["RerunOptions", "find_refusal"]
 
-RETRY_BUDGET_SPENT = "the retry budget is spent"
+# Refusals after which a request that has not begun fails.  A refusal before
+# the run costs only time, but after this many the engines have no capacity,
+# whatever the recorded loads say.
+_MAX_REFUSALS = 4
 
 
 @dataclass(frozen=True)
 class RerunOptions:
     """Everything that can refuse a stream one more run.
 
+    :param begun: whether the caller was sent an event.  Such an answer cannot
+        be refused any more, only cut off.
     :param repeatable: whether its route allows more than one run.
     :param quarantined: whether it is suspected of crashing its targets.
     :param retries_left: what the retry budget still allows.
@@ -18,6 +26,7 @@
     :param seconds_left: until its deadline.
     """
 
+    begun: bool
     repeatable: bool
     quarantined: bool
     retries_left: float
@@ -25,17 +34,21 @@
     seconds_left: float
 
 
-def find_refusal(options: RerunOptions) -> str:
+def find_refusal(options: RerunOptions, *, ran: bool = True) -> str:
     """Return why a stream may not run once more, or "" if it may.
 
-    Whether a path has capacity is left out: a stream can wait for that.
+    Two things are left out: capacity on a path, since a stream can wait for
+    it, and the retry budget, since only spending a retry shows that it allows
+    one.
+
+    :param ran: whether the last run may have begun; False after a refusal.
     """
-    if not options.repeatable:
-        return "its route allows one run"
-    if options.quarantined:
-        return "it may crash the targets that run it"
-    if options.retries_left <= 0.0:
-        return RETRY_BUDGET_SPENT
     if options.seconds_left <= 0.0:
         return "its deadline has passed"
+    if ran and not options.repeatable:
+        return "its route allows one run"
+    if ran and options.quarantined:
+        return "it may crash the targets that run it"
+    if not options.begun and options.refusals > _MAX_REFUSALS:
+        return "too many engines refused it"
     return ""
