--- a/magnoliacove/gateway/delivery.py
+++ b/magnoliacove/gateway/delivery.py
@@ -180,11 +180,11 @@
         await self._send(lambda: self._exchange.start(200, [*copied, chunked]))
 
     async def _send(self, send: Callable[[], Awaitable[None]]) -> None:
-        """Send data to the caller; a move to another path waits for it.
+        """Send data to the caller; the path is not left meanwhile.
 
-        If a move cancelled a write, the caller would receive a part of the
-        data, followed by data of the next path: an invalid answer.  So a move
-        waits for the write, and a path that was left sends nothing more.
+        If leaving the path cancelled a write, the caller would receive a part
+        of the data, followed by data of the next path: an invalid answer.  A
+        path that was left sends nothing more.
         """
         await trio.lowlevel.checkpoint_if_cancelled()
         self.writing = True
--- a/magnoliacove/gateway/departures.py
+++ b/magnoliacove/gateway/departures.py
@@ -1,10 +1,10 @@
 """Leaving a path on which a stream still runs.
 
 An engine that is silent or suspected may still serve the stream.  Leaving it
-ends its run, so a stream leaves only after everything that the next run needs
-is certain: its route and its quarantine allow it, another path is reserved,
-and a retry of the budget is spent.  Otherwise it stays, and its engine ends
-the answer or its run.
+ends its run, so an answer that has begun is left only after everything that
+its next run needs is certain: its route and its quarantine allow it, another
+path is reserved, and a retry of the budget is spent.  Otherwise the stream
+stays, and its engine ends the answer or its run.
 """
 
 from collections.abc import Callable
@@ -12,28 +12,29 @@
 
 import trio
 
+from magnoliacove.gateway.delivery import EventDelivery
 from magnoliacove.gateway.path_reservations import PathReservation
 from magnoliacove.gateway.requests import RoutedRequest
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.stream_log import StreamLog
 from magnoliacove.limits.capacity import Waiter
-from magnoliacove.limits.reruns import RerunOptions
-from magnoliacove.limits.reruns import find_refusal
+from magnoliacove.limits.reruns import RerunFacts
+from magnoliacove.limits.reruns import find_obstacle
 from magnoliacove.routing.paths import Path
 
 __all__ = ["PathDeparture"]
 
-# Seconds after a refused departure until the next one is considered.  Budgets
+# Seconds between two attempts of a silent stream to leave its path.  Budgets
 # and capacity change with each heartbeat, and each search takes milliseconds.
-_RETRY_INTERVAL = 0.25
+_SILENT_INTERVAL = 0.25
 _BUDGET_SPENT = "the retry budget is spent"
+_NO_PATH = "no other path has capacity"
 
 
 class PathDeparture:
     """Decides whether and when one stream leaves its current path.
 
-    :param reason: why the stream leaves its path, or "" while it stays.
-    :param retry_spent: whether the retry for the next run is spent already.
+    :param reason: why the stream has left its path, or "" while it stays.
     """
 
     def __init__(
@@ -41,62 +42,66 @@
         state: GatewayState,
         routed: RoutedRequest,
         path_reservation: PathReservation,
-        read_options: Callable[[], RerunOptions],
-        leave: Callable[[], None],
+        delivery: EventDelivery,
+        read_facts: Callable[[], RerunFacts],
+        end_run: Callable[[], None],
         log: StreamLog,
     ) -> None:
         self.reason = ""
-        self.retry_spent = False
         self._state = state
         self._routed = routed
         self._path_reservation = path_reservation
-        self._read_options = read_options
-        self._leave = leave
+        self._delivery = delivery
+        self._read_facts = read_facts
+        self._end_run = end_run
         self._log = log
+        self._retry_spent = False
         self._waiter: Waiter | None = None
-        self._considered_at = -_RETRY_INTERVAL
-        self._refusal = ""
-
-    def is_due(self, now: float) -> bool:
-        """Return whether a departure may be considered again."""
-        if self.reason:
-            return False
-        return now - self._considered_at >= _RETRY_INTERVAL
-
-    def begin_path(self) -> None:
-        """Start with a new path, which nobody wants to leave yet."""
-        self.abandon()
-        self.reason = self._refusal = ""
-        self._considered_at = -_RETRY_INTERVAL
-
-    def consider(
-        self, reason: str, left: Collection[str], *, begun: bool, wait: bool
-    ) -> None:
-        """Leave the path if a further run is certain, or as soon as it is.
+        self._silent_at = -_SILENT_INTERVAL
+        self._obstacle = ""
+
+    def reset(self) -> None:
+        """Start with a new path, which has no reason to be left yet."""
+        self.stop_waiting()
+        self.reason = self._obstacle = ""
+        self._silent_at = -_SILENT_INTERVAL
+
+    def leave_silent(self, reason: str, engines: Collection[str]) -> None:
+        """Leave a path that brings no events if another one is free.
+
+        :param engines: those that the other path must not contain.
+        """
+        now = trio.current_time()
+        if now - self._silent_at < _SILENT_INTERVAL or self._is_ending():
+            return
+        self._silent_at = now
+        self._change(reason, engines, engines)
 
-        :param left: engines that the next path must not contain.
-        :param begun: whether the answer has begun.  One that has not begun
-            leaves without a reserved path: nothing of it would be cut off.
-        :param wait: whether to wait for another path while there is none.
+    def leave_lost(self, reason: str, engines: Collection[str]) -> None:
+        """Leave a path whose engines are lost, now or once another is free.
+
+        An answer that has not begun is left at once: nothing of it can be cut
+        off, and its caller is told if it cannot run again.
         """
-        if not self.is_due(trio.current_time()) or self._waiter is not None:
+        if self._is_ending() or self._waiter is not None:
+            return
+        if not self._delivery.began:
+            self._leave(reason)
             return
-        self._considered_at = trio.current_time()
-        options = self._read_options()
-        refusal = find_refusal(options)
-        if refusal:
-            self._stay(reason, refusal, options)
-        elif options.retries_left <= 0.0:
-            # Known before another path is searched for.
-            self._stay(reason, _BUDGET_SPENT, options)
-        elif not begun:
-            self._try_leave(reason, left)
-        elif self._try_change(reason, left) is None:
-            self._stay(reason, "no other path has capacity", options)
-            if wait:
-                self._wait_for_path(reason, left)
-
-    def abandon(self) -> None:
+        if not self._may_change(reason):
+            return
+        queue = self._state.capacity_queue
+        if not queue.waiting and self._change(reason, engines, ()) is not None:
+            return
+        self._waiter = queue.add(
+            lambda: self._change(reason, engines, ()),
+            # As for a stream that waits without a path: its caller leaves
+            # soon, and what it was sent would be lost.
+            priority=-1,
+            fresh_until=self._routed.deadline,
+        )
+
+    def stop_waiting(self) -> None:
         """Stop waiting for another path, as the current one works or ended."""
         if self._waiter is not None:
             self._state.capacity_queue.withdraw(self._waiter)
@@ -107,44 +112,56 @@
 
         Each departure allows one run.
         """
-        spent, self.retry_spent = self.retry_spent, False
+        spent, self._retry_spent = self._retry_spent, False
         return spent
 
-    def _wait_for_path(self, reason: str, left: Collection[str]) -> None:
-        self._waiter = self._state.capacity_queue.add(
-            lambda: self._try_change(reason, left),
-            # As for a stream that waits without a path: its caller leaves
-            # soon, and what it was sent would be lost.
-            priority=-1,
-            fresh_until=self._routed.deadline,
-        )
+    def _is_ending(self) -> bool:
+        """Return whether the path was left, or works.
+
+        While a caller is sent an event, the engine has just gone on.
+        """
+        return bool(self.reason) or self._delivery.writing
+
+    def _change(
+        self,
+        reason: str,
+        avoided: Collection[str],
+        excluded: Collection[str],
+    ) -> Path | None:
+        """Reserve another path, spend a retry and leave the current path.
 
-    def _try_change(self, reason: str, left: Collection[str]) -> Path | None:
-        """Reserve another path and leave the current one."""
-        path = self._path_reservation.reserve_next(left)
+        :returns: the other path, or None when the stream stays.
+        """
+        if self._is_ending() or not self._may_change(reason):
+            return None
+        path = self._path_reservation.reserve_next(avoided, excluded)
         if path is None:
+            self._note_stay(reason, _NO_PATH)
             return None
-        self._waiter = None
-        if not self._try_leave(reason, left):
-            self._path_reservation.release_next()
+        # The budget was asked above, in the same step.
+        budget = self._state.retry_budget
+        self._retry_spent = budget.try_spend(self._routed.service.name)
+        self.stop_waiting()
+        self._leave(reason)
         return path
 
-    def _try_leave(self, reason: str, left: Collection[str]) -> bool:
-        """Spend a retry and leave the path; return False without a retry."""
-        budget = self._state.retry_budget
-        if not budget.try_spend(self._routed.service.name):
-            self._stay(reason, _BUDGET_SPENT, self._read_options())
-            return False
-        # Without this a further failure leads back to the engine just left,
-        # which may be the fastest one.
-        self._path_reservation.avoid(*left)
-        self.reason, self.retry_spent = reason, True
-        self._leave()
-        return True
-
-    def _stay(self, reason: str, refusal: str, options: RerunOptions) -> None:
-        """Record once for each path and refusal that the stream stays."""
-        if refusal == self._refusal:
+    def _may_change(self, reason: str) -> bool:
+        """Return whether all that may refuse a further run allows it."""
+        facts = self._read_facts()
+        obstacle = find_obstacle(facts)
+        if not obstacle and facts.retries_left <= 0.0:
+            obstacle = _BUDGET_SPENT
+        if obstacle:
+            self._note_stay(reason, obstacle)
+        return not obstacle
+
+    def _leave(self, reason: str) -> None:
+        self.reason = reason
+        self._end_run()
+
+    def _note_stay(self, reason: str, obstacle: str) -> None:
+        """Record once for each path and obstacle that the stream stays."""
+        if obstacle == self._obstacle:
             return
-        self._refusal = refusal
-        self._log.record_path_kept(reason, refusal, options)
+        self._obstacle = obstacle
+        self._log.record_path_kept(reason, obstacle, self._read_facts())
--- a/magnoliacove/gateway/path_reservations.py
+++ b/magnoliacove/gateway/path_reservations.py
@@ -82,7 +82,7 @@
         Engines on which this stream failed or was refused are used only if
         there is no path without them.
         """
-        reserved = self._try_reserve(self._avoided, forbidden=())
+        reserved = self._try_reserve(self._avoided, excluded=())
         if reserved is None:
             self._note_waiting()
             return None
@@ -92,40 +92,54 @@
         gaps.note(True)
         return reserved.path
 
-    def reserve_next(self, left: Collection[str]) -> Path | None:
+    def reserve_next(
+        self, avoided: Collection[str], excluded: Collection[str] = ()
+    ) -> Path | None:
         """Reserve a path to change to while the current one is still used.
 
         The capacity of the current path counts as free, since the change
         releases it.
 
-        :param left: engines that the new path must not contain.
+        :param avoided: engines that the new path and all later ones contain
+            only if there is no path without them.
+        :param excluded: engines that the new path must not contain.
         """
         loads, current = self._state.loads, self._current
         if current is not None:
             loads.release(current.reservation)
         try:
-            avoided = self._avoided | set(left)
-            self._next = self._try_reserve(avoided, forbidden=left)
+            self._next = self._try_reserve(
+                {*self._avoided, *avoided, *excluded}, excluded
+            )
         finally:
             if current is not None:
                 loads.reserve(current.reservation)
-        return self._next.path if self._next else None
+        if self._next is None:
+            return None
+        self.avoid(*avoided, *excluded)
+        return self._next.path
 
     def take_next(self) -> bool:
         """Make the path that was reserved beforehand the current one.
 
-        :returns: False when there is none, or its first engine is gone.
+        :returns: False when there is none, or one of its engines was lost
+            since then.
         """
         reserved, self._next = self._next, None
         if reserved is None:
             return False
-        if self._state.targets.find(reserved.first.name) is None:
+        if not all(map(self._is_usable, reserved.path.targets)):
             self._state.loads.release(reserved.reservation)
             return False
         self._current = reserved
         self._state.permits.note_sent(reserved.path.targets)
         return True
 
+    def _is_usable(self, name: str) -> bool:
+        state = self._state
+        listed = state.targets.find(name) is not None
+        return listed and state.health.is_usable(name)
+
     def release_next(self) -> None:
         """Release a path that was reserved beforehand and is not needed."""
         if self._next is not None:
@@ -134,18 +148,18 @@
             self._state.capacity_queue.fill()
 
     def _try_reserve(
-        self, avoided: Collection[str], forbidden: Collection[str]
+        self, avoided: Collection[str], excluded: Collection[str]
     ) -> _ReservedPath | None:
         """Reserve the best path with capacity, or return None.
 
         :param avoided: engines to avoid if there is a path without them.
-        :param forbidden: those among them to avoid in any case.
+        :param excluded: those among them to avoid in any case.
         """
         state = self._state
         costs = state.candidates.make_costs(self.shape, *self.read_tokens())
         ahead = state.candidates.sample_ahead(self._routed.service.name)
-        for excluded, beyond_limits in self._list_searches(avoided, forbidden):
-            path = self._search(costs, excluded, ahead, beyond_limits)
+        for without, beyond_limits in self._list_searches(avoided, excluded):
+            path = self._search(costs, without, ahead, beyond_limits)
             first = state.targets.find(path.targets[0]) if path else None
             if path is None or first is None:
                 continue
@@ -154,7 +168,7 @@
         return None
 
     def _list_searches(
-        self, avoided: Collection[str], forbidden: Collection[str]
+        self, avoided: Collection[str], excluded: Collection[str]
     ) -> list[tuple[Collection[str], bool]]:
         """Return the searches: engines to avoid, and whether to exceed limits.
 
@@ -165,11 +179,11 @@
         """
         any_limit = self._state.backpressure.any_limit
         limit_modes = (False, True) if any_limit else (False,)
-        differ = len(avoided) > len(forbidden)
-        avoided_sets = (avoided, forbidden) if differ else (forbidden,)
+        differ = len(avoided) > len(excluded)
+        avoided_sets = (avoided, excluded) if differ else (excluded,)
         return [
-            (excluded, beyond_limits)
-            for excluded in avoided_sets
+            (without, beyond_limits)
+            for without in avoided_sets
             for beyond_limits in limit_modes
         ]
 
--- a/magnoliacove/gateway/rerouting.py
+++ b/magnoliacove/gateway/rerouting.py
@@ -74,12 +74,17 @@
         """Return whether to try a reroute, after one that failed."""
 
     def move(
-        self, reason: str, left: Collection[str] = (), *, wait: bool = False
+        self,
+        reason: str,
+        engines: Collection[str] = (),
+        *,
+        lost: bool = False,
     ) -> None:
-        """Leave the current path, once a run on another one is certain.
+        """Leave the current path if a run on another one is certain.
 
-        :param left: engines that the other path must not contain.
-        :param wait: whether to wait for capacity on another path.
+        :param engines: those because of which the stream leaves.
+        :param lost: whether they count as lost, so that the stream waits for
+            another path; otherwise they are silent and may go on.
         """
 
     def note_unusable_engines(self, targets: Iterable[str]) -> None:
@@ -128,7 +133,7 @@
             self._in_progress.discard(stream.request)
         silent = stream.read_silence(trio.current_time())
         if not changed and silent >= _MIN_SILENCE:
-            stream.move(reason, unusable, wait=True)
+            stream.move(reason, unusable, lost=True)
 
     async def _try_change_path(
         self, stream: ReroutableStream, unusable: frozenset[str], reason: str
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -139,11 +139,9 @@
         for stream in tuple(self.streams):
             waited = stream.read_wait(now)
             if waited >= MOVE_TIMEOUT and stream.began:
-                # Without another path the stream stays on the current one: it
-                # may continue, and its caller disconnects on its own.
                 first = stream.first_target
-                left = [first.name] if first is not None else []
-                stream.move("it was silent for too long", left)
+                engines = [first.name] if first is not None else []
+                stream.move("it was silent for too long", engines)
                 continue
             if stream.read_silence(now) >= SILENCE_TIMEOUT:
                 self._check_path(stream, now, nursery)
--- a/magnoliacove/gateway/stream_log.py
+++ b/magnoliacove/gateway/stream_log.py
@@ -7,7 +7,7 @@
 from magnoliacove.gateway.delivery import BrokenRunError
 from magnoliacove.gateway.delivery import EventDelivery
 from magnoliacove.gateway.requests import RoutedRequest
-from magnoliacove.limits.reruns import RerunOptions
+from magnoliacove.limits.reruns import RerunFacts
 from magnoliacove.routing.paths import Path
 from magnoliacove.timeline import Recorder
 
@@ -81,7 +81,7 @@
         )
 
     def record_path_kept(
-        self, reason: str, refusal: str, options: RerunOptions
+        self, reason: str, refusal: str, facts: RerunFacts
     ) -> None:
         """Record that the stream stays on a path that it should leave.
 
@@ -94,11 +94,11 @@
             why=reason,
             refused=refusal,
             events=self._delivery.count,
-            **_describe_options(options),
+            **_describe_facts(facts),
         )
 
     def record_cut(
-        self, cut: Cut, options: RerunOptions, runs: int, other_path: bool
+        self, cut: Cut, facts: RerunFacts, runs: int, other_path: bool
     ) -> None:
         """Record who ended an answer that had begun, and what else could be.
 
@@ -116,7 +116,7 @@
             configuration=self._version,
             runs=runs,
             other_path=other_path,
-            **_describe_options(options),
+            **_describe_facts(facts),
         )
 
     def record_answer(self, runs: int, slowness: float, now: float) -> float:
@@ -140,12 +140,12 @@
         return first
 
 
-def _describe_options(options: RerunOptions) -> dict[str, Any]:
+def _describe_facts(facts: RerunFacts) -> dict[str, Any]:
     """Return the fields of a log event that tell what else could be done."""
     return {
-        "refusals": options.refusals,
-        "repeatable": options.repeatable,
-        "quarantined": options.quarantined,
-        "retries_left": round(options.retries_left, 1),
-        "seconds_left": round(options.seconds_left, 3),
+        "refusals": facts.refusals,
+        "repeatable": facts.repeatable,
+        "quarantined": facts.quarantined,
+        "retries_left": round(facts.retries_left, 1),
+        "seconds_left": round(facts.seconds_left, 3),
     }
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -32,8 +32,8 @@
 from magnoliacove.gateway.stream_log import EndedBy
 from magnoliacove.gateway.stream_log import StreamLog
 from magnoliacove.limits.load import Reservation
-from magnoliacove.limits.reruns import RerunOptions
-from magnoliacove.limits.reruns import find_refusal
+from magnoliacove.limits.reruns import RerunFacts
+from magnoliacove.limits.reruns import find_obstacle
 from magnoliacove.platform import headers
 from magnoliacove.routing.paths import Path
 
@@ -48,6 +48,9 @@
 # as a usual first event takes; the maximum fits into a caller's timeout.
 _INITIAL_PAUSE = 0.05
 _MAX_PAUSE = 0.4
+# Seconds between two reroutes of a stream that fail; each takes a search over
+# the engines, and an order to one.
+_REROUTE_INTERVAL = 0.25
 _STOPPED = Cut(EndedBy.GATEWAY, "this process stops")
 
 
@@ -72,7 +75,10 @@
         self._routed = routed
         self._path_reservation = PathReservation(state, routed)
         self._delivery = EventDelivery(
-            exchange, routed.caller_headers.last_event, self._handle_write
+            exchange,
+            routed.caller_headers.last_event,
+            # The path works, so the stream need not change to another one.
+            lambda: self._departure.stop_waiting(),
         )
         self._log = StreamLog(state.recorder, routed, self._delivery)
         self._path_started_at = 0.0
@@ -80,10 +86,12 @@
             state,
             routed,
             self._path_reservation,
-            self._read_rerun_options,
-            self._leave_path,
+            self._delivery,
+            self._read_rerun_facts,
+            self._end_run,
             self._log,
         )
+        self._rerouted_at = -_REROUTE_INTERVAL
         self._scope: trio.CancelScope | None = None
         self._runs = 0
         self._refusals = 0
@@ -124,14 +132,14 @@
             cut = Cut(EndedBy.CALLER, why)
         self._log.record_cut(
             cut,
-            self._read_rerun_options(),
+            self._read_rerun_facts(),
             self._runs,
             self._path_reservation.has_other_path(),
         )
 
-    def _read_rerun_options(self) -> RerunOptions:
+    def _read_rerun_facts(self) -> RerunFacts:
         state, routed = self._state, self._routed
-        return RerunOptions(
+        return RerunFacts(
             begun=self.began,
             repeatable=routed.route.repeatable,
             quarantined=not state.may_repeat(self.fingerprint),
@@ -186,44 +194,45 @@
 
     def take_path(self, path: Path, reservation: Reservation) -> None:
         """Continue on another path with the same first stage."""
-        self._departure.abandon()
+        self._departure.stop_waiting()
         self._path_reservation.replace_path(path, reservation)
         # The new stages read all tokens so far before the next event.
         self._delivery.received_at = trio.current_time()
 
     def may_be_rerouted(self, now: float) -> bool:
         """Return whether to try a reroute, after one that failed."""
-        return self._departure.is_due(now)
+        return now - self._rerouted_at >= _REROUTE_INTERVAL
 
     def move(
-        self, reason: str, left: Collection[str] = (), *, wait: bool = False
+        self,
+        reason: str,
+        engines: Collection[str] = (),
+        *,
+        lost: bool = False,
     ) -> None:
-        """Leave the current path, once a run on another one is certain.
+        """Leave the current path if a run on another one is certain.
 
-        :param left: engines that the other path must not contain.
-        :param wait: whether to wait for capacity on another path.
+        :param engines: those because of which the stream leaves.
+        :param lost: whether they count as lost, so that the stream waits for
+            another path; otherwise they are silent and may go on.
         """
         if self._scope is None:
             return
-        self._departure.consider(reason, left, begun=self.began, wait=wait)
+        if not lost:
+            self._departure.leave_silent(reason, engines)
+            return
+        self._rerouted_at = trio.current_time()
+        self._departure.leave_lost(reason, engines)
 
     def note_unusable_engines(self, targets: Iterable[str]) -> None:
         """Record that engines of the current path are unusable."""
         age = self._delivery.read_run_age()
         self._crash_watch.check_failed_engines(targets, self._routed, age)
 
-    def _leave_path(self) -> None:
-        if self._scope is not None and not self._delivery.writing:
+    def _end_run(self) -> None:
+        if self._scope is not None:
             self._scope.cancel()
 
-    def _handle_write(self) -> None:
-        """Leave the path if that was deferred until a write ended."""
-        if self._departure.reason:
-            self._leave_path()
-            return
-        # The path works, so the stream need not change to another one.
-        self._departure.abandon()
-
     # Choosing paths.
 
     async def _run(self) -> None:
@@ -282,6 +291,7 @@
                 else lambda: 0.0,
             )
         except errors.RequestError as exc:
+            self._cut = Cut(EndedBy.GATEWAY, f"{exc.code}: {exc}")
             if not self._runs:
                 raise
             # The failed path may have run the request; a refusal would state
@@ -307,7 +317,8 @@
         self, first: ListedTarget | None, failure: BrokenRunError
     ) -> None:
         self._log.record_path_failure(first.name if first else "", failure)
-        by = EndedBy.GATEWAY if failure.left else EndedBy.ENGINE
+        broke_off = failure.ran and not failure.left
+        by = EndedBy.ENGINE if broke_off else EndedBy.GATEWAY
         self._cut = Cut(by, failure.reason)
         if first is not None and failure.ran and failure.answer is None:
             age = self._delivery.read_run_age()
@@ -323,7 +334,7 @@
             # Decided and paid for before the path was left.  Only a crash that
             # became known since then stops the stream.
             return self._state.may_repeat(self.fingerprint)
-        if find_refusal(self._read_rerun_options(), ran=failure.ran):
+        if find_obstacle(self._read_rerun_facts(), ran=failure.ran):
             return False
         return self._state.retry_budget.try_spend(self.service)
 
@@ -369,7 +380,7 @@
             raise BrokenRunError("the first engine is gone", False)
         number = self._runs + self._refusals + 1
         self._log.record_path(path, number, trio.current_time())
-        self._departure.begin_path()
+        self._departure.reset()
         self._cut = _STOPPED
         self._delivery.prepare_run()
         self._path_started_at = self._delivery.received_at
@@ -387,6 +398,6 @@
                 return
         finally:
             self._scope = None
-            self._departure.abandon()
+            self._departure.stop_waiting()
             self._stalls.streams.discard(self)
         raise BrokenRunError(self._departure.reason, run.sent, left=True)
--- a/magnoliacove/limits/reruns.py
+++ b/magnoliacove/limits/reruns.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["RerunOptions", "find_refusal"]
+__all__ = ["RerunFacts", "find_obstacle"]
 
 # Refusals after which a request that has not begun fails.  A refusal before
 # the run costs only time, but after this many the engines have no capacity,
@@ -14,7 +14,7 @@
 
 
 @dataclass(frozen=True)
-class RerunOptions:
+class RerunFacts:
     """Everything that can refuse a stream one more run.
 
     :param begun: whether the caller was sent an event.  Such an answer cannot
@@ -34,7 +34,7 @@
     seconds_left: float
 
 
-def find_refusal(options: RerunOptions, *, ran: bool = True) -> str:
+def find_obstacle(facts: RerunFacts, *, ran: bool = True) -> str:
     """Return why a stream may not run once more, or "" if it may.
 
     Two things are left out: capacity on a path, since a stream can wait for
@@ -43,12 +43,12 @@
 
     :param ran: whether the last run may have begun; False after a refusal.
     """
-    if options.seconds_left <= 0.0:
+    if facts.seconds_left <= 0.0:
         return "its deadline has passed"
-    if ran and not options.repeatable:
+    if ran and not facts.repeatable:
         return "its route allows one run"
-    if ran and options.quarantined:
+    if ran and facts.quarantined:
         return "it may crash the targets that run it"
-    if not options.begun and options.refusals > _MAX_REFUSALS:
+    if not facts.begun and facts.refusals > _MAX_REFUSALS:
         return "too many engines refused it"
     return ""
--- /dev/null
+++ b/tests/gateway/test_departures.py
@@ -0,0 +1,328 @@
+"""Streams that leave, or stay on, a path for the wrong reason."""
+
+import pytest
+import trio
+
+from magnoliacove.gateway.callers import Exchange
+from magnoliacove.limits import CapacityQueue
+from magnoliacove.limits import SharedRetryBudget
+from tests.gateway import stubs
+from tests.gateway import test_cut_answers as cuts
+from tests.gateway import test_path_reservations as reservations
+
+_LAYERS = (0, 80)
+
+
+def _serve_after(seconds):
+    """Return a script that sends three events, pauses, and sends the rest."""
+
+    async def go_on(stream):
+        await trio.sleep(seconds)
+        rest = stubs.chunk(stubs.make_events(4, 6))
+        await stream.send_all(rest + stubs.END)
+
+    return cuts._begin_then(go_on)
+
+
+def _break_after(seconds):
+    """Return a script that sends three events, pauses, and breaks off."""
+
+    async def break_off(stream):
+        await trio.sleep(seconds)
+        await trio.aclose_forcefully(stream)
+
+    return cuts._begin_then(break_off)
+
+
+async def _hang(received, stream):
+    """Answer reports, and never a caller's request."""
+    if received.method == "GET":
+        await stream.send_all(stubs.make_answer(b"{}"))
+        return
+    await trio.sleep_forever()
+
+
+async def _wait_streams(harness, count):
+    while len([s for s in harness.stalls.streams if s.began]) < count:
+        await trio.sleep(0.01)
+
+
+async def _add_later(harness, seconds, script):
+    await trio.sleep(seconds)
+    return await harness.add("i-2", script, layers=_LAYERS)
+
+
+@pytest.mark.parametrize("refusal", ["route", "budget"])
+async def test_a_request_that_has_not_begun_is_refused_on_a_lost_engine(
+    refusal,
+):
+    """Guards against a caller that gets neither an answer nor a refusal.
+
+    The engine hangs before its first event and is suspected.  The request may
+    not run once more.  Nothing was sent, so nothing can be cut off, and its
+    caller must be told before it leaves after 2 s.
+    """
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", _hang, layers=_LAYERS)
+        if refusal == "budget":
+            harness.state.retry_budget = SharedRetryBudget(0.0, 0.0, 10.0)
+
+        async def suspect():
+            await trio.sleep(0.3)
+            harness.state.health.suspect("i-1", "the test says so")
+
+        harness.nursery.start_soon(suspect)
+        path = "/once/1" if refusal == "route" else "/stream/1"
+        answer = b""
+        with trio.move_on_after(2.0):
+            answer = await cuts._ask(harness, path)
+        assert answer.split(b" ")[1:2] == [b"502"]
+
+
+async def test_a_quarantine_while_a_stream_waits_does_not_cut_it_off():
+    """Guards against leaving a path although no further run is allowed.
+
+    The stream waits for another path when it comes into quarantine.  Then a
+    path gets free.  The engine, wrongly suspected, would finish the answer.
+    """
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", _serve_after(1.7), layers=_LAYERS)
+        harness.nursery.start_soon(cuts._suspect_when_begun, harness, "i-1")
+
+        async def quarantine():
+            await trio.sleep(0.7)
+            assert harness.state.capacity_queue.waiting == 1
+            [stream] = harness.stalls.streams
+            harness.state.quarantine.begin(stream.fingerprint, 3, "the test")
+
+        harness.nursery.start_soon(quarantine)
+        harness.nursery.start_soon(_add_later, harness, 1.0, cuts._serve_whole)
+        answer = await cuts._ask(harness, "/stream/1")
+        assert cuts._read_ids(answer) == [1, 2, 3, 4, 5, 6]
+
+
+async def test_a_waiting_stream_is_rerouted_at_intervals(monkeypatch):
+    """Guards against 20 searches a second for each stream that waits."""
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", _serve_after(2.2), layers=_LAYERS)
+        tries = []
+        rerouter = harness.stalls._rerouter
+        original = rerouter._try_change_path
+
+        async def count(*args):
+            tries.append(trio.current_time())
+            return await original(*args)
+
+        monkeypatch.setattr(rerouter, "_try_change_path", count)
+        harness.nursery.start_soon(cuts._suspect_when_begun, harness, "i-1")
+        await cuts._ask(harness, "/stream/1")
+        # At most 2 s between the suspicion and the end, at one in 0.25 s,
+        # and those before the stream counts as silent.
+        assert len(tries) <= 12
+
+
+async def _ask_beside_a_full_queue(harness):
+    """Return the answer to a stream whose engine breaks off meanwhile."""
+    queue = CapacityQueue(max_waiting=1)
+    harness.state.capacity_queue = queue
+    harness.state.targets.listen(queue.fill)
+    harness.nursery.start_soon(queue.run)
+    await harness.add("i-1", _break_after(0.3), layers=_LAYERS)
+
+    async def fill_queue():
+        await _wait_streams(harness, 1)
+        queue.add(lambda: None, priority=1, fresh_until=1e9)
+
+    harness.nursery.start_soon(fill_queue)
+    harness.nursery.start_soon(_add_later, harness, 1.0, cuts._serve_whole)
+    return await cuts._ask(harness, "/stream/1")
+
+
+async def test_a_full_queue_does_not_cut_off_an_answer_that_has_begun():
+    """Guards against refusing a begun answer, which can only be cut off."""
+    async with stubs.open_harness() as harness:
+        answer = await _ask_beside_a_full_queue(harness)
+        assert cuts._read_ids(answer) == [1, 2, 3, 4, 5, 6]
+
+
+async def test_the_log_does_not_tell_a_gateways_cut_as_the_engines():
+    """Guards against cuts of the gateway that are counted as an engine's.
+
+    The engine broke off, which the stream survives; the gateway refuses to
+    let it wait for another path.
+    """
+    async with stubs.open_harness() as harness:
+        await _ask_beside_a_full_queue(harness)
+        assert [by for by, _ in cuts._list_cuts(harness)] != ["engine"]
+
+
+async def test_refusals_do_not_cut_off_an_answer_that_has_begun():
+    """Guards against giving up a begun answer while it has 19 s left.
+
+    Its engine breaks off, and the other one refuses five times, which takes
+    less than a second, before it has capacity.
+    """
+    async with stubs.open_harness() as harness:
+        refusals = []
+
+        async def refuse_then_serve(received, stream):
+            if received.method != "GET" and len(refusals) < 5:
+                refusals.append(received)
+                await stream.send_all(stubs.NOT_RUN)
+                return
+            await cuts._serve_whole(received, stream)
+
+        await harness.add("i-1", _break_after(0.3), layers=_LAYERS)
+
+        async def replace():
+            await _wait_streams(harness, 1)
+            harness.state.targets.remove("i-1", 2)
+            await harness.add("i-2", refuse_then_serve, layers=_LAYERS)
+
+        async def beat():
+            # As the heartbeats of other gateways do.
+            while True:
+                await trio.sleep(0.1)
+                harness.state.capacity_queue.fill()
+
+        harness.nursery.start_soon(replace)
+        harness.nursery.start_soon(beat)
+        began = trio.current_time()
+        answer = await cuts._ask(harness, "/stream/1")
+        took = trio.current_time() - began
+        assert cuts._read_ids(answer) == [1, 2, 3, 4, 5, 6], took
+
+
+async def test_a_silent_stream_waits_for_a_path_once_its_engine_is_lost():
+    """Guards against a departure that uses up the turn of another one.
+
+    The stream is silent for 1.4 s and finds no other path; each further
+    attempt for that reason makes the one for the lost engine come too soon.
+    """
+    async with stubs.open_harness() as harness:
+        script = cuts._begin_then(cuts._pause_for_ever)
+        await harness.add("i-1", script, layers=_LAYERS)
+        harness.nursery.start_soon(lambda: cuts._ask(harness, "/stream/1"))
+        await _wait_streams(harness, 1)
+        await trio.sleep(1.7)
+        harness.state.health.suspect("i-1", "the test says so")
+        await trio.sleep(0.8)
+        assert harness.state.capacity_queue.waiting == 1
+
+
+async def test_a_reserved_path_whose_engine_is_lost_is_not_taken():
+    """Guards against a run on an engine lost since the reservation."""
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", stubs.stay_silent, layers=_LAYERS)
+        reservation = reservations._make_reservation(harness.state)
+        assert reservation.reserve() is not None
+        await harness.add("i-2", stubs.stay_silent, layers=_LAYERS)
+        path = reservation.reserve_next(["i-1"])
+        assert path is not None
+        assert path.targets[0] == "i-2"
+        harness.state.health.suspect("i-2", "the test says so")
+        assert not reservation.take_next()
+
+
+@pytest.mark.parametrize("blocked", ["write", "end"])
+async def test_a_path_that_goes_on_is_not_left_during_a_write(
+    blocked, monkeypatch
+):
+    """Guards against leaving an engine that has gone on, or has finished.
+
+    The stream waits for another path.  Its engine goes on, the caller reads
+    slowly, and another path gets free before that write ends.
+    """
+    original = getattr(Exchange, blocked)
+
+    async def send_slowly(self, *args):
+        await original(self, *args)
+        if blocked == "end" or b"id: 4" in args[0]:
+            await trio.sleep(0.6)
+
+    monkeypatch.setattr(Exchange, blocked, send_slowly)
+    closing = stubs.STREAM.replace(
+        b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"
+    )
+
+    async def script(received, stream):
+        if received.method == "GET":
+            await stream.send_all(stubs.make_answer(b"{}"))
+            return
+        events = stubs.make_events(1, 3 if blocked == "write" else 6)
+        await stream.send_all(closing + stubs.chunk(events))
+        await trio.sleep(0.8)
+        rest = b""
+        if blocked == "write":
+            rest = stubs.chunk(stubs.make_events(4, 6))
+        await stream.send_all(rest + stubs.END)
+
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", script, layers=_LAYERS)
+        other = []
+
+        async def add():
+            await trio.sleep(1.1)
+            other.append(
+                await harness.add("i-2", cuts._serve_whole, layers=_LAYERS)
+            )
+
+        harness.nursery.start_soon(cuts._suspect_when_begun, harness, "i-1")
+        harness.nursery.start_soon(add)
+        answer = await cuts._ask(harness, "/stream/1")
+        assert cuts._read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        assert not other[0].callers_requests
+        assert "request-fault" not in harness.list_kinds()
+
+
+async def test_a_lost_run_is_repeated_on_its_engine_after_the_suspicion():
+    """Guards against waiting for ever for a path without the only engine.
+
+    The engine loses the run, is suspected for 2 s, and serves again.  The
+    stream has 20 s and can run there once more.
+    """
+    async with stubs.open_harness() as harness:
+        runs = []
+
+        async def lose_first_run(received, stream):
+            if received.method != "GET":
+                runs.append(received)
+            lost = cuts._begin_then(cuts._pause_for_ever)
+            script = lost if len(runs) == 1 else cuts._serve_whole
+            await script(received, stream)
+
+        await harness.add("i-1", lose_first_run, layers=_LAYERS)
+        harness.nursery.start_soon(cuts._suspect_when_begun, harness, "i-1")
+
+        async def beat():
+            # As the heartbeats of other gateways do.
+            while True:
+                await trio.sleep(0.1)
+                harness.state.capacity_queue.fill()
+
+        harness.nursery.start_soon(beat)
+        answer = b""
+        with trio.move_on_after(6.0):
+            answer = await cuts._ask(harness, "/stream/1")
+        assert cuts._read_ids(answer) == [1, 2, 3, 4, 5, 6]
+
+
+async def test_a_stream_does_not_go_back_to_an_engine_that_it_left():
+    """Guards against runs that alternate between two engines that pause.
+
+    The stream left the first engine, and then leaves the second one.  A third
+    one, slower but not tried yet, is free.
+    """
+    async with stubs.open_harness() as harness:
+        for name in ("i-1", "i-2"):
+            await harness.add(name, stubs.stay_silent, layers=_LAYERS)
+        await harness.add(
+            "i-3", stubs.stay_silent, layers=_LAYERS, accelerator="a100s"
+        )
+        reservation = reservations._make_reservation(harness.state)
+        first = reservation.reserve().targets[0]
+        second = reservation.reserve_next([first]).targets[0]
+        assert {first, second} == {"i-1", "i-2"}
+        reservation.release_path()
+        assert reservation.take_next()
+        assert reservation.reserve_next([second]).targets == ("i-3",)
--- a/tests/limits/test_reruns.py
+++ b/tests/limits/test_reruns.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies as st
 import pytest
 
-from magnoliacove.limits.reruns import RerunOptions
-from magnoliacove.limits.reruns import find_refusal
+from magnoliacove.limits.reruns import RerunFacts
+from magnoliacove.limits.reruns import find_obstacle
 
 _FREE = {
     "begun": False,
@@ -16,7 +16,7 @@
     "seconds_left": 5.0,
 }
 _OPTIONS = st.builds(
-    RerunOptions,
+    RerunFacts,
     begun=st.booleans(),
     repeatable=st.booleans(),
     quarantined=st.booleans(),
@@ -39,20 +39,20 @@
     ],
 )
 def test_each_obstacle_is_named(changes, words):
-    refusal = find_refusal(RerunOptions(**{**_FREE, **changes}))
+    refusal = find_obstacle(RerunFacts(**{**_FREE, **changes}))
     assert words in refusal
     assert bool(refusal) == bool(words)
 
 
 @given(_OPTIONS)
-def test_a_run_is_never_repeated_against_its_route(options):
+def test_a_run_is_never_repeated_against_its_route(facts):
     """Guards against a second run of a request that may run once."""
-    if not options.repeatable:
-        assert find_refusal(options)
+    if not facts.repeatable:
+        assert find_obstacle(facts)
 
 
 @given(_OPTIONS)
-def test_a_refused_request_may_go_elsewhere_on_any_route(options):
+def test_a_refused_request_may_go_elsewhere_on_any_route(facts):
     """Guards against failing a request that no engine has run."""
-    if options.seconds_left > 0.0 and options.refusals <= 4:
-        assert not find_refusal(options, ran=False)
+    if facts.seconds_left > 0.0 and facts.refusals <= 4:
+        assert not find_obstacle(facts, ran=False)
