Give requests behind the first ones in the queue their turn

What callers saw: a new request was refused although an engine was free, since eight streams that no path could serve stood before it.

Cause: the queue of capacity tries the first eight requests after each change. Streams that wait for a path go first, and one that may run on no second engine can wait in vain until its caller leaves.

Change: each pass tries the first four and four of those behind them, others in each pass, so it is still eight searches in 25 ms at most (test_many_changes_cost_few_tries, as it was). Ruled out: more tries in one pass, which would take the processor from the events of streams.

--- a/magnoliacove/limits/capacity.py
+++ b/magnoliacove/limits/capacity.py
@@ -20,9 +20,10 @@
 
 __all__ = ["CapacityQueue", "Waiter"]
 
-# Waiting requests that are tried, in order, after each change; the capacity
-# that they leave is not enough for many more.
-_MAX_TRIED = 8
+# Waiting requests that are tried in one pass: the first ones, in order, and
+# some of those behind them, others in each pass.
+_TRIED_FIRST = 4
+_TRIED_IN_TURN = 4
 # Seconds within which changes are processed together.  A try costs a search
 # over the engines; a try for each release and each heartbeat takes the whole
 # processor when many requests wait, and delays the detection of callers that
@@ -68,6 +69,8 @@
         self.refused = 0
         self._max_waiting = max_waiting
         self._waiters: list[Waiter] = []
+        # Where the next pass continues among the requests behind the first.
+        self._rotation = 0
         self._numbers = itertools.count()
         # Moving average of the seconds between two grants, for Retry-After.
         self._grant_interval = _INITIAL_GRANT_INTERVAL
@@ -162,12 +165,7 @@
             self._changed.set()
 
     def _grant_waiting(self) -> None:
-        now = trio.current_time()
-        ordered = sorted(
-            self._waiters,
-            key=lambda w: (w.fresh_until < now, w.priority, w.number),
-        )
-        for waiter in ordered[:_MAX_TRIED]:
+        for waiter in self._list_next():
             path = waiter.find_path()
             if path is None:
                 continue
@@ -176,6 +174,25 @@
             waiter.decided.set()
             self._note_granted()
 
+    def _list_next(self) -> list[Waiter]:
+        """Return the requests to try now: the first ones, and some in turn.
+
+        Without the latter, a few streams that no path can serve would keep
+        all later requests from paths that are free.
+        """
+        now = trio.current_time()
+        ordered = sorted(
+            self._waiters,
+            key=lambda w: (w.fresh_until < now, w.priority, w.number),
+        )
+        first, rest = ordered[:_TRIED_FIRST], ordered[_TRIED_FIRST:]
+        start = self._rotation if self._rotation < len(rest) else 0
+        self._rotation = start + _TRIED_IN_TURN
+        if self._rotation < len(rest):
+            # Another pass, so that the rest has its turn without a change.
+            self._changed.set()
+        return first + rest[start : start + _TRIED_IN_TURN]
+
     def _note_granted(self) -> None:
         now = trio.current_time()
         interval = min(now - self._granted_at, _MAX_RETRY_AFTER)
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -121,6 +121,35 @@
         assert len(tries) <= 12
 
 
+async def test_streams_that_cannot_leave_do_not_hold_up_new_requests():
+    """Guards against new requests that starve behind hopeless departures.
+
+    Eight streams wait on a lost engine and may run on no second one.  Another
+    engine is free, and a new request must get it.
+    """
+    async with stubs.open_harness() as harness:
+        harness.state.routes = stubs.make_table(max_attempts=1)
+        stalled = cuts._begin_then(cuts._pause_for_ever)
+        await harness.add("i-1", stalled, layers=_LAYERS)
+        for number in range(8):
+            harness.nursery.start_soon(
+                lambda name: cuts._ask(
+                    harness, "/stream/1", x_request_id=name
+                ),
+                f"r-{number}",
+            )
+        with trio.fail_after(3.0):
+            await _wait_streams(harness, 8)
+        harness.state.health.suspect("i-1", "the test says so")
+        await trio.sleep(0.8)
+        await harness.add("i-2", cuts._serve_whole, layers=_LAYERS)
+        answer = b""
+        with trio.move_on_after(1.0):
+            answer = await cuts._ask(harness, "/stream/1", x_request_id="new")
+        waiting = harness.state.capacity_queue.waiting
+        assert cuts._read_ids(answer) == [1, 2, 3, 4, 5, 6], waiting
+
+
 async def _ask_beside_a_full_queue(harness):
     """Return the answer to a stream whose engine breaks off meanwhile."""
     queue = CapacityQueue(max_waiting=1)
