Log each attempt's chain, and who ended a stream that had begun

The lines of a stream couldn't tell why a failed target is chosen again: an attempt that is refused left no line about its chain. Added: chain-tried (chain and usable targets of each attempt after the first), answer-cut (who ended the stream, why, seconds left, usable targets) and, in stage-refused, the seconds until the agent checks its engine.

The events of a stream move from streams.py to stream_log.py. What a stream does is unchanged.

--- a/magnoliacove/agent/engine_health.py
+++ b/magnoliacove/agent/engine_health.py
@@ -29,8 +29,14 @@
         self._recorder = recorder
         self._is_suspect = False
         self._is_suspended = False
+        self._next_check = 0.0
         self._failed = trio.Event()
 
+    @property
+    def seconds_to_check(self) -> float:
+        """The seconds until a failed engine is checked, at least 0."""
+        return max(0.0, self._next_check - trio.current_time())
+
     def refuses_stream(self, has_streams: bool) -> bool:
         """Return whether a new stream is refused.
 
@@ -41,6 +47,7 @@
     def record_failure(self, reason: str) -> None:
         """Record that the engine failed, and refuse new streams."""
         self._is_suspect = self._is_suspended = True
+        self._next_check = trio.current_time() + _INITIAL_PAUSE
         self._failed.set()
         self._recorder.record("engine-failed", target=self._name, why=reason)
 
@@ -57,6 +64,7 @@
             if not self._is_suspended:
                 self._failed = trio.Event()
                 await self._failed.wait()
+            self._next_check = trio.current_time() + pause
             await trio.sleep(pause)
             pause = min(pause * 2, _MAX_PAUSE)
             with trio.move_on_after(defaults.ENGINE_TIMEOUT):
--- a/magnoliacove/agent/runner.py
+++ b/magnoliacove/agent/runner.py
@@ -161,7 +161,10 @@
         reason: str,
     ) -> None:
         self._recorder.record(
-            "stage-refused", request=request.stream, why=code
+            "stage-refused",
+            request=request.stream,
+            why=code,
+            seconds_to_check=round(self._health.seconds_to_check, 1),
         )
         self._post(
             entry,
--- a/magnoliacove/entry/streams.py
+++ b/magnoliacove/entry/streams.py
@@ -31,6 +31,7 @@
 from magnoliacove.entry.replanning import StreamChain
 from magnoliacove.entry.stages import StageSender
 from magnoliacove.entry.stages import StreamRequest
+from magnoliacove.entry.stream_log import StreamLog
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire import messages
 
@@ -74,7 +75,7 @@
             request.service, request.layers, pool, chooser, address_of
         )
         self._budget = budget
-        self._recorder = recorder
+        self._log = StreamLog(request, pool, recorder)
         self._stages = StageSender(request, pool, address_of)
         self._chain = StreamChain()
         self._inbox: deque[tuple[str, object]] = deque()
@@ -110,18 +111,28 @@
         try:
             with trio.move_on_at(request.deadline):
                 await self._run_to_end(emit)
+            if not self._ended:
+                raise errors.RequestError(
+                    "deadline",
+                    "the answer was not complete before the deadline",
+                    status=504,
+                    outcome=self._outcome(),
+                    retry_after=1.0,
+                )
+        except errors.RequestError as exc:
+            self._record_cut("entry", f"{exc.code}: {exc}")
+            raise
+        except trio.Cancelled:
+            self._record_cut("caller", "it left, or this process stops")
+            raise
         finally:
             self._pool.receivers.pop(request.request_id, None)
             reason = "finished" if self._ended else "abandoned"
             self._stages.close_all(self.attempt, reason)
-        if not self._ended:
-            raise errors.RequestError(
-                "deadline",
-                "the answer was not complete before the deadline",
-                status=504,
-                outcome=self._outcome(),
-                retry_after=1.0,
-            )
+
+    def _record_cut(self, ended_by: str, why: str) -> None:
+        if self.tokens and not self._ended:
+            self._log.record_cut(ended_by, why, self.attempt, len(self.tokens))
 
     async def _run_to_end(self, emit: Emit) -> None:
         interruption: ChainInterrupted | None = ChainInterrupted(
@@ -157,13 +168,8 @@
         )
 
     def _record_interruption(self, interruption: ChainInterrupted) -> None:
-        self._recorder.record(
-            "stream-interrupted",
-            request=self._request.request_id,
-            target=",".join(sorted(interruption.names)),
-            why=str(interruption),
-            attempt=self.attempt,
-            tokens=len(self.tokens),
+        self._log.record_interrupted(
+            interruption, self.attempt, len(self.tokens)
         )
         avoided = frozenset() if interruption.reconnect else interruption.names
         for name in avoided - interruption.movable:
@@ -189,6 +195,8 @@
             interruption = await self._planner.try_reconnect(interruption)
         self._chain = await self._plan(interruption)
         self.attempt += 1
+        if self.attempt > 1:
+            self._log.record_tried(self._chain, interruption, self.attempt)
         self._awaiting_token = False
         self._discard_stale_messages()
         self._stages.open_all(self._chain, self.attempt)
@@ -198,18 +206,13 @@
             replay_steps = [*steps[1:], len(self.tokens)]
             self._stages.replay_all(self._chain, self.attempt, replay_steps)
         self._send_steps_from(steps[0])
-        self._recorder.record(
-            "chain-opened" if self.attempt == 1 else "stream-resumed",
-            request=self._request.request_id,
-            why=str(interruption),
-            chain=[
-                f"{s.target}:{s.first_layer}-{s.end_layer}"
-                for s in self._chain.stages
-            ],
-            attempt=self.attempt,
-            next_steps=steps,
-            fed_again=len(self.tokens) - steps[0] if self.tokens else 0,
-            milliseconds=round((trio.current_time() - started) * 1000, 1),
+        self._log.record_opened(
+            self._chain,
+            interruption,
+            self.attempt,
+            steps,
+            len(self.tokens),
+            trio.current_time() - started,
         )
 
     async def _plan(self, interruption: ChainInterrupted) -> StreamChain:
@@ -236,12 +239,7 @@
             # a replacement until its deadline.
             if not waiting:
                 waiting = True
-                self._recorder.record(
-                    "stream-waiting",
-                    request=self._request.request_id,
-                    target=",".join(sorted(interruption.names)),
-                    why="no usable target serves the missing layers",
-                )
+                self._log.record_waiting(interruption)
             with trio.move_on_after(0.2):
                 await self._pool.wait_for_connection()
 
