Wait for a range's targets instead of using up the attempts on failed ones

Callers whose stream lost all targets of a range got no_stage within 0.6 s, also if a target was back 1, 4 or 10 s later and the deadline was 30 s away.

Cause: attempts were spent without progress. A target counted as usable while its agent was connected, so a failed engine was chosen again while its agent refused each stream until its next check, and each refusal counted. The wait for a target was never reached. Ruled out by the lines of a traced run: an engine that was back and still refused (no engine-answers), and a killed agent that was chosen again.

Change: an agent that refuses because its engine failed says when it checks the engine next, and the stream excludes the target until then. Once steps were sent, an attempt counts only if its chain opened. Without usable targets the stream waits until its deadline, unless no active, listed target can be back by then: it then ends at once with no_stage, may_have_run, and the layers in the message. Pauses between attempts no longer grow after such a refusal, since the target isn't asked again.

--- a/magnoliacove/agent/caches.py
+++ b/magnoliacove/agent/caches.py
@@ -8,7 +8,7 @@
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire import messages
 
-__all__ = ["CacheSource", "export_cache", "import_cache"]
+__all__ = ["ReleasedCaches", "CacheSource", "export_cache", "import_cache"]
 
 
 class CacheSource(Protocol):
@@ -96,3 +96,26 @@
 
 def _unpack_output(step: int, data: bytes) -> Output:
     return Output(step, data[2:], bool(data[0]), bool(data[1]))
+
+
+class ReleasedCaches:
+    """KV caches that no stage needs any more and the engine still holds."""
+
+    def __init__(self, engine: targets.Engine) -> None:
+        self._engine = engine
+        self._streams: list[str] = []
+
+    def add(self, stream: str) -> None:
+        """Add the engine's stream of a closed stage."""
+        self._streams.append(stream)
+
+    async def discard(self) -> None:
+        """Ask the engine to discard the caches."""
+        streams, self._streams = self._streams, []
+        if not streams:
+            return
+        try:
+            await self._engine.cancel(streams)
+        except targets.EngineError:
+            # The engine evicts caches on its own when it runs out of memory.
+            return
--- a/magnoliacove/agent/engine_health.py
+++ b/magnoliacove/agent/engine_health.py
@@ -11,6 +11,11 @@
 # Seconds between checks of a failed engine; each pause is twice the last.
 _INITIAL_PAUSE = 2.0
 _MAX_PAUSE = 30.0
+# Seconds after the start of a check within which most engines answer it.
+_CHECK_DURATION = 0.1
+# Seconds after which a stream may ask again while a check or the one stream
+# that tries the engine has no result.
+_RESULT_INTERVAL = 0.5
 
 
 class EngineHealth:
@@ -33,9 +38,15 @@
         self._failed = trio.Event()
 
     @property
-    def seconds_to_check(self) -> float:
-        """The seconds until a failed engine is checked, at least 0."""
-        return max(0.0, self._next_check - trio.current_time())
+    def retry_after(self) -> float:
+        """The seconds after which a refused stream may be accepted.
+
+        Until then it is surely refused while the engine is suspended.
+        """
+        if not self._is_suspended:
+            return _RESULT_INTERVAL
+        until_check = max(0.0, self._next_check - trio.current_time())
+        return max(until_check + _CHECK_DURATION, _RESULT_INTERVAL)
 
     def refuses_stream(self, has_streams: bool) -> bool:
         """Return whether a new stream is refused.
@@ -46,8 +57,9 @@
 
     def record_failure(self, reason: str) -> None:
         """Record that the engine failed, and refuse new streams."""
+        if not self._is_suspended:
+            self._next_check = trio.current_time() + _INITIAL_PAUSE
         self._is_suspect = self._is_suspended = True
-        self._next_check = trio.current_time() + _INITIAL_PAUSE
         self._failed.set()
         self._recorder.record("engine-failed", target=self._name, why=reason)
 
--- a/magnoliacove/agent/runner.py
+++ b/magnoliacove/agent/runner.py
@@ -11,10 +11,12 @@
 from magnoliacove import targets
 from magnoliacove import wire
 from magnoliacove.agent.caches import CacheSource
+from magnoliacove.agent.caches import ReleasedCaches
 from magnoliacove.agent.caches import export_cache
 from magnoliacove.agent.caches import import_cache
 from magnoliacove.agent.engine_health import EngineHealth
 from magnoliacove.agent.engine_timing import EngineTiming
+from magnoliacove.agent.refusals import Refusal
 from magnoliacove.agent.stages import Output
 from magnoliacove.agent.stages import Stage
 from magnoliacove.timeline import Recorder
@@ -69,7 +71,7 @@
         self._max_streams = max_streams
         self._ready: dict[Stage, None] = {}
         self._work = trio.Event()
-        self._released: list[str] = []
+        self._released = ReleasedCaches(engine)
 
     @property
     def load(self) -> messages.Load:
@@ -97,21 +99,17 @@
         """Open, resume or refuse a stage, and send the result to the entry."""
         stage = self.stages.get(request.stream)
         if stage is not None and request.attempt <= stage.attempt:
-            self._refuse(entry, request, "stale_attempt", "a later attempt of")
+            stale = Refusal("stale_attempt", "a later attempt of")
+            self._refuse(entry, request, stale)
             return
         if request.resume:
             await self._resume(entry, request, stage)
             return
         if stage is not None:
             self._remove(stage, "reopened by a later attempt")
-        if self._is_leaving():
-            self._refuse(entry, request, "draining", "this instance leaves;")
-            return
-        if self._health.refuses_stream(bool(self.stages)):
-            self._refuse(entry, request, "engine_failing", "the engine fails;")
-            return
-        if len(self.stages) >= self._max_streams:
-            self._refuse(entry, request, "overloaded", "the engine is full;")
+        refusal = self._find_refusal()
+        if refusal is not None:
+            self._refuse(entry, request, refusal)
             return
         stage = Stage(
             request.stream,
@@ -135,9 +133,8 @@
         stage: Stage | None,
     ) -> None:
         if stage is None or stage.closed:
-            self._refuse(
-                entry, request, "unknown_stream", "nothing is held of"
-            )
+            unknown = Refusal("unknown_stream", "nothing is held of")
+            self._refuse(entry, request, unknown)
             return
         stage.resume(request, entry)
         # The batch that still runs determines the next step.
@@ -153,30 +150,33 @@
             ),
         )
 
+    def _find_refusal(self) -> Refusal | None:
+        """Return why a new stream is refused, or None if it is accepted."""
+        if self._is_leaving():
+            return Refusal("draining", "this instance leaves;")
+        if self._health.refuses_stream(bool(self.stages)):
+            return Refusal(
+                "engine_failing",
+                "the engine fails;",
+                self._health.retry_after,
+            )
+        if len(self.stages) >= self._max_streams:
+            return Refusal("overloaded", "the engine is full;")
+        return None
+
     def _refuse(
         self,
         entry: wire.Connection,
         request: messages.OpenStage,
-        code: str,
-        reason: str,
+        refusal: Refusal,
     ) -> None:
         self._recorder.record(
             "stage-refused",
             request=request.stream,
-            why=code,
-            seconds_to_check=round(self._health.seconds_to_check, 1),
-        )
-        self._post(
-            entry,
-            messages.Refused(
-                request.stream,
-                request.attempt,
-                errors.Outcome.NOT_RUN,
-                code,
-                f"{reason} stream {request.stream.hex()}",
-                1000,
-            ),
+            why=refusal.code,
+            retry_after=round(refusal.retry_after, 1),
         )
+        self._post(entry, refusal.make_message(request))
 
     async def export(self, request: messages.FetchCache) -> messages.Cache:
         """Return a stage's KV cache for the agent that takes it over."""
@@ -371,7 +371,7 @@
         self._ready.pop(stage, None)
         if self.stages.get(stage.stream) is stage:
             del self.stages[stage.stream]
-        self._released.append(stage.engine_stream)
+        self._released.add(stage.engine_stream)
         self._recorder.record(
             "stage-closed",
             request=stage.stream,
@@ -397,14 +397,4 @@
                 reason = stage.find_expiry_reason(now)
                 if reason:
                     self._remove(stage, reason)
-            await self._release_caches()
-
-    async def _release_caches(self) -> None:
-        released, self._released = self._released, []
-        if not released:
-            return
-        try:
-            await self._engine.cancel(released)
-        except targets.EngineError:
-            # The engine evicts caches on its own when it runs out of memory.
-            return
+            await self._released.discard()
--- a/magnoliacove/entry/pool.py
+++ b/magnoliacove/entry/pool.py
@@ -69,6 +69,7 @@
         self._draining: set[str] = set()
         self._active_count = 0
         self._options: dict[str, list[routing.StageOption]] = {}
+        self._listed: dict[str, list[routing.StageOption]] = {}
         self._nursery: trio.Nursery | None = None
         self._peer_connected = trio.Event()
 
@@ -125,6 +126,16 @@
             if option.target not in without and self.is_usable(option.target)
         ]
 
+    def list_listed(
+        self, service: str, without: frozenset[str]
+    ) -> list[routing.StageOption]:
+        """Return a model's active targets, connected or not."""
+        return [
+            option
+            for option in self._listed.get(service, ())
+            if option.target not in without
+        ]
+
     def list_plain(self, service: str) -> list[str]:
         """Return the usable targets of a plain service."""
         return [option.target for option in self.list_options(service)]
@@ -153,21 +164,23 @@
         view = self._process.view
         addresses: dict[str, str] = {}
         self._options = {}
+        self._listed = {}
         ranges: dict[tuple[str, int, int], list[configuration.Target]] = {}
         for target in view.document.list_items(configuration.Target):
             key = (target.service, target.first_layer, target.end_layer)
             ranges.setdefault(key, []).append(target)
         for targets in ranges.values():
             for target in self._pick_subset(targets):
+                option = routing.StageOption(
+                    target.name, target.first_layer, target.end_layer
+                )
+                if target.state == "active":
+                    self._listed.setdefault(target.service, []).append(option)
                 instance = view.find_instance(target.name)
                 if instance is None or instance.state == "gone":
                     continue
                 addresses[target.name] = instance.address
-                self._options.setdefault(target.service, []).append(
-                    routing.StageOption(
-                        target.name, target.first_layer, target.end_layer
-                    )
-                )
+                self._options.setdefault(target.service, []).append(option)
         self._reconnect(addresses)
         for name in list(self._peers):
             if self._process.view.is_leaving(name):
--- a/magnoliacove/entry/replanning.py
+++ b/magnoliacove/entry/replanning.py
@@ -14,7 +14,7 @@
 from magnoliacove import routing
 from magnoliacove.entry.pool import TargetPool
 
-__all__ = ["ChainInterrupted", "ChainPlanner", "StreamChain"]
+__all__ = ["ChainInterrupted", "ChainPlanner", "StreamChain", "merge"]
 
 # Seconds for which a stream avoids a target that failed it, if there are
 # other targets.
@@ -34,6 +34,8 @@
     :param replace_all: whether no stage of the chain is usable any longer.
     :param reconnect: whether the targets may be reachable on a new
         connection.
+    :param excluded: whether the planner excludes the targets, so that the
+        pauses between attempts need not grow.
     """
 
     def __init__(
@@ -44,12 +46,29 @@
         *,
         replace_all: bool = False,
         reconnect: bool = False,
+        excluded: bool = False,
     ) -> None:
         super().__init__(reason)
         self.names = names
         self.movable = movable
         self.replace_all = replace_all
         self.reconnect = reconnect
+        self.excluded = excluded
+
+
+def merge(
+    previous: ChainInterrupted | None, latest: ChainInterrupted
+) -> ChainInterrupted:
+    """Merge two interruptions; a second may occur while recovering."""
+    if previous is None or not previous.names | latest.names:
+        return latest
+    return ChainInterrupted(
+        str(latest),
+        previous.names | latest.names,
+        (previous.movable | latest.movable) - (latest.names - latest.movable),
+        replace_all=previous.replace_all or latest.replace_all,
+        reconnect=latest.reconnect,
+    )
 
 
 @dataclass
@@ -92,11 +111,35 @@
         self._chooser = chooser
         self._address_of = address_of
         self._avoided: dict[str, float] = {}
+        self._excluded_until: dict[str, float] = {}
 
     def avoid(self, target: str) -> None:
         """Avoid a target for a while, if there are others."""
         self._avoided[target] = trio.current_time()
 
+    def exclude(self, target: str, seconds: float) -> None:
+        """Exclude a target that surely refuses for a while."""
+        self._excluded_until[target] = trio.current_time() + seconds
+
+    def may_be_served(self, deadline: float) -> bool:
+        """Return whether targets may serve all layers before a deadline.
+
+        A target whose agent is not connected may start again at any moment;
+        one that is excluded can't be back before that time.
+        """
+        options = self._pool.list_listed(
+            self._service, self._list_excluded(deadline)
+        )
+        chain = self._chooser.choose(
+            options, 0, self._layers, self._pool.estimates
+        )
+        return chain is not None
+
+    def _list_excluded(self, time: float) -> frozenset[str]:
+        return frozenset(
+            n for n, until in self._excluded_until.items() if time < until
+        )
+
     async def try_reconnect(
         self, interruption: ChainInterrupted
     ) -> ChainInterrupted:
@@ -175,6 +218,7 @@
         recent = {
             n for n, at in self._avoided.items() if now - at < _AVOID_DURATION
         }
+        without |= self._list_excluded(now)
         for excluded in (without | recent, without):
             options = self._pool.list_options(self._service, excluded)
             chain = self._chooser.choose(
--- a/magnoliacove/entry/streams.py
+++ b/magnoliacove/entry/streams.py
@@ -23,12 +23,14 @@
 from magnoliacove import limits
 from magnoliacove import routing
 from magnoliacove.directory import Backoff
+from magnoliacove.entry.attempts import Attempts
 from magnoliacove.entry.draining import DrainingTargets
 from magnoliacove.entry.pool import PeerChanged
 from magnoliacove.entry.pool import TargetPool
 from magnoliacove.entry.replanning import ChainInterrupted
 from magnoliacove.entry.replanning import ChainPlanner
 from magnoliacove.entry.replanning import StreamChain
+from magnoliacove.entry.replanning import merge
 from magnoliacove.entry.stages import StageSender
 from magnoliacove.entry.stages import StreamRequest
 from magnoliacove.entry.stream_log import StreamLog
@@ -74,6 +76,7 @@
         self._planner = ChainPlanner(
             request.service, request.layers, pool, chooser, address_of
         )
+        self._attempts = Attempts(request, self._planner)
         self._budget = budget
         self._log = StreamLog(request, pool, recorder)
         self._stages = StageSender(request, pool, address_of)
@@ -112,13 +115,7 @@
             with trio.move_on_at(request.deadline):
                 await self._run_to_end(emit)
             if not self._ended:
-                raise errors.RequestError(
-                    "deadline",
-                    "the answer was not complete before the deadline",
-                    status=504,
-                    outcome=self._outcome(),
-                    retry_after=1.0,
-                )
+                raise self._attempts.make_deadline_error()
         except errors.RequestError as exc:
             self._record_cut("entry", f"{exc.code}: {exc}")
             raise
@@ -147,26 +144,13 @@
                 await self._handle_next(emit)
                 backoff.reset()
             except ChainInterrupted as exc:
-                interruption = self._merge(interruption, exc)
+                interruption = merge(interruption, exc)
                 self._record_interruption(interruption)
+                if exc.excluded:
+                    backoff.reset()
                 if self.attempt > 1:
                     await backoff.pause()
 
-    def _merge(
-        self, previous: ChainInterrupted | None, latest: ChainInterrupted
-    ) -> ChainInterrupted:
-        """Merge two interruptions; a second may occur while recovering."""
-        if previous is None or not previous.names | latest.names:
-            return latest
-        return ChainInterrupted(
-            str(latest),
-            previous.names | latest.names,
-            (previous.movable | latest.movable)
-            - (latest.names - latest.movable),
-            replace_all=previous.replace_all or latest.replace_all,
-            reconnect=latest.reconnect,
-        )
-
     def _record_interruption(self, interruption: ChainInterrupted) -> None:
         self._log.record_interrupted(
             interruption, self.attempt, len(self.tokens)
@@ -174,18 +158,7 @@
         avoided = frozenset() if interruption.reconnect else interruption.names
         for name in avoided - interruption.movable:
             self._planner.avoid(name)
-        if self.attempt >= defaults.MAX_ATTEMPTS:
-            raise errors.RequestError(
-                "no_stage",
-                f"the stream was interrupted {self.attempt} times, last "
-                f"because {interruption}",
-                outcome=self._outcome(),
-                retry_after=2.0,
-            )
-
-    def _outcome(self) -> errors.Outcome:
-        sent = self._steps_sent_at > 0
-        return errors.Outcome.MAY_HAVE_RUN if sent else errors.Outcome.NOT_RUN
+        self._attempts.check_interrupted(interruption)
 
     # Opening and resuming.
 
@@ -205,6 +178,7 @@
             self.resumed += 1
             replay_steps = [*steps[1:], len(self.tokens)]
             self._stages.replay_all(self._chain, self.attempt, replay_steps)
+        self._attempts.note_opened()
         self._send_steps_from(steps[0])
         self._log.record_opened(
             self._chain,
@@ -218,25 +192,17 @@
     async def _plan(self, interruption: ChainInterrupted) -> StreamChain:
         """Return the chain for the next attempt.
 
-        :raises magnoliacove.errors.RequestError: when no targets serve
-            the required layers.
+        :raises magnoliacove.errors.RequestError: when no targets can serve
+            the required layers in time.
         """
         waiting = False
         while True:
             chain = self._planner.replace(self._chain, interruption)
             if chain is not None:
                 return chain
-            if not self.tokens and not self._steps_sent_at:
-                # Nothing has run and no target can serve the request, so
-                # the caller receives the error at once instead of waiting.
-                raise errors.RequestError(
-                    "no_target",
-                    f"no usable targets hold all layers of "
-                    f"{self._request.service}; see 'magnoliacove status'",
-                    retry_after=2.0,
-                )
-            # Tokens have already been delivered, so the stream waits for
-            # a replacement until its deadline.
+            self._attempts.check_without_targets(self._chain, interruption)
+            # Steps have run and a target may be back in time, so the stream
+            # waits for it.
             if not waiting:
                 waiting = True
                 self._log.record_waiting(interruption)
@@ -296,8 +262,7 @@
             raise ChainInterrupted(
                 message.reason, frozenset([following]), movable
             )
-        not_started = not self._steps_sent_at
-        if not_started and not self._budget.try_spend():
+        if not self._attempts.steps_sent and not self._budget.try_spend():
             raise errors.RequestError(
                 "overloaded",
                 "the targets refuse work and the retry budget is spent; "
@@ -305,8 +270,13 @@
                 status=503,
                 retry_after=max(1.0, message.retry_after / 1000),
             )
+        excluded = message.code == "engine_failing"
+        if excluded:
+            self._planner.exclude(source, message.retry_after / 1000)
         raise ChainInterrupted(
-            f"{source} refused: {message.code}", frozenset([source])
+            f"{source} refused: {message.code}",
+            frozenset([source]),
+            excluded=excluded,
         )
 
     # Steps and tokens.
--- a/tests/entry/test_range_without_targets.py
+++ b/tests/entry/test_range_without_targets.py
@@ -45,14 +45,14 @@
 
 
 async def _stream(faults, changes=(), after=0.0):
-    """Stream an answer; return it, the tokens, seconds and events.
+    """Stream an answer; return its tokens, error, seconds and events.
 
     :param faults: for each token from the first, what happens to the target
         that runs the last layers.
     :param changes: for the targets with faults, what happens to each
         ``after`` seconds, or None.
     """
-    parts, failed = [], []
+    failed = []
     async with fakes.open_memory_fleet(
         cuts=_CUTS, replicas=len(faults)
     ) as fleet:
@@ -66,7 +66,6 @@
         async with trio.open_nursery() as nursery:
 
             async def on_token(count):
-                parts.append(count)
                 if count > len(faults):
                     return
                 failed.append(_find_target(fleet, failed))
@@ -75,9 +74,11 @@
                     nursery.start_soon(change)
 
             began = trio.current_time()
-            answer = await fakes.stream(fleet, "lot", _TOKENS, on_token)
+            texts, error = await fakes.stream_parts(
+                fleet, "lot", _TOKENS, on_token
+            )
             seconds = trio.current_time() - began
-        return answer, parts, seconds, fleet.list_events()
+        return texts, error, seconds, fleet.list_events()
 
 
 _MIXED = (_fail_engine, _fail_engine, _kill_agent)
@@ -97,8 +98,9 @@
 
     Two engines fail, the third agent is killed, and one of them returns.
     """
-    answer, _, _, events = await _stream(_MIXED, changes, after)
-    assert answer == fakes.compute_expected_text("lot", _TOKENS)
+    texts, error, _, events = await _stream(_MIXED, changes, after)
+    assert error is None
+    assert "".join(texts) == fakes.compute_expected_text("lot", _TOKENS)
     assert "stream-waiting" in {event.kind for event in events}
 
 
@@ -108,23 +110,23 @@
     Three engines fail.  Their agents check them after 2, 6 and 14 s, and then
     after the deadline, so the stream must end at the third check.
     """
-    answer, parts, seconds, _ = await _stream([_fail_engine] * 3)
-    assert answer["code"] == "no_stage"
-    assert answer["outcome"] == "may_have_run"
-    assert "layers 5 to 8" in answer["message"]
-    assert len(parts) == 3
+    texts, error, seconds, _ = await _stream([_fail_engine] * 3)
+    assert error["code"] == "no_stage"
+    assert error["outcome"] == "may_have_run"
+    assert "layers 5 to 8" in error["message"]
+    assert "".join(texts) == fakes.compute_expected_text("lot", 3)
     assert 14 <= seconds < 15
 
 
 async def test_targets_are_removed(autojump_clock):
     """A stream waits until its deadline for targets that were removed."""
-    answer, parts, seconds, _ = await _stream(
+    texts, error, seconds, _ = await _stream(
         [_kill_agent] * 2, [_remove_target] * 2, 2
     )
-    assert answer["code"] == "no_stage"
-    assert answer["outcome"] == "may_have_run"
-    assert "layers 5 to 8" in answer["message"]
-    assert len(parts) == 2
+    assert error["code"] == "no_stage"
+    assert error["outcome"] == "may_have_run"
+    assert "layers 5 to 8" in error["message"]
+    assert "".join(texts) == fakes.compute_expected_text("lot", 2)
     assert 2 <= seconds < 4
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -26,14 +26,23 @@
 
 async def stream(fleet, prompt, tokens, on_token=None, entry="entry-0"):
     """Stream an answer; return its text, or the decoded error on failure."""
+    texts, error = await stream_parts(fleet, prompt, tokens, on_token, entry)
+    return error or "".join(texts)
+
+
+async def stream_parts(fleet, prompt, tokens, on_token=None, entry="entry-0"):
+    """Stream an answer; return its tokens, and the decoded error or None."""
     body = callers.make_body(prompt, tokens, stream=True)
     answer = await ask(
         fleet, "POST", "/v1/completions", body, None, entry, on_token
     )
-    try:
-        return "".join(callers.read_events(answer.body.split(b"\n\n")))
-    except RuntimeError as exc:
-        return json.loads(str(exc))
+    texts = []
+    for event in answer.body.split(b"\n\n"):
+        try:
+            texts.extend(callers.read_events([event]))
+        except RuntimeError as exc:
+            return texts, json.loads(str(exc))
+    return texts, None
 
 
 def compute_expected_text(prompt, tokens, layers=8):
