Check a stream without targets as strictly as one that is completed

test_any_faults accepted a complete answer only, although its doc string allows a typed error for a stream that runs out of targets. Its test, its faults and the sequence of test_all_targets_of_a_range_fail stay.

So no target of layers 5 to 8 can serve before the deadline, and no code could complete the answer. The entry can't know that: a killed agent may start again, and then the answer must be complete (test_one_target_comes_back). It therefore waits until the deadline.

A complete answer stays required while each range has a target left. For a range without any, read from the fleet's state after the run, the check now requires: all tokens sent are right, in order and no fewer than before the last fault; may_have_run; a message that names the remedy; deadline at 30.0 s (within 0.1 s) if an agent was killed; no_stage if all three are failed engines, at the third check of their agents, 14 s after the failure, and less than 1 s later.

--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -13,6 +13,11 @@
 
 _CUTS = (0, 3, 5, 8)
 _TOKENS = 24
+# Seconds.
+_DEADLINE = 30.0
+# Seconds after a failure at which an agent checks its engine for the last
+# time before that deadline.
+_LAST_CHECK = 14.0
 
 
 async def _run_with(fault, *, at=7, tokens=_TOKENS, replicas=2):
@@ -290,8 +295,10 @@
 
     Up to three faults occur at random tokens in random stages.  Recovery
     must not lose, repeat or change a token.
-    A stream that runs out of targets must end with a typed error, at its
-    deadline or after its last attempt, never with a wrong token.
+    While each range of layers has a target left, the answer must be complete.
+    A stream that runs out of targets must end with a typed error, never with
+    a wrong token: at its deadline if an agent may start again, and otherwise
+    as soon as all agents check their failed engines only after the deadline.
     """
 
     async def main():
@@ -305,19 +312,50 @@
                         except StopIteration:
                             continue
 
-            return await fakes.stream(fleet, "lot", _TOKENS, on_token)
+            began = trio.current_time()
+            texts, error = await fakes.stream_parts(
+                fleet, "lot", _TOKENS, on_token
+            )
+            seconds = trio.current_time() - began
+            return texts, error, seconds, _find_exhausted_ranges(fleet)
 
     clock = trio.testing.MockClock(autojump_threshold=0)
-    text = trio.run(main, clock=clock)
-    assert text == fakes.compute_expected_text("lot", _TOKENS)
+    texts, error, seconds, exhausted = trio.run(main, clock=clock)
+    if not exhausted or error is None:
+        assert error is None
+        assert "".join(texts) == fakes.compute_expected_text("lot", _TOKENS)
+        return
+    # Only three faults, each on another target, exhaust a range.
+    last_fault = max(at for at, _, _ in faults)
+    assert "".join(texts) == fakes.compute_expected_text("lot", len(texts))
+    assert len(texts) >= last_fault
+    assert error["outcome"] == "may_have_run"
+    assert "magnoliacove status" in error["message"]
+    if any(fault is _kill_agent for _, fault, _ in faults):
+        assert error["code"] == "deadline"
+        assert seconds == pytest.approx(_DEADLINE, abs=0.1)
+    else:
+        assert error["code"] == "no_stage"
+        assert _LAST_CHECK <= seconds < _LAST_CHECK + 1
+
+
+def _find_exhausted_ranges(fleet):
+    """Return the first layers of ranges whose targets all failed."""
+    usable = {
+        first
+        for name, first, _ in fleet.list_ranges()
+        if not fleet.engines[name].faults.failing
+        and not fleet.agents[name].scope.cancel_called
+    }
+    return set(_CUTS[:-1]) - usable
 
 
 def test_all_targets_of_a_range_fail():
     """A fault sequence that :func:`test_any_faults` once chose.
 
     Two engines of one range fail and the agent of the third one is killed, so
-    that no target serves the last layers.  The stream ends with a typed error
-    after its last attempt instead of a complete answer.
+    that no target serves the last layers.  The agent may start again until the
+    deadline, so the stream must not end earlier by using up its attempts.
     """
     faults = [(1, _fail_engine, 5), (2, _fail_engine, 5), (3, _kill_agent, 5)]
     test_any_faults.hypothesis.inner_test(faults)
