--- a/magnoliacove/agent/engine_health.py
+++ b/magnoliacove/agent/engine_health.py
@@ -11,6 +11,11 @@
 # Seconds between checks of a failed engine; each pause is twice the last.
 _INITIAL_PAUSE = 2.0
 _MAX_PAUSE = 30.0
+# Seconds after the start of a check within which most engines answer it.
+_CHECK_DURATION = 0.1
+# Seconds after which a stream may ask again while a check or the one stream
+# that tries the engine has no result.
+_RESULT_INTERVAL = 0.5
 
 
 class EngineHealth:
@@ -29,8 +34,20 @@
         self._recorder = recorder
         self._is_suspect = False
         self._is_suspended = False
+        self._next_check = 0.0
         self._failed = trio.Event()
 
+    @property
+    def retry_after(self) -> float:
+        """The seconds after which a refused stream may be accepted.
+
+        Until then it is surely refused while the engine is suspended.
+        """
+        if not self._is_suspended:
+            return _RESULT_INTERVAL
+        until_check = max(0.0, self._next_check - trio.current_time())
+        return max(until_check + _CHECK_DURATION, _RESULT_INTERVAL)
+
     def refuses_stream(self, has_streams: bool) -> bool:
         """Return whether a new stream is refused.
 
@@ -40,6 +57,8 @@
 
     def record_failure(self, reason: str) -> None:
         """Record that the engine failed, and refuse new streams."""
+        if not self._is_suspended:
+            self._next_check = trio.current_time() + _INITIAL_PAUSE
         self._is_suspect = self._is_suspended = True
         self._failed.set()
         self._recorder.record("engine-failed", target=self._name, why=reason)
@@ -57,6 +76,7 @@
             if not self._is_suspended:
                 self._failed = trio.Event()
                 await self._failed.wait()
+            self._next_check = trio.current_time() + pause
             await trio.sleep(pause)
             pause = min(pause * 2, _MAX_PAUSE)
             with trio.move_on_after(defaults.ENGINE_TIMEOUT):
