Leave the length of suspicions as it is when a target leaves

What callers saw: an engine whose health check once said wrongly that it leaves, and that lost a packet soon after, got no work for 16 s instead of 2 s.

Cause: the 10 s of a suspicion that a target leaves were recorded as the length of its last suspicion, and the next ordinary one doubles the last length.

Evidence: test_leaving_does_not_lengthen_the_next_suspicion, red before on "assert health.is_usable" 2.1 s after the ordinary suspicion began.

Ruled out: the reset after 20 s without suspicion; the length counted from the end of the one for leaving, within these 20 s.

Change: only ordinary suspicions are recorded as the last length. The choice of the length is a method of its own.

--- a/magnoliacove/directory/health.py
+++ b/magnoliacove/directory/health.py
@@ -52,7 +52,8 @@
         self._recorder = recorder
         self._read_time = read_time
         self._suspicions: dict[str, Suspicion] = {}
-        # Duration in seconds and end of each target's last suspicion.
+        # Duration in seconds and end of each target's last suspicion, except
+        # for one that it leaves.
         self._durations: dict[str, tuple[float, float]] = {}
         self._listeners: list[Callable[[Suspicion], None]] = []
 
@@ -98,19 +99,15 @@
         if present is not None and (present.leaving or not leaving):
             return
         now = self._read_time()
-        duration, until = self._durations.get(
-            target, (_INITIAL_DURATION / 2, now)
+        duration = (
+            _LEAVING_DURATION if leaving else self._choose_duration(target)
         )
-        if now - until > _RESET_AFTER:
-            duration = _INITIAL_DURATION / 2
-        duration = min(duration * 2, _MAX_DURATION)
-        if leaving:
-            duration = _LEAVING_DURATION
         since = now - age
         if since + duration <= now:
             return
         suspicion = Suspicion(target, since, since + duration, why, leaving)
-        self._durations[target] = (duration, suspicion.until)
+        if not leaving:
+            self._durations[target] = (duration, suspicion.until)
         self._suspicions[target] = suspicion
         self._recorder.record(
             "target-suspected",
@@ -129,5 +126,14 @@
         :param listed: the names of the targets that exist.
         """
         for target in set(self._durations) - listed:
-            self._durations.pop(target)
-            self._suspicions.pop(target, None)
+            del self._durations[target]
+        for target in set(self._suspicions) - listed:
+            del self._suspicions[target]
+
+    def _choose_duration(self, target: str) -> float:
+        """Return the seconds that the next suspicion of a target lasts."""
+        now = self._read_time()
+        duration, until = self._durations.get(target, (0.0, now))
+        if not duration or now - until > _RESET_AFTER:
+            return _INITIAL_DURATION
+        return min(duration * 2, _MAX_DURATION)
