Let a target that says it leaves be known as leaving until it says otherwise

What callers saw: a target announces in its answers that it leaves and goes on for longer than 10 s. Gateways that learned it from a peer sent it requests again after 10 s, so callers met a target that was about to end.

Cause: `Server-Leaving` became a suspicion of 10 s, which heartbeats named for that long. The gateway that received the header also keeps it in its book of backpressure, without a time, so that gateway did not ask again; the others have only the suspicion.

Ruled out: a longer time, since targets may leave for any time. A belief that all gateways repeat to each other, since heartbeats cannot say that a target stays, so one mistake would hold for the incarnation in the whole fleet. A health check as a lasting proof: 503 is also a full target or a wrong answer, and 200 may be wrong too.

Change: Health keeps apart which targets leave and which are suspected of a failure. The target's own word has no end in time; it ends with `Server-Leaving: 0` in an answer that is not a 421, or with the entry. Health checks hold for 10 s as before. A peer's report holds for 10 s from its beginning and at least 6 s after the last heartbeat with it, and is not repeated when it is older than 10 s. A gateway that was told that the target stays ignores older reports that it leaves. A target that leaves for more than 10 s may be suspected of a failure as well, as before, so streams are still led around it when it crashes.

The placement leader asks engines that only leave for reports at the usual pace: with the urgent one, which was meant for 10 s, a lasting notice would have cost 5 calls a second for as long as the engine leaves.

Heartbeats have the same fields; the age of a report grows beyond 10 s.

Changed tests: the leaving play without a gateway fault has one more check; nothing is taken away. test_each_header_is_decoded_from_any_answer expected `Server-Leaving: 0` to say nothing, as an answer without the header. It is now what the target says when it does not leave, so the test expects `staying`, compared as strictly as before; a value that is neither 1 nor 0 still says nothing, which is a case of its own.

--- a/magnoliacove/gateway/gauges.py
+++ b/magnoliacove/gateway/gauges.py
@@ -15,7 +15,9 @@
         "configuration_age_seconds": trio.current_time()
         - state.routes_applied_at,
         "targets_listed": len(state.targets.list_all()),
-        "targets_suspected": len(state.health.list_suspicions()),
+        "targets_suspected": len(
+            {s.target for s in state.health.list_suspicions()}
+        ),
         "targets_limited": len(state.backpressure.list_limits()),
         "calls_withheld": state.permits.withheld,
         "requests_in_progress": state.open_requests,
--- a/magnoliacove/gateway/notices.py
+++ b/magnoliacove/gateway/notices.py
@@ -1,5 +1,7 @@
 """Handling of the notices that targets attach to their answers."""
 
+from dataclasses import replace
+
 from magnoliacove.directory.health import Health
 from magnoliacove.gateway.channels import Answer
 from magnoliacove.gateway.channels import AnswerListener
@@ -23,9 +25,14 @@
 
     def handle(target: str, answer: Answer, path: str, request: str) -> None:
         notice = read_notice(answer.status, answer.headers)
-        ends_limit = bool(request) and answer.status != _MISDIRECTED
+        own = answer.status != _MISDIRECTED
+        if not own:
+            notice = replace(notice, staying=False)
+        ends_limit = bool(request) and own
         book.take(target, notice, path, ends_limit=ends_limit)
         if notice.leaving:
-            health.suspect(target, "it says that it leaves", leaving=True)
+            health.note_leaving(target)
+        elif notice.staying:
+            health.note_staying(target)
 
     return handle
--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -38,6 +38,9 @@
 # Maximum number of engines whose status one heartbeat reports: more than a few
 # hundred gateways need, and a third of the capacity of one datagram.
 _MAX_REPORTED_STATUSES = 1_000
+# Maximum age in seconds that a heartbeat reports of a suspicion.  Heartbeats
+# have room for 49 days.
+_MAX_REPORTED_AGE = 86_400.0
 
 
 class PeerExchange:
@@ -120,9 +123,12 @@
             loads=dict(state.loads.list_own()),
             suspicions=tuple(
                 ReportedSuspicion(
-                    s.target, max(0.0, now - s.since), s.why, s.leaving
+                    s.target,
+                    min(max(0.0, now - s.since), _MAX_REPORTED_AGE),
+                    s.why,
+                    s.leaving,
                 )
-                for s in state.health.list_suspicions()
+                for s in state.health.list_reported()
             ),
             holdings=tuple(
                 ReportedEngineStatus(target, age, status)
--- a/magnoliacove/limits/backpressure.py
+++ b/magnoliacove/limits/backpressure.py
@@ -30,12 +30,14 @@
     :param backoff: seconds during which this gateway is asked to send the
         target nothing.
     :param unreadable: header values that cannot be parsed, or "".
+    :param staying: whether the target says that it does not leave.
     """
 
     rate_limit: float | None = None
     leaving: bool = False
     backoff: float = 0.0
     unreadable: str = ""
+    staying: bool = False
 
 
 @dataclass(frozen=True)
@@ -117,6 +119,8 @@
             self._backoffs[target] = until
         if notice.leaving:
             self._leaving.add(target)
+        elif notice.staying:
+            self._leaving.discard(target)
         if notice.rate_limit is not None or (
             ends_limit and self.read_limit(target) is not None
         ):
--- a/magnoliacove/placement/controller.py
+++ b/magnoliacove/placement/controller.py
@@ -159,8 +159,8 @@
         for service, shape in models.items():
             for target in inputs.targets.list_service(service):
                 engine = self._engines.setdefault(target.name, _Engine())
-                urgent = engine.ordered is not None or (
-                    not inputs.health.is_usable(target.name)
+                urgent = engine.ordered is not None or inputs.health.is_failed(
+                    target.name
                 )
                 interval = (
                     _URGENT_REPORT_INTERVAL if urgent else _REPORT_INTERVAL
@@ -200,7 +200,7 @@
         self, target: ListedTarget, engine: _Engine
     ) -> None:
         report: EngineReport | None = None
-        suspected = not self._inputs.health.is_usable(target.name)
+        suspected = self._inputs.health.is_failed(target.name)
         timeout = _SUSPECT_TIMEOUT if suspected else _REPORT_TIMEOUT
         began = trio.current_time()
         with trio.move_on_after(timeout):
@@ -229,7 +229,7 @@
             # all streams around them.
             return
         engine.failures += 1
-        suspected = not self._inputs.health.is_usable(target.name)
+        suspected = self._inputs.health.is_failed(target.name)
         if engine.failures >= _FAILURES_TO_SUSPECT or suspected:
             engine.report = None
             self._inputs.health.suspect(target.name, "it gives no reports")
--- a/magnoliacove/platform/notices.py
+++ b/magnoliacove/platform/notices.py
@@ -13,6 +13,7 @@
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
 _YES = b"1"
+_NO = b"0"
 _UNAVAILABLE = 503
 
 
@@ -29,11 +30,13 @@
     back_off = None
     if status == _UNAVAILABLE:
         back_off = _read_number(values, _RETRY_AFTER, unreadable)
+    leaving = values.get(_LEAVING, b"").strip()
     return TargetNotice(
         rate_limit=rate_limit,
-        leaving=values.get(_LEAVING, b"").strip() == _YES,
+        leaving=leaving == _YES,
         backoff=back_off or 0.0,
         unreadable=", ".join(unreadable),
+        staying=leaving == _NO,
     )
 
 
--- a/magnoliacove/routing/candidates.py
+++ b/magnoliacove/routing/candidates.py
@@ -171,7 +171,7 @@
         displaced = sum(
             self._loads.read_others(target.name).requests
             for target in self._targets.list_service(service)
-            if self._is_failed(target.name)
+            if self._health.is_failed(target.name)
         )
         return self._unreported.sample_ahead(service, self._rng, displaced)
 
@@ -192,10 +192,6 @@
         )
         return RequestsAhead(int(self._rng.uniform(0.0, affected + 1.0)))
 
-    def _is_failed(self, target: str) -> bool:
-        suspicion = self._health.find(target)
-        return suspicion is not None and not suspicion.leaving
-
     def covers_all_layers(self, service: str, shape: ModelShape) -> bool:
         """Return whether usable engines have loaded every layer of a model.
 
--- a/soak/pressure.py
+++ b/soak/pressure.py
@@ -233,6 +233,23 @@
                 late.append(arrival.at - since)
         return late
 
+    def list_repeated_notices(self, target: BackpressureTarget) -> list[float]:
+        """Return the delays of requests after any gateway had the notice.
+
+        The gateways tell each other.  The delays are the seconds since the
+        first request that was answered with the notice.
+        """
+        answered = [
+            arrival.at
+            for arrival in target.arrivals
+            if arrival.request and arrival.at >= target.backpressure_at
+        ]
+        return [
+            at - answered[0]
+            for at in answered
+            if at > answered[0] + _DRAIN_SECONDS
+        ]
+
     def _list_arrivals(self) -> Iterable[Arrival]:
         for target in self._targets.values():
             yield from target.arrivals
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -79,3 +79,41 @@
         await trio.sleep(0.05)
         await harness.ask("/stream/1", method="POST", **_HEADERS)
         assert book.read_limit("i-1") == 50.0
+
+
+def _say(value, *, status=b"200 OK"):
+    """Return an answer that says whether its target leaves."""
+    return (
+        b"HTTP/1.1 " + status + b"\r\nserver-leaving: " + value + b"\r\n"
+        b"content-length: 0\r\n\r\n"
+    )
+
+
+async def test_only_the_target_itself_takes_back_that_it_leaves():
+    """A target that announced that it leaves was never used again, whatever
+    it said.  An answer without the header says nothing, and a 421 may come
+    from another target that has the address by now.
+    """
+    answers = [
+        _say(b"1"),
+        stubs.make_answer(b"ok"),
+        _say(b"0", status=b"421 Misdirected Request"),
+        _say(b"0"),
+    ]
+
+    async def script(_, stream):
+        await stream.send_all(answers.pop(0))
+
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", script, layers=(0, 80))
+        target = harness.state.targets.find("i-1")
+        beliefs = []
+        for _ in range(4):
+            await harness.calls.is_leaving(target, "/health")
+            beliefs.append(
+                (
+                    harness.state.permits.is_leaving("i-1"),
+                    not harness.state.health.is_usable("i-1"),
+                )
+            )
+        assert beliefs == [(True, True)] * 3 + [(False, False)]
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+import trio
 
 from magnoliacove import peers
 from magnoliacove import wire
@@ -166,3 +167,24 @@
             assert len(heartbeat.encode()) <= 60_000
             reported.update(item.target for item in heartbeat.holdings)
         assert reported == set(names)
+
+
+async def test_heartbeats_name_a_leaving_target_for_as_long_as_it_leaves(
+    tmp_path, autojump_clock
+):
+    """After 10 s heartbeats no longer named a target that still leaves, and
+    another gateway sent it a request.  The age lets a gateway of an older
+    version ignore it, as one that is over.
+    """
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", stubs.stay_silent)
+        exchange = _make_exchange(harness, tmp_path)
+        harness.state.health.note_leaving("i-1")
+        await trio.sleep(30.0)
+        heartbeat = exchange._make_heartbeat(1, ())
+        [told] = heartbeat.suspicions
+        assert (told.target, told.leaving) == ("i-1", True)
+        assert told.age >= 30.0
+        [sent] = peers.Heartbeat.decode(heartbeat.encode()).suspicions
+        assert (sent.target, sent.leaving) == ("i-1", True)
+        assert sent.age == pytest.approx(told.age, abs=0.001)
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -13,7 +13,8 @@
         (200, [(b"server-limit", b"1.2")], TargetNotice(rate_limit=1.2)),
         (503, [(b"server-limit", b" 0 ")], TargetNotice(rate_limit=0.0)),
         (421, [(b"server-leaving", b"1")], TargetNotice(leaving=True)),
-        (200, [(b"server-leaving", b"0")], TargetNotice()),
+        (200, [(b"server-leaving", b"0")], TargetNotice(staying=True)),
+        (200, [(b"server-leaving", b"no")], TargetNotice()),
         (503, [(b"retry-after", b"2.5")], TargetNotice(backoff=2.5)),
         # With another status it does not ask for a back-off.
         (429, [(b"retry-after", b"2.5")], TargetNotice()),
--- a/tests/soak/test_pressure.py
+++ b/tests/soak/test_pressure.py
@@ -61,3 +61,7 @@
     assert trio.run(soak.run, _SECONDS) == []
     for target in soak.backpressure_targets:
         assert soak.list_late_requests(target) == [], target.name
+        if gateway_fault is GatewayFault.NONE:
+            # Guards against a notice that expires at the other gateways while
+            # the target still leaves: one of them asked it 10 s later.
+            assert soak.list_repeated_notices(target) == [], target.name
