Play the heartbeats of a large fleet on the test's own clock

Cause, by reading: it notes 4,000 statuses that are up to 1 s old and then encodes 40 heartbeats in real time; statuses older than 1.8 s are not reported, so a machine that takes over 0.8 s for that leaves some out. The code reports what it should. On the mock clock no time passes between the steps; all assertions and sizes are as they were, so it checks as much as before.

--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -144,7 +144,7 @@
 
 @pytest.mark.parametrize("engines", [130, 850, 3000, 4000])
 async def test_a_leader_s_heartbeats_fit_with_any_number_of_engines(
-    tmp_path, engines
+    tmp_path, autojump_clock, engines
 ):
     """The placement leader reports the status of each engine.  With fewer
     than 3,500 engines this already exceeds one datagram, and a heartbeat that
