Check that a run is left only for a certain one, over random observations

Sequences of silence, suspicion, events, writes, paths that get free and taken, quarantine and spent retries. A begun answer is left only with a path reserved, a retry spent, a route that repeats, no quarantine and no write in progress; the queue keeps no waiter.

--- /dev/null
+++ b/tests/gateway/test_departure_sequences.py
@@ -0,0 +1,130 @@
+"""Sequences of observations of a running stream, and whether it leaves."""
+
+from types import SimpleNamespace
+
+from hypothesis import example
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import trio
+import trio.testing
+
+from magnoliacove.gateway.departures import PathDeparture
+from magnoliacove.limits import CapacityQueue
+from magnoliacove.limits import SharedRetryBudget
+from magnoliacove.limits.reruns import RerunFacts
+
+_OBSERVATIONS = st.lists(
+    st.sampled_from(
+        [
+            "silent",
+            "lost",
+            "event",
+            "write begins",
+            "write ends",
+            "path free",
+            "path taken",
+            "quarantined",
+            "retry spent",
+            "time passes",
+        ]
+    ),
+    min_size=6,
+    max_size=30,
+)
+
+
+class _Stream:
+    """A stream with a departure, without a network.
+
+    :param left: what was certain at each end of a run by the departure.
+    """
+
+    def __init__(self, begun, repeatable, retries):
+        self.left = []
+        self.path_free = self.reserved = self.quarantined = False
+        self.begun, self.repeatable = begun, repeatable
+        self.budget = SharedRetryBudget(0.0, retries / 0.7, 1000.0)
+        self.queue = CapacityQueue()
+        self.delivery = SimpleNamespace(began=begun, writing=False)
+        self.departure = PathDeparture(
+            SimpleNamespace(
+                capacity_queue=self.queue, retry_budget=self.budget
+            ),
+            SimpleNamespace(
+                deadline=100.0, service=SimpleNamespace(name="llm")
+            ),
+            SimpleNamespace(reserve_next=self._reserve_next),
+            self.delivery,
+            self._read_facts,
+            self._end_run,
+            SimpleNamespace(record_path_kept=lambda *_: None),
+        )
+
+    def _reserve_next(self, avoided, excluded):
+        self.reserved = self.path_free
+        return "path" if self.path_free else None
+
+    def _read_facts(self):
+        return RerunFacts(
+            self.begun,
+            self.repeatable,
+            self.quarantined,
+            self.budget.read_remaining("llm"),
+            0,
+            100.0 - trio.current_time(),
+        )
+
+    def _end_run(self):
+        self.left.append(
+            self.reserved
+            and self.repeatable
+            and not self.quarantined
+            and not self.delivery.writing
+        )
+
+    async def observe(self, observation):
+        match observation:
+            case "silent":
+                self.departure.leave_silent("silent", ["i-1"])
+            case "lost":
+                self.departure.leave_lost("lost", ["i-1"])
+            case "event":
+                self.departure.stop_waiting()
+            case "write begins" | "write ends":
+                self.delivery.writing = observation == "write begins"
+            case "path free" | "path taken":
+                self.path_free = observation == "path free"
+                self.queue.fill()
+            case "quarantined":
+                self.quarantined = True
+            case "retry spent":
+                self.budget.try_spend("llm")
+            case "time passes":
+                await trio.sleep(0.3)
+        await trio.sleep(0.03)
+
+
+@settings(max_examples=300)
+@example(["lost", "write begins", "path free"], True, True, 2)
+@given(_OBSERVATIONS, st.booleans(), st.booleans(), st.integers(0, 3))
+def test_an_answer_is_left_only_for_a_certain_run(
+    observations, begun, repeatable, retries
+):
+    """Guards against ending a run before all of the next one is certain."""
+
+    async def main():
+        stream = _Stream(begun, repeatable, retries)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stream.queue.run)
+            for observation in observations:
+                await stream.observe(observation)
+            nursery.cancel_scope.cancel()
+        assert len(stream.left) <= 1
+        if begun:
+            assert all(stream.left)
+            assert stream.departure.take_retry() == bool(stream.left)
+        stream.departure.stop_waiting()
+        assert not stream.queue.waiting
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
