--- a/magnoliacove/gateway/departures.py
+++ b/magnoliacove/gateway/departures.py
@@ -24,9 +24,10 @@
 
 __all__ = ["PathDeparture"]
 
-# Seconds between two attempts of a silent stream to leave its path.  Budgets
-# and capacity change with each heartbeat, and each search takes milliseconds.
-_SILENT_INTERVAL = 0.25
+# Seconds between two attempts of a silent stream to leave its path, and
+# between two reroutes that fail.  Budgets and capacity change with each
+# heartbeat, and each attempt takes a search of milliseconds.
+_RETRY_INTERVAL = 0.25
 _BUDGET_SPENT = "the retry budget is spent"
 _NO_PATH = "no other path has capacity"
 
@@ -57,14 +58,18 @@
         self._log = log
         self._retry_spent = False
         self._waiter: Waiter | None = None
-        self._silent_at = -_SILENT_INTERVAL
+        self._silent_at = self._lost_at = -_RETRY_INTERVAL
         self._obstacle = ""
 
     def reset(self) -> None:
         """Start with a new path, which has no reason to be left yet."""
         self.stop_waiting()
         self.reason = self._obstacle = ""
-        self._silent_at = -_SILENT_INTERVAL
+        self._silent_at = self._lost_at = -_RETRY_INTERVAL
+
+    def may_be_rerouted(self, now: float) -> bool:
+        """Return whether to try a reroute again after one that failed."""
+        return now - self._lost_at >= _RETRY_INTERVAL
 
     def leave_silent(self, reason: str, engines: Collection[str]) -> None:
         """Leave a path that brings no events if another one is free.
@@ -72,7 +77,7 @@
         :param engines: those that the other path must not contain.
         """
         now = trio.current_time()
-        if now - self._silent_at < _SILENT_INTERVAL or self._is_ending():
+        if now - self._silent_at < _RETRY_INTERVAL or self._is_ending():
             return
         self._silent_at = now
         self._change(reason, engines, engines)
@@ -83,6 +88,7 @@
         An answer that has not begun is left at once: nothing of it can be cut
         off, and its caller is told if it cannot run again.
         """
+        self._lost_at = trio.current_time()
         if self._is_ending() or self._waiter is not None:
             return
         if not self._delivery.began:
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -48,9 +48,6 @@
 # as a usual first event takes; the maximum fits into a caller's timeout.
 _INITIAL_PAUSE = 0.05
 _MAX_PAUSE = 0.4
-# Seconds between two reroutes of a stream that fail; each takes a search over
-# the engines, and an order to one.
-_REROUTE_INTERVAL = 0.25
 _STOPPED = Cut(EndedBy.GATEWAY, "this process stops")
 
 
@@ -91,7 +88,6 @@
             self._end_run,
             self._log,
         )
-        self._rerouted_at = -_REROUTE_INTERVAL
         self._scope: trio.CancelScope | None = None
         self._runs = 0
         self._refusals = 0
@@ -201,7 +197,7 @@
 
     def may_be_rerouted(self, now: float) -> bool:
         """Return whether to try a reroute, after one that failed."""
-        return now - self._rerouted_at >= _REROUTE_INTERVAL
+        return self._departure.may_be_rerouted(now)
 
     def move(
         self,
@@ -218,11 +214,10 @@
         """
         if self._scope is None:
             return
-        if not lost:
+        if lost:
+            self._departure.leave_lost(reason, engines)
+        else:
             self._departure.leave_silent(reason, engines)
-            return
-        self._rerouted_at = trio.current_time()
-        self._departure.leave_lost(reason, engines)
 
     def note_unusable_engines(self, targets: Iterable[str]) -> None:
         """Record that engines of the current path are unusable."""
