Serve all waiting requests that can be served after one change

What callers saw: with twenty requests waiting and capacity for all, four went on waiting until something else changed.

Cause: each pass tries eight, and the place where the next one goes on is an index into a list that gets shorter with each grant.

Evidence: test_one_change_serves_all_that_can_be_served, red before. Change: another pass follows each grant.

--- a/magnoliacove/limits/capacity.py
+++ b/magnoliacove/limits/capacity.py
@@ -169,6 +169,8 @@
             path = waiter.find_path()
             if path is None:
                 continue
+            # Others move up, and the turn may have passed over them.
+            self._changed.set()
             waiter.path = path
             self.withdraw(waiter)
             waiter.decided.set()
--- a/tests/limits/test_capacity.py
+++ b/tests/limits/test_capacity.py
@@ -127,6 +127,25 @@
     assert tries <= 8 * 1.0 / 0.025 + 41
 
 
+async def test_one_change_serves_all_that_can_be_served(autojump_clock):
+    """Guards against requests that wait although there is capacity.
+
+    Twenty requests wait when capacity for all of them gets free, and nothing
+    changes after that.
+    """
+    queue, slots = CapacityQueue(), _Slots(0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(queue.run)
+        for number in range(20):
+            queue.add(slots.take(number), priority=1, fresh_until=0.0)
+        await trio.sleep(1.0)
+        slots.free = 20
+        queue.fill()
+        await trio.sleep(3.0)
+        nursery.cancel_scope.cancel()
+    assert sorted(slots.order) == list(range(20))
+
+
 def test_load_is_the_sum_of_own_and_reported_load():
     book = LoadBook()
     first = book.reserve_path(_PATH, 100.0)
