Take a misdirected answer's word of leaving as an inference again

What callers would see: a sound target gets no work for good, at all gateways, after another target at its address answered 421 and said that it leaves.

Cause: that a target leaves holds without an end since its own word does, and an answer of another target counted as its own. Evidence: test_a_misdirected_answer_marks_no_target_as_leaving_for_ever, red before.

--- a/magnoliacove/gateway/notices.py
+++ b/magnoliacove/gateway/notices.py
@@ -13,6 +13,7 @@
 # The status of a target that is not the addressed one.  Another target may
 # have the address by now, and its answer does not concern this one.
 _MISDIRECTED = 421
+_MAYBE_LEAVING = "a target at its address says that it leaves"
 
 
 def make_notice_handler(
@@ -30,8 +31,10 @@
             notice = replace(notice, staying=False)
         ends_limit = bool(request) and own
         book.take(target, notice, path, ends_limit=ends_limit)
-        if notice.leaving:
+        if notice.leaving and own:
             health.note_leaving(target)
+        elif notice.leaving:
+            health.suspect(target, _MAYBE_LEAVING, leaving=True)
         elif notice.staying:
             health.note_staying(target)
 
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -117,3 +117,19 @@
                 )
             )
         assert beliefs == [(True, True)] * 3 + [(False, False)]
+
+
+async def test_a_misdirected_answer_marks_no_target_as_leaving_for_ever():
+    """Guards against a sound target that is never used again.
+
+    Another target has got the address and answers 421 for the one that was
+    asked; that the other one leaves says little of this one.
+    """
+    head = b"HTTP/1.1 421 Misdirected\r\nserver-leaving: 1\r\n"
+    async with stubs.open_harness() as harness:
+        await harness.add(
+            "i-1", stubs.answer_with(stubs.make_answer(b"", head))
+        )
+        await harness.ask("/get/1")
+        suspicion = harness.state.health.find("i-1")
+        assert suspicion is None or suspicion.until < float("inf")
