Mend what a second reading found in streams

Without a test: the pause between attempts has a bound for any number of them, and answer-cut has the same field 'by' in entry/ as in the gateway.

Ruled out for now: keeping the paid retry when the next engine refuses. The refused request counts as a repeat, so the one after it needs a retry of its own; a stream may still be cut off so while the budget is all but spent.

--- a/magnoliacove/entry/stream_log.py
+++ b/magnoliacove/entry/stream_log.py
@@ -83,19 +83,17 @@
             why="no usable target serves the missing layers",
         )
 
-    def record_cut(
-        self, ended_by: str, why: str, attempt: int, tokens: int
-    ) -> None:
+    def record_cut(self, by: str, why: str, attempt: int, tokens: int) -> None:
         """Record who ended an answer that had begun, and what was left.
 
-        :param ended_by: "entry" or "caller".
+        :param by: "entry" or "caller".
         """
         left = self._request.deadline - trio.current_time()
         self._recorder.record(
             "answer-cut",
             request=self._request.request_id,
             why=why,
-            ended_by=ended_by,
+            by=by,
             attempt=attempt,
             tokens=tokens,
             seconds_left=round(left, 1),
--- a/magnoliacove/entry/streams.py
+++ b/magnoliacove/entry/streams.py
@@ -127,9 +127,9 @@
             reason = "finished" if self._ended else "abandoned"
             self._stages.close_all(self.attempt, reason)
 
-    def _record_cut(self, ended_by: str, why: str) -> None:
+    def _record_cut(self, by: str, why: str) -> None:
         if self.tokens and not self._ended:
-            self._log.record_cut(ended_by, why, self.attempt, len(self.tokens))
+            self._log.record_cut(by, why, self.attempt, len(self.tokens))
 
     async def _run_to_end(self, emit: Emit) -> None:
         interruption: ChainInterrupted | None = ChainInterrupted(
--- a/magnoliacove/gateway/departures.py
+++ b/magnoliacove/gateway/departures.py
@@ -114,10 +114,7 @@
             self._waiter = None
 
     def take_retry(self) -> bool:
-        """Return whether the retry for a run was spent when the path was left.
-
-        Each departure allows one run.
-        """
+        """Return, once, whether the departure has paid for the next run."""
         spent, self._retry_spent = self._retry_spent, False
         return spent
 
--- a/magnoliacove/gateway/path_runs.py
+++ b/magnoliacove/gateway/path_runs.py
@@ -28,7 +28,7 @@
 
     :param check_refusal: starts a check of why an engine refused, given the
         engine, the status and the path of its health check.
-    :param sent: whether the request has been sent.
+    :param sent: whether the request, or a part of it, may have been sent.
     """
 
     def __init__(
@@ -55,7 +55,6 @@
         """
         try:
             async with self._open_channel(target, path) as channel:
-                self.sent = True
                 await self._read_stream(channel)
         except TargetError as exc:
             ran = self.sent or exc.outcome is not errors.Outcome.NOT_RUN
@@ -78,6 +77,7 @@
             # would wait for it, with other engines free, until its caller
             # disconnects.
             self._path_reservation.count_first_engine()
+            self.sent = True
             await send_request(
                 channel, target, self._routed, self._delivery.last_event, path
             )
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -142,7 +142,6 @@
                 first = stream.first_target
                 engines = [first.name] if first is not None else []
                 stream.move("it was silent for too long", engines)
-                continue
             if stream.read_silence(now) >= SILENCE_TIMEOUT:
                 self._check_path(stream, now, nursery)
 
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -33,6 +33,7 @@
 from magnoliacove.gateway.stream_log import StreamLog
 from magnoliacove.limits.load import Reservation
 from magnoliacove.limits.reruns import RerunFacts
+from magnoliacove.limits.reruns import compute_pause
 from magnoliacove.limits.reruns import find_obstacle
 from magnoliacove.platform import headers
 from magnoliacove.routing.paths import Path
@@ -44,10 +45,6 @@
 _FIRST_EVENT_MARGIN = 0.5
 # Seconds after which a refused caller may retry.
 _RETRY_AFTER = 0.5
-# Seconds between attempts at one request.  The initial pause is about as long
-# as a usual first event takes; the maximum fits into a caller's timeout.
-_INITIAL_PAUSE = 0.05
-_MAX_PAUSE = 0.4
 _STOPPED = Cut(EndedBy.GATEWAY, "this process stops")
 
 
@@ -91,6 +88,8 @@
         self._scope: trio.CancelScope | None = None
         self._runs = 0
         self._refusals = 0
+        # Whether the last run, which may go on, was sent to an engine.
+        self._sent = False
         self._slowness = 1.0
         # Who ends the answer if it is not complete when this call ends.
         self._cut = _STOPPED
@@ -103,7 +102,14 @@
         """
         try:
             await self._run_until_deadline()
+        except Exception as exc:
+            if not isinstance(exc, errors.RequestError):
+                self._cut = Cut(EndedBy.GATEWAY, repr(exc))
+            raise
         finally:
+            # Cancelled just as the queue has reserved a path, the stream has
+            # not begun to use it.
+            self._path_reservation.release_path()
             self._path_reservation.release_next()
             if self._exchange.started and not self._exchange.ended:
                 self._record_cut()
@@ -119,7 +125,7 @@
             done = True
         if not done:
             self._cut = Cut(EndedBy.GATEWAY, "its deadline passed")
-            raise make_timeout(self._runs > 0)
+            raise make_timeout(self._runs > 0 or self._sent)
 
     def _record_cut(self) -> None:
         cut = self._cut
@@ -249,7 +255,7 @@
             if not self._may_retry(failure):
                 await self._give_up(failure)
                 return
-            await self._pause()
+            await trio.sleep(compute_pause(self._runs + self._refusals))
 
     async def _find_path(self) -> None:
         """Wait until a path has capacity, and reserve it."""
@@ -321,11 +327,12 @@
 
     def _may_retry(self, failure: BrokenRunError) -> bool:
         """Return whether another path may be tried; spend a retry for it."""
+        self._sent = False
         if failure.ran:
             self._runs += 1
         else:
             self._refusals += 1
-        if failure.left and self._departure.take_retry():
+        if self._departure.take_retry():
             # Decided and paid for before the path was left.  Only a crash that
             # became known since then stops the stream.
             return self._state.may_repeat(self.fingerprint)
@@ -333,17 +340,6 @@
             return False
         return self._state.retry_budget.try_spend(self.service)
 
-    async def _pause(self) -> None:
-        """Wait before the third attempt, and longer before each further one.
-
-        Without the pause, an engine that aborts each run at once would be
-        tried hundreds of times a second and use up the retry budget of all
-        other requests.
-        """
-        further = self._runs + self._refusals - 2
-        if further >= 0:
-            await trio.sleep(min(_INITIAL_PAUSE * 2**further, _MAX_PAUSE))
-
     async def _give_up(self, failure: BrokenRunError) -> None:
         """Forward the engine's error answer, or raise an error.
 
@@ -392,6 +388,7 @@
                 await run.run(target, path)
                 return
         finally:
+            self._sent = run.sent
             self._scope = None
             self._departure.stop_waiting()
             self._stalls.streams.discard(self)
--- a/magnoliacove/limits/reruns.py
+++ b/magnoliacove/limits/reruns.py
@@ -5,12 +5,18 @@
 
 from dataclasses import dataclass
 
-__all__ = ["RerunFacts", "find_obstacle"]
+__all__ = ["RerunFacts", "compute_pause", "find_obstacle"]
 
 # Refusals after which a request that has not begun fails.  A refusal before
 # the run costs only time, but after this many the engines have no capacity,
 # whatever the recorded loads say.
 _MAX_REFUSALS = 4
+# Seconds between attempts at one request.  The initial pause is about as long
+# as a usual first event takes; the maximum fits into a caller's timeout.
+_INITIAL_PAUSE = 0.05
+_MAX_PAUSE = 0.4
+# Doublings after which the pause has its maximum for long.
+_MAX_DOUBLINGS = 10
 
 
 @dataclass(frozen=True)
@@ -21,9 +27,10 @@
         be refused any more, only cut off.
     :param repeatable: whether its route allows more than one run.
     :param quarantined: whether it is suspected of crashing its targets.
-    :param retries_left: what the retry budget still allows.
-    :param refusals: number of engines that refused it.
-    :param seconds_left: until its deadline.
+    :param retries_left: what the retry budget still allows; none at 0 or
+        below.
+    :param refusals: number of attempts that ended before the request ran.
+    :param seconds_left: seconds until its deadline.
     """
 
     begun: bool
@@ -52,3 +59,18 @@
     if not facts.begun and facts.refusals > _MAX_REFUSALS:
         return "too many engines refused it"
     return ""
+
+
+def compute_pause(attempts: int) -> float:
+    """Return the seconds to wait before a stream's next attempt.
+
+    The third attempt waits, and each further one longer.  Without the pause,
+    an engine that aborts each run at once would be tried hundreds of times a
+    second and use up the retry budget of all other requests.
+
+    :param attempts: number of those that failed.
+    """
+    further = attempts - 2
+    if further < 0:
+        return 0.0
+    return min(_INITIAL_PAUSE * 2 ** min(further, _MAX_DOUBLINGS), _MAX_PAUSE)
--- a/magnoliacove/timeline/render.py
+++ b/magnoliacove/timeline/render.py
@@ -107,7 +107,8 @@
         case "answer-cut":
             return (
                 f"the {detail.get('by')} cut the answer off after event "
-                f"{detail.get('last_event') or 0} because {why}"
+                f"{detail.get('last_event') or detail.get('tokens') or 0} "
+                f"because {why}"
             )
         case "request-waiting":
             return (
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -1,9 +1,17 @@
 """Streams that leave, or stay on, a path for the wrong reason."""
 
+import itertools
+
 import pytest
 import trio
 
+from magnoliacove import errors
+from magnoliacove.gateway.callers import CallerConnection
 from magnoliacove.gateway.callers import Exchange
+from magnoliacove.gateway.channels import TargetError
+from magnoliacove.gateway.exchanges import read_answer
+from magnoliacove.gateway.path_reservations import PathReservation
+from magnoliacove.gateway.path_runs import PathRun
 from magnoliacove.limits import CapacityQueue
 from magnoliacove.limits import SharedRetryBudget
 from tests.gateway import stubs
@@ -355,3 +363,140 @@
         reservation.release_path()
         assert reservation.take_next()
         assert reservation.reserve_next([second]).targets == ("i-3",)
+
+
+async def test_a_request_that_runs_at_its_deadline_is_not_called_not_run():
+    """Guards against 'did not run' for a request that an engine was sent.
+
+    The engine hangs before its first event until the deadline.  A caller that
+    is told that the request did not run repeats it, also one that must not be.
+    """
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", _hang, layers=_LAYERS)
+        answer = await cuts._ask(harness, "/once/1", x_deadline_ms="600")
+        assert answer.split(b" ")[1] == b"504"
+        assert b"did not run" not in answer
+
+
+async def test_a_refused_request_at_its_deadline_is_called_not_run():
+    """Guards against 'may have run' for a request that was refused."""
+    async with stubs.open_harness() as harness:
+        refuse = stubs.answer_with(stubs.NOT_RUN)
+        await harness.add("i-1", refuse, layers=_LAYERS)
+        answer = await cuts._ask(harness, "/once/1", x_deadline_ms="600")
+        assert answer.split(b" ")[1] == b"503"
+
+
+async def test_a_fault_inside_is_logged_as_the_reason_of_a_cut(monkeypatch):
+    """Guards against a fault of the gateway that is told as its stop."""
+    async with stubs.open_harness() as harness:
+        script = cuts._begin_then(cuts._pause_for_ever)
+        await harness.add("i-1", script, layers=_LAYERS)
+        original = Exchange.write
+
+        async def fail(self, data):
+            await original(self, data)
+            raise RuntimeError("a fault")
+
+        monkeypatch.setattr(Exchange, "write", fail)
+        await cuts._ask(harness, "/stream/1")
+        assert cuts._list_cuts(harness) == [
+            ("gateway", "RuntimeError('a fault')")
+        ]
+
+
+async def test_a_retry_paid_by_a_departure_is_not_paid_twice(monkeypatch):
+    """Guards against a second retry, and a cut, for one further run.
+
+    The engine's connection breaks in the moment in which the stream leaves
+    it.  The budget allows one retry, which the departure has spent.
+    """
+    original = PathRun._read_stream
+
+    async def break_while_leaving(self, channel):
+        if self.run_number == 1:
+            answer, _ = await read_answer(channel, self._request)
+            self._delivery.begin_run(answer)
+            await self._delivery.deliver(await channel.read_body())
+            await harness.add("i-2", cuts._serve_whole, layers=_LAYERS)
+            [stream] = harness.stalls.streams
+            stream.move("the test says so", ["i-1"])
+            raise TargetError("reset", errors.Outcome.MAY_HAVE_RUN)
+        await original(self, channel)
+
+    runs = itertools.count(1)
+    monkeypatch.setattr(
+        PathRun,
+        "run_number",
+        property(lambda self: self.__dict__.setdefault("number", next(runs))),
+        raising=False,
+    )
+    monkeypatch.setattr(PathRun, "_read_stream", break_while_leaving)
+    async with stubs.open_harness() as harness:
+        harness.state.retry_budget = SharedRetryBudget(0.0, 1.0, 10.0)
+        script = cuts._begin_then(cuts._pause_for_ever)
+        await harness.add("i-1", script, layers=_LAYERS)
+        answer = await cuts._ask(harness, "/stream/1")
+        assert cuts._read_ids(answer) == [1, 2, 3, 4, 5, 6]
+
+
+async def test_a_caller_that_leaves_as_a_path_is_granted_leaks_no_capacity(
+    monkeypatch,
+):
+    """Guards against capacity that stays reserved for ever.
+
+    The queue reserves a path for a waiting stream in the same moment in which
+    its caller leaves, so the stream never uses the path.
+    """
+    monkeypatch.setattr(PathReservation, "read_delay", lambda self: 0.0)
+    original = CallerConnection._wait_disconnect
+    async with stubs.open_harness() as harness:
+        health = harness.state.health
+        await harness.add("i-1", _serve_after(9.0), layers=_LAYERS)
+
+        async def free_a_path(self):
+            await original(self)
+            health._suspicions.clear()
+            harness.state.capacity_queue.fill()
+
+        monkeypatch.setattr(CallerConnection, "_wait_disconnect", free_a_path)
+        for _ in range(12):
+            health._durations.clear()
+            health.suspect("i-1", "the test says so")
+            await _wait_and_leave(harness)
+        assert not harness.state.loads.list_own()
+
+
+async def _wait_and_leave(harness):
+    """Ask for a stream and close the connection while it waits for a path."""
+    stream, _ = await harness.connect()
+    request = stubs.make_request("/stream/1", "POST", **cuts._HEADERS)
+    await stream.send_all(request)
+    with trio.fail_after(3.0):
+        while not harness.state.capacity_queue.waiting:
+            await trio.sleep(0.005)
+    await trio.sleep(0.05)
+    await stream.aclose()
+    with trio.fail_after(3.0):
+        while harness.state.open_requests:
+            await trio.sleep(0.01)
+
+
+async def test_the_engines_of_a_kept_path_are_checked_for_as_long():
+    """Guards against a path that is checked only until its stream is kept.
+
+    The stream falls silent and cannot run elsewhere.  An engine that is lost
+    later must still be found.
+    """
+    asked = []
+
+    async def script(received, stream):
+        if received.method == "GET":
+            asked.append(trio.current_time())
+        await cuts._begin_then(cuts._pause_for_ever)(received, stream)
+
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", script, layers=_LAYERS)
+        began = trio.current_time()
+        await cuts._ask(harness, "/once/1", x_deadline_ms="3000")
+        assert max(asked) - began > 2.5
