Name what refuses a stream one more run by a type, and reword for a newcomer

As read by somebody who had not seen the work: the obstacles are an enumeration, searches for a path a small class, and comments say what the code does now. The texts in the log stay. Tests of the decision compare the obstacle itself, where they looked for a word of it before.

--- a/magnoliacove/agent/engine_health.py
+++ b/magnoliacove/agent/engine_health.py
@@ -41,7 +41,7 @@
     def retry_after(self) -> float:
         """The seconds after which a refused stream may be accepted.
 
-        Until then it is surely refused while the engine is suspended.
+        Until then it is mostly refused while the engine is suspended.
         """
         if not self._is_suspended:
             return _RESULT_INTERVAL
--- a/magnoliacove/directory/health.py
+++ b/magnoliacove/directory/health.py
@@ -96,7 +96,10 @@
         return suspicion is not None and suspicion.until > self._read_time()
 
     def list_suspicions(self) -> list[Suspicion]:
-        """Return the present suspicions, two of a target that also leaves."""
+        """Return the present suspicions.
+
+        A target that leaves and is suspected besides has two.
+        """
         now = self._read_time()
         both = (*self._suspicions.values(), *self._leaving.values())
         return [s for s in both if s.until > now]
--- a/magnoliacove/gateway/departures.py
+++ b/magnoliacove/gateway/departures.py
@@ -1,10 +1,10 @@
 """Leaving a path on which a stream still runs.
 
 An engine that is silent or suspected may still serve the stream.  Leaving it
-ends its run, so an answer that has begun is left only after everything that
-its next run needs is certain: its route and its quarantine allow it, another
-path is reserved, and a retry of the budget is spent.  Otherwise the stream
-stays, and its engine ends the answer or its run.
+ends its run, so one whose answer has begun leaves only after its route and its
+quarantine allow a further run, capacity is reserved on another path, and a
+retry of the budget is spent.  Otherwise the stream stays, and its engine ends
+the answer or the run.
 """
 
 from collections.abc import Callable
@@ -18,6 +18,7 @@
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.stream_log import StreamLog
 from magnoliacove.limits.capacity import Waiter
+from magnoliacove.limits.reruns import Obstacle
 from magnoliacove.limits.reruns import RerunFacts
 from magnoliacove.limits.reruns import find_obstacle
 from magnoliacove.routing.paths import Path
@@ -28,8 +29,6 @@
 # between two reroutes that fail.  Budgets and capacity change with each
 # heartbeat, and each attempt takes a search of milliseconds.
 _RETRY_INTERVAL = 0.25
-_BUDGET_SPENT = "the retry budget is spent"
-_NO_PATH = "no other path has capacity"
 
 
 class PathDeparture:
@@ -59,12 +58,13 @@
         self._retry_spent = False
         self._waiter: Waiter | None = None
         self._silent_at = self._lost_at = -_RETRY_INTERVAL
-        self._obstacle = ""
+        self._obstacle: Obstacle | None = None
 
     def reset(self) -> None:
         """Start with a new path, which has no reason to be left yet."""
         self.stop_waiting()
-        self.reason = self._obstacle = ""
+        self.reason = ""
+        self._obstacle = None
         self._silent_at = self._lost_at = -_RETRY_INTERVAL
 
     def may_be_rerouted(self, now: float) -> bool:
@@ -77,7 +77,7 @@
         :param engines: those that the other path must not contain.
         """
         now = trio.current_time()
-        if now - self._silent_at < _RETRY_INTERVAL or self._is_ending():
+        if now - self._silent_at < _RETRY_INTERVAL or self._must_stay():
             return
         self._silent_at = now
         self._change(reason, engines, engines)
@@ -89,7 +89,7 @@
         off, and its caller is told if it cannot run again.
         """
         self._lost_at = trio.current_time()
-        if self._is_ending() or self._waiter is not None:
+        if self._must_stay() or self._waiter is not None:
             return
         if not self._delivery.began:
             self._leave(reason)
@@ -118,10 +118,10 @@
         spent, self._retry_spent = self._retry_spent, False
         return spent
 
-    def _is_ending(self) -> bool:
-        """Return whether the path was left, or works.
+    def _must_stay(self) -> bool:
+        """Return whether the path was left already, or is in use.
 
-        While a caller is sent an event, the engine has just gone on.
+        While the caller is sent an event, the engine has just gone on.
         """
         return bool(self.reason) or self._delivery.writing
 
@@ -135,11 +135,11 @@
 
         :returns: the other path, or None when the stream stays.
         """
-        if self._is_ending() or not self._may_change(reason):
+        if self._must_stay() or not self._may_change(reason):
             return None
         path = self._path_reservation.reserve_next(avoided, excluded)
         if path is None:
-            self._note_stay(reason, _NO_PATH)
+            self._note_stay(reason, Obstacle.CAPACITY)
             return None
         # The budget was asked above, in the same step.
         budget = self._state.retry_budget
@@ -152,17 +152,17 @@
         """Return whether all that may refuse a further run allows it."""
         facts = self._read_facts()
         obstacle = find_obstacle(facts)
-        if not obstacle and facts.retries_left <= 0.0:
-            obstacle = _BUDGET_SPENT
-        if obstacle:
+        if obstacle is None and facts.retries_left <= 0.0:
+            obstacle = Obstacle.BUDGET
+        if obstacle is not None:
             self._note_stay(reason, obstacle)
-        return not obstacle
+        return obstacle is None
 
     def _leave(self, reason: str) -> None:
         self.reason = reason
         self._end_run()
 
-    def _note_stay(self, reason: str, obstacle: str) -> None:
+    def _note_stay(self, reason: str, obstacle: Obstacle) -> None:
         """Record once for each path and obstacle that the stream stays."""
         if obstacle == self._obstacle:
             return
--- a/magnoliacove/gateway/path_reservations.py
+++ b/magnoliacove/gateway/path_reservations.py
@@ -24,6 +24,18 @@
 _RESERVED_ANSWER_FRACTION = 0.8
 
 
+@dataclass(frozen=True)
+class _Search:
+    """What one search for a path may use.
+
+    :param avoided: engines that the path must not contain.
+    :param beyond_limits: whether it may exceed the engines' request limits.
+    """
+
+    avoided: Collection[str]
+    beyond_limits: bool
+
+
 @dataclass(frozen=True)
 class _ReservedPath:
     """A path with the capacity that is reserved on it.
@@ -158,8 +170,10 @@
         state = self._state
         costs = state.candidates.make_costs(self.shape, *self.read_tokens())
         ahead = state.candidates.sample_ahead(self._routed.service.name)
-        for without, beyond_limits in self._list_searches(avoided, excluded):
-            path = self._search(costs, without, ahead, beyond_limits)
+        for search in self._list_searches(avoided, excluded):
+            path = self._search(
+                costs, search.avoided, ahead, search.beyond_limits
+            )
             first = state.targets.find(path.targets[0]) if path else None
             if path is None or first is None:
                 continue
@@ -169,8 +183,8 @@
 
     def _list_searches(
         self, avoided: Collection[str], excluded: Collection[str]
-    ) -> list[tuple[Collection[str], bool]]:
-        """Return the searches: engines to avoid, and whether to exceed limits.
+    ) -> list[_Search]:
+        """Return the searches to make until one finds a path.
 
         Paths within the engines' request limits come first.  Beyond them, an
         engine may still be used: a request that another engine passes on to
@@ -182,7 +196,7 @@
         differ = len(avoided) > len(excluded)
         avoided_sets = (avoided, excluded) if differ else (excluded,)
         return [
-            (without, beyond_limits)
+            _Search(without, beyond_limits)
             for without in avoided_sets
             for beyond_limits in limit_modes
         ]
--- a/magnoliacove/gateway/rerouting.py
+++ b/magnoliacove/gateway/rerouting.py
@@ -33,9 +33,9 @@
 # milliseconds; a stream that waits for one is already late, and its caller
 # disconnects after two seconds.
 _ORDER_TIMEOUT = 0.4
-# Seconds without data after which a stream that cannot be rerouted leaves its
-# path.  A stream that still receives events does not pass through the
-# suspected engine, or the suspicion is wrong; it is not run again.
+# Seconds without data after which a stream that cannot be rerouted asks to
+# leave its path.  A stream that still receives events does not pass through
+# the suspected engine, or the suspicion is wrong; it is not run again.
 _MIN_SILENCE = 0.15
 
 
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -31,9 +31,9 @@
 # Seconds without data after which the engines of a stream's path are checked.
 # Events come every 20 to 100 ms.
 SILENCE_TIMEOUT = 0.4
-# Seconds without an event after which a stream moves to another path, if there
-# is one, whatever the report contains.  Callers disconnect after 2 s, and
-# reading the prompt again takes a part of that.
+# Seconds without an event after which a stream moves to another path, if it
+# may run once more and one is free, whatever the report contains.  Callers
+# disconnect after 2 s, and reading the prompt again takes a part of that.
 MOVE_TIMEOUT = 1.4
 # Minimum seconds between two checks of the same engine.  The information on
 # stalled streams in the report of a first engine is 0.2 s old.
--- a/magnoliacove/gateway/stream_log.py
+++ b/magnoliacove/gateway/stream_log.py
@@ -7,6 +7,7 @@
 from magnoliacove.gateway.delivery import BrokenRunError
 from magnoliacove.gateway.delivery import EventDelivery
 from magnoliacove.gateway.requests import RoutedRequest
+from magnoliacove.limits.reruns import Obstacle
 from magnoliacove.limits.reruns import RerunFacts
 from magnoliacove.routing.paths import Path
 from magnoliacove.timeline import Recorder
@@ -81,18 +82,18 @@
         )
 
     def record_path_kept(
-        self, reason: str, refusal: str, facts: RerunFacts
+        self, reason: str, obstacle: Obstacle, facts: RerunFacts
     ) -> None:
         """Record that the stream stays on a path that it should leave.
 
         :param reason: why it should leave.
-        :param refusal: why it cannot run elsewhere.
+        :param obstacle: why it cannot run elsewhere.
         """
         self._recorder.record(
             "path-kept",
             request=self._request,
             why=reason,
-            refused=refusal,
+            refused=obstacle,
             events=self._delivery.count,
             **_describe_facts(facts),
         )
--- a/magnoliacove/limits/reruns.py
+++ b/magnoliacove/limits/reruns.py
@@ -4,8 +4,9 @@
 """
 
 from dataclasses import dataclass
+import enum
 
-__all__ = ["RerunFacts", "compute_pause", "find_obstacle"]
+__all__ = ["Obstacle", "RerunFacts", "compute_pause", "find_obstacle"]
 
 # Refusals after which a request that has not begun fails.  A refusal before
 # the run costs only time, but after this many the engines have no capacity,
@@ -19,6 +20,17 @@
 _MAX_DOUBLINGS = 10
 
 
+class Obstacle(enum.StrEnum):
+    """Why a stream may not run once more."""
+
+    DEADLINE = "its deadline has passed"
+    ROUTE = "its route allows one run"
+    CRASHES = "it may crash the targets that run it"
+    REFUSALS = "too many engines refused it"
+    BUDGET = "the retry budget is spent"
+    CAPACITY = "no other path has capacity"
+
+
 @dataclass(frozen=True)
 class RerunFacts:
     """Everything that can refuse a stream one more run.
@@ -41,8 +53,8 @@
     seconds_left: float
 
 
-def find_obstacle(facts: RerunFacts, *, ran: bool = True) -> str:
-    """Return why a stream may not run once more, or "" if it may.
+def find_obstacle(facts: RerunFacts, *, ran: bool = True) -> Obstacle | None:
+    """Return why a stream may not run once more, or None if it may.
 
     Two things are left out: capacity on a path, since a stream can wait for
     it, and the retry budget, since only spending a retry shows that it allows
@@ -51,14 +63,14 @@
     :param ran: whether the last run may have begun; False after a refusal.
     """
     if facts.seconds_left <= 0.0:
-        return "its deadline has passed"
+        return Obstacle.DEADLINE
     if ran and not facts.repeatable:
-        return "its route allows one run"
+        return Obstacle.ROUTE
     if ran and facts.quarantined:
-        return "it may crash the targets that run it"
+        return Obstacle.CRASHES
     if not facts.begun and facts.refusals > _MAX_REFUSALS:
-        return "too many engines refused it"
-    return ""
+        return Obstacle.REFUSALS
+    return None
 
 
 def compute_pause(attempts: int) -> float:
--- a/tests/limits/test_reruns.py
+++ b/tests/limits/test_reruns.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from magnoliacove.limits.reruns import Obstacle
 from magnoliacove.limits.reruns import RerunFacts
 from magnoliacove.limits.reruns import find_obstacle
 
@@ -27,21 +28,20 @@
 
 
 @pytest.mark.parametrize(
-    ("changes", "words"),
+    ("changes", "obstacle"),
     [
-        ({}, ""),
-        ({"repeatable": False}, "route"),
-        ({"quarantined": True}, "crash"),
-        ({"refusals": 5}, "refused"),
-        ({"refusals": 4}, ""),
-        ({"refusals": 5, "begun": True}, ""),
-        ({"seconds_left": 0.0}, "deadline"),
+        ({}, None),
+        ({"repeatable": False}, Obstacle.ROUTE),
+        ({"quarantined": True}, Obstacle.CRASHES),
+        ({"refusals": 5}, Obstacle.REFUSALS),
+        ({"refusals": 4}, None),
+        ({"refusals": 5, "begun": True}, None),
+        ({"seconds_left": 0.0}, Obstacle.DEADLINE),
     ],
 )
-def test_each_obstacle_is_named(changes, words):
-    refusal = find_obstacle(RerunFacts(**{**_FREE, **changes}))
-    assert words in refusal
-    assert bool(refusal) == bool(words)
+def test_each_obstacle_is_named(changes, obstacle):
+    facts = RerunFacts(**{**_FREE, **changes})
+    assert find_obstacle(facts) is obstacle
 
 
 @given(_OPTIONS)
