--- /dev/null
+++ b/magnoliacove/gateway/assembly.py
@@ -0,0 +1,91 @@
+"""Assembly of the state that the parts of a gateway share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+import random
+
+import trio
+
+from magnoliacove.directory.engine_status import EngineStatuses
+from magnoliacove.directory.health import Health
+from magnoliacove.directory.targets import TargetList
+from magnoliacove.gateway.notices import make_notice_handler
+from magnoliacove.gateway.pool import ChannelPool
+from magnoliacove.gateway.state import GatewayState
+from magnoliacove.limits import CapacityQueue
+from magnoliacove.limits import LoadBook
+from magnoliacove.limits import SharedRetryBudget
+from magnoliacove.limits import UnreportedRequests
+from magnoliacove.limits.backpressure import BackpressureBook
+from magnoliacove.limits.crashes import CrashHistory
+from magnoliacove.limits.grants import GrantBook
+from magnoliacove.limits.permits import Permits
+from magnoliacove.limits.quarantine import QuarantineBook
+from magnoliacove.metrics import Meters
+from magnoliacove.routing.candidates import Candidates
+from magnoliacove.timeline import Recorder
+
+__all__ = ["StateInputs", "make_state"]
+
+
+@dataclass(frozen=True)
+class StateInputs:
+    """What differs between the states of two gateways.
+
+    :param grace: seconds for which an entry that expired during an outage of
+        the store stays listed.
+    :param start_soon: starts a task that may outlive an exchange.
+    :param owns: returns whether this gateway admits the first trial of the
+        quarantined request with a fingerprint.
+    """
+
+    recorder: Recorder
+    data_centre: str
+    meters: Meters
+    retry_budget: SharedRetryBudget
+    rng: random.Random
+    grace: float
+    start_soon: Callable[..., object] = trio.lowlevel.spawn_system_task
+    owns: Callable[[str], bool] = lambda _: True
+
+
+def make_state(inputs: StateInputs) -> GatewayState:
+    """Return the state of a gateway that knows no target yet."""
+    recorder = inputs.recorder
+    targets = TargetList(recorder, grace=inputs.grace)
+    health, engine_statuses = Health(recorder), EngineStatuses()
+    loads, unreported = LoadBook(), UnreportedRequests()
+    backpressure = BackpressureBook(recorder)
+    grants = GrantBook(recorder.process)
+    permits = Permits(backpressure, grants)
+    on_answer = make_notice_handler(backpressure, health)
+    return GatewayState(
+        name=recorder.process,
+        data_centre=inputs.data_centre,
+        recorder=recorder,
+        meters=inputs.meters,
+        targets=targets,
+        health=health,
+        engine_statuses=engine_statuses,
+        loads=loads,
+        unreported=unreported,
+        retry_budget=inputs.retry_budget,
+        capacity_queue=CapacityQueue(),
+        pool=ChannelPool(inputs.start_soon, on_answer),
+        candidates=Candidates(
+            inputs.data_centre,
+            targets,
+            health,
+            engine_statuses,
+            loads,
+            unreported,
+            permits,
+            inputs.rng,
+        ),
+        rng=inputs.rng,
+        crash_history=CrashHistory(),
+        backpressure=backpressure,
+        grants=grants,
+        permits=permits,
+        quarantine=QuarantineBook(recorder, inputs.owns),
+    )
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -13,34 +13,24 @@
 from magnoliacove.configuration.routes import CallerLimits
 from magnoliacove.configuration.routes import ModelShape
 from magnoliacove.directory import Lease
-from magnoliacove.directory.engine_status import EngineStatuses
-from magnoliacove.directory.health import Health
-from magnoliacove.directory.targets import TargetList
+from magnoliacove.gateway.assembly import StateInputs
+from magnoliacove.gateway.assembly import make_state
 from magnoliacove.gateway.callers import CallerConnection
 from magnoliacove.gateway.callers import Exchange
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.engines import EngineCalls
 from magnoliacove.gateway.gauges import read_gauges
-from magnoliacove.gateway.notices import make_notice_handler
 from magnoliacove.gateway.peering import PeerExchange
-from magnoliacove.gateway.pool import ChannelPool
 from magnoliacove.gateway.quarantine_records import QuarantineRecords
 from magnoliacove.gateway.relay import Relay
 from magnoliacove.gateway.stalls import StallWatch
-from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.store import StoreFollower
 from magnoliacove.gateway.supervision import run_supervised
-from magnoliacove.limits.backpressure import BackpressureBook
-from magnoliacove.limits.crashes import CrashHistory
-from magnoliacove.limits.grants import GrantBook
-from magnoliacove.limits.permits import Permits
-from magnoliacove.limits.quarantine import QuarantineBook
 from magnoliacove.metrics import Meters
 from magnoliacove.metrics import serve_meters
 from magnoliacove.placement import controller
 from magnoliacove.placement import leadership
 from magnoliacove.platform.settings import NodeSettings
-from magnoliacove.routing.candidates import Candidates
 from magnoliacove.sockets import bind_socket
 from magnoliacove.timeline import Recorder
 
@@ -91,56 +81,26 @@
         self._incarnation = time.time_ns() // 1_000_000
         recorder = Recorder(settings.name)
         self.recorder = recorder
-        rng = random.Random()
         bounds = settings.bounds
         grace = min(_EXPIRY_GRACE, bounds.drain - _REMOVAL_DELAY)
-        targets = TargetList(recorder, grace=max(0.0, grace))
-        health, engine_statuses = Health(recorder), EngineStatuses()
-        loads, unreported = limits.LoadBook(), limits.UnreportedRequests()
-        backpressure = BackpressureBook(recorder)
-        grants = GrantBook(settings.name)
-        permits = Permits(backpressure, grants)
-        pool = ChannelPool(on_answer=make_notice_handler(backpressure, health))
-        self.state = GatewayState(
-            name=settings.name,
-            data_centre=settings.data_centre,
-            recorder=recorder,
-            meters=Meters(self._read_gauges, self._is_ready),
-            targets=targets,
-            health=health,
-            engine_statuses=engine_statuses,
-            loads=loads,
-            unreported=unreported,
-            retry_budget=limits.SharedRetryBudget(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
-            ),
-            capacity_queue=limits.CapacityQueue(),
-            pool=pool,
-            candidates=Candidates(
-                settings.data_centre,
-                targets,
-                health,
-                engine_statuses,
-                loads,
-                unreported,
-                permits,
-                rng,
-            ),
-            rng=rng,
-            crash_history=CrashHistory(),
-            backpressure=backpressure,
-            grants=grants,
-            permits=permits,
-            quarantine=QuarantineBook(
-                recorder, lambda fingerprint: self._peers.owns(fingerprint)
-            ),
-        )
-        self._calls = EngineCalls(pool)
-        self._quarantines = QuarantineRecords(
-            api, self.state.quarantine, recorder
+        self.state = make_state(
+            StateInputs(
+                recorder=recorder,
+                data_centre=settings.data_centre,
+                meters=Meters(self._read_gauges, self._is_ready),
+                retry_budget=limits.SharedRetryBudget(
+                    bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+                ),
+                rng=random.Random(),
+                grace=max(0.0, grace),
+                owns=lambda fingerprint: self._peers.owns(fingerprint),
+            )
         )
+        state = self.state
+        self._calls = EngineCalls(state.pool)
+        self._quarantines = QuarantineRecords(api, state.quarantine, recorder)
         self._crash_watch = CrashWatch(
-            self.state,
+            state,
             self._calls,
             lambda: self._peers.heartbeats.send_soon(),
             self._quarantines.save,
@@ -186,11 +146,11 @@
         )
         self._placement = controller.PlacementController(
             controller.ControllerInputs(
-                targets=targets,
-                health=health,
-                engine_statuses=engine_statuses,
-                loads=loads,
-                permits=permits,
+                targets=state.targets,
+                health=state.health,
+                engine_statuses=state.engine_statuses,
+                loads=state.loads,
+                permits=state.permits,
                 calls=self._calls,
                 recorder=recorder,
                 list_models=self._list_models,
@@ -203,7 +163,7 @@
         )
         self._connections: set[CallerConnection] = set()
         self._accepting = trio.CancelScope()
-        targets.listen(self.state.capacity_queue.fill)
+        state.targets.listen(state.capacity_queue.fill)
 
     async def run(self) -> None:
         """Serve until cancelled."""
--- a/measure/scripted_gateway.py
+++ b/measure/scripted_gateway.py
@@ -13,30 +13,17 @@
 from magnoliacove import timeline
 from magnoliacove.configuration.routes import CallerLimits
 from magnoliacove.configuration.routes import RouteTable
-from magnoliacove.directory.engine_status import EngineStatuses
-from magnoliacove.directory.health import Health
 from magnoliacove.directory.listed import LayerRange
 from magnoliacove.directory.listed import ListedTarget
-from magnoliacove.directory.targets import TargetList
+from magnoliacove.gateway.assembly import StateInputs
+from magnoliacove.gateway.assembly import make_state
 from magnoliacove.gateway.callers import CallerConnection
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.engines import EngineCalls
-from magnoliacove.gateway.notices import make_notice_handler
-from magnoliacove.gateway.pool import ChannelPool
 from magnoliacove.gateway.relay import Relay
 from magnoliacove.gateway.stalls import StallWatch
-from magnoliacove.gateway.state import GatewayState
-from magnoliacove.limits import CapacityQueue
-from magnoliacove.limits import LoadBook
 from magnoliacove.limits import SharedRetryBudget
-from magnoliacove.limits import UnreportedRequests
-from magnoliacove.limits.backpressure import BackpressureBook
-from magnoliacove.limits.crashes import CrashHistory
-from magnoliacove.limits.grants import GrantBook
-from magnoliacove.limits.permits import Permits
-from magnoliacove.limits.quarantine import QuarantineBook
 from magnoliacove.metrics import Meters
-from magnoliacove.routing.candidates import Candidates
 from magnoliacove.wire import Address
 from measure.scripted_engines import EngineScript
 from measure.scripted_engines import Runs
@@ -72,7 +59,17 @@
         self.runs: Runs = defaultdict(list)
         self._nursery = nursery
         self._seed = seed
-        self.state = _make_state(nursery, self.recorder, budget, seed)
+        self.state = make_state(
+            StateInputs(
+                recorder=self.recorder,
+                data_centre=_DATA_CENTRE,
+                meters=Meters(dict, lambda: True),
+                retry_budget=budget,
+                rng=random.Random(seed),
+                grace=_GRACE,
+                start_soon=nursery.start_soon,
+            )
+        )
         self.state.apply_routes(table, "the case")
         calls = EngineCalls(self.state.pool)
         self._stalls = StallWatch(self.state, calls)
@@ -188,49 +185,3 @@
                 reading.ended = True
             case _:
                 return
-
-
-def _make_state(
-    nursery: trio.Nursery,
-    recorder: timeline.Recorder,
-    budget: SharedRetryBudget,
-    seed: int,
-) -> GatewayState:
-    rng = random.Random(seed)
-    targets = TargetList(recorder, grace=_GRACE)
-    health, statuses = Health(recorder), EngineStatuses()
-    backpressure, grants = BackpressureBook(recorder), GrantBook("gateway")
-    permits = Permits(backpressure, grants)
-    loads, unreported = LoadBook(), UnreportedRequests()
-    return GatewayState(
-        "gateway",
-        _DATA_CENTRE,
-        recorder,
-        Meters(dict, lambda: True),
-        targets,
-        health,
-        statuses,
-        loads,
-        unreported,
-        budget,
-        CapacityQueue(),
-        ChannelPool(
-            nursery.start_soon, make_notice_handler(backpressure, health)
-        ),
-        Candidates(
-            _DATA_CENTRE,
-            targets,
-            health,
-            statuses,
-            loads,
-            unreported,
-            permits,
-            rng,
-        ),
-        rng,
-        CrashHistory(),
-        backpressure,
-        grants,
-        permits,
-        QuarantineBook(recorder),
-    )
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -8,30 +8,17 @@
 
 from magnoliacove import timeline
 from magnoliacove.configuration import routes
-from magnoliacove.directory.engine_status import EngineStatuses
-from magnoliacove.directory.health import Health
 from magnoliacove.directory.listed import LayerRange
 from magnoliacove.directory.listed import ListedTarget
-from magnoliacove.directory.targets import TargetList
+from magnoliacove.gateway.assembly import StateInputs
+from magnoliacove.gateway.assembly import make_state
 from magnoliacove.gateway.callers import CallerConnection
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.engines import EngineCalls
-from magnoliacove.gateway.notices import make_notice_handler
-from magnoliacove.gateway.pool import ChannelPool
 from magnoliacove.gateway.relay import Relay
 from magnoliacove.gateway.stalls import StallWatch
-from magnoliacove.gateway.state import GatewayState
-from magnoliacove.limits import CapacityQueue
-from magnoliacove.limits import LoadBook
 from magnoliacove.limits import SharedRetryBudget
-from magnoliacove.limits import UnreportedRequests
-from magnoliacove.limits.backpressure import BackpressureBook
-from magnoliacove.limits.crashes import CrashHistory
-from magnoliacove.limits.grants import GrantBook
-from magnoliacove.limits.permits import Permits
-from magnoliacove.limits.quarantine import QuarantineBook
 from magnoliacove.metrics import Meters
-from magnoliacove.routing.candidates import Candidates
 from magnoliacove.wire import Address
 from tests.shapes import make_shape
 
@@ -182,50 +169,23 @@
         self.nursery = nursery
         self.closing = False
         self.recorder = timeline.Recorder("gateway")
-        targets = TargetList(self.recorder, grace=1.8)
-        health, engine_statuses = Health(self.recorder), EngineStatuses()
-        backpressure = BackpressureBook(self.recorder)
-        grants = GrantBook("gateway")
-        permits = Permits(backpressure, grants)
-        on_answer = make_notice_handler(backpressure, health)
-        loads, pool = LoadBook(), ChannelPool(nursery.start_soon, on_answer)
-        unreported, rng = UnreportedRequests(), random.Random(1)
-        self.state = GatewayState(
-            "gateway",
-            "a",
-            self.recorder,
-            Meters(dict, lambda: True),
-            targets,
-            health,
-            engine_statuses,
-            loads,
-            unreported,
-            SharedRetryBudget(0.2, 100, 10.0),
-            CapacityQueue(),
-            pool,
-            Candidates(
-                "a",
-                targets,
-                health,
-                engine_statuses,
-                loads,
-                unreported,
-                permits,
-                rng,
-            ),
-            rng,
-            CrashHistory(),
-            backpressure,
-            grants,
-            permits,
-            QuarantineBook(self.recorder),
+        self.state = make_state(
+            StateInputs(
+                recorder=self.recorder,
+                data_centre="a",
+                meters=Meters(dict, lambda: True),
+                retry_budget=SharedRetryBudget(0.2, 100, 10.0),
+                rng=random.Random(1),
+                grace=1.8,
+                start_soon=nursery.start_soon,
+            )
         )
         self.state.routes = make_table()
-        self.calls = EngineCalls(pool)
+        self.calls = EngineCalls(self.state.pool)
         self.stalls = StallWatch(self.state, self.calls)
         self.crash_watch = CrashWatch(self.state, self.calls)
         self.relay = Relay(self.state, self.stalls, self.crash_watch)
-        targets.listen(self.state.capacity_queue.fill)
+        self.state.targets.listen(self.state.capacity_queue.fill)
         nursery.start_soon(self.state.capacity_queue.run)
         nursery.start_soon(self.stalls.run)
         nursery.start_soon(self.crash_watch.run)
