--- a/magnoliacove/directory/health.py
+++ b/magnoliacove/directory/health.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import replace
 import math
@@ -83,17 +84,12 @@
 
         That it leaves comes before any other suspicion.
         """
-        now = self._read_time()
-        for suspicions in (self._leaving, self._suspicions):
-            suspicion = suspicions.get(target)
-            if suspicion is not None and suspicion.until > now:
-                return suspicion
-        return None
+        leaving = self._find_present(self._leaving, target)
+        return leaving or self._find_present(self._suspicions, target)
 
     def is_failed(self, target: str) -> bool:
         """Return whether a target is suspected of more than that it leaves."""
-        suspicion = self._suspicions.get(target)
-        return suspicion is not None and suspicion.until > self._read_time()
+        return self._find_present(self._suspicions, target) is not None
 
     def list_suspicions(self) -> list[Suspicion]:
         """Return the present suspicions.
@@ -195,8 +191,8 @@
             target, -math.inf
         ):
             return
-        present = self._leaving.get(target)
-        if present is not None and present.until > self._read_time():
+        present = self._find_present(self._leaving, target)
+        if present is not None:
             if suspicion.until > present.until:
                 self._leaving[target] = replace(
                     suspicion, since=min(present.since, suspicion.since)
@@ -208,13 +204,19 @@
 
     def _left_recently(self, target: str) -> bool:
         """Return whether a target began to leave a short time ago."""
-        leaving = self._leaving.get(target)
-        now = self._read_time()
-        return (
-            leaving is not None
-            and leaving.until > now
-            and leaving.since + _LEAVING_DURATION > now
-        )
+        leaving = self._find_present(self._leaving, target)
+        if leaving is None:
+            return False
+        return leaving.since + _LEAVING_DURATION > self._read_time()
+
+    def _find_present(
+        self, suspicions: Mapping[str, Suspicion], target: str
+    ) -> Suspicion | None:
+        """Return a suspicion that is not over, or None."""
+        suspicion = suspicions.get(target)
+        if suspicion is None or suspicion.until <= self._read_time():
+            return None
+        return suspicion
 
     def _announce(self, suspicion: Suspicion, source: str) -> None:
         """Log a new suspicion and tell the listeners."""
