Take and release a reserved path in one place each

Both ways to a current path set it and noted what is sent by themselves, and a reserved path that is not taken was released by a second piece of code, which did not tell the queue that capacity got free; it does now. Engines that a new path must not contain are among those to avoid, as the search has it already. has_other_path is asked only after the path is released, so the case with a current engine in it was dead. Otherwise no behaviour is changed.

--- a/magnoliacove/gateway/path_reservations.py
+++ b/magnoliacove/gateway/path_reservations.py
@@ -98,8 +98,7 @@
         if reserved is None:
             self._note_waiting()
             return None
-        self._current = reserved
-        self._state.permits.note_sent(reserved.path.targets)
+        self._use(reserved)
         gaps = self._state.get_gap_estimator(self._routed.service.name)
         gaps.note(True)
         return reserved.path
@@ -114,21 +113,21 @@
 
         :param avoided: engines that the new path and all later ones contain
             only if there is no path without them.
-        :param excluded: engines that the new path must not contain.
+        :param excluded: those among them that the new path must not contain.
         """
         loads, current = self._state.loads, self._current
         if current is not None:
             loads.release(current.reservation)
         try:
             self._next = self._try_reserve(
-                {*self._avoided, *avoided, *excluded}, excluded
+                self._avoided.union(avoided), excluded
             )
         finally:
             if current is not None:
                 loads.reserve(current.reservation)
         if self._next is None:
             return None
-        self.avoid(*avoided, *excluded)
+        self.avoid(*avoided)
         return self._next.path
 
     def take_next(self) -> bool:
@@ -137,15 +136,20 @@
         :returns: False when there is none, or one of its engines was lost
             since then.
         """
-        reserved, self._next = self._next, None
+        reserved = self._next
         if reserved is None:
             return False
         if not all(map(self._is_usable, reserved.path.targets)):
-            self._state.loads.release(reserved.reservation)
+            self.release_next()
             return False
+        self._next = None
+        self._use(reserved)
+        return True
+
+    def _use(self, reserved: _ReservedPath) -> None:
+        """Make a reserved path the current one."""
         self._current = reserved
         self._state.permits.note_sent(reserved.path.targets)
-        return True
 
     def _is_usable(self, name: str) -> bool:
         state = self._state
@@ -220,18 +224,13 @@
         return gaps.estimate_remaining()
 
     def has_other_path(self) -> bool:
-        """Return whether there is a path without engines that failed it.
-
-        The current first engine counts as one of them.
-        """
-        first = self.first_target
-        avoided = self._avoided | (
-            {first.name} if first is not None else set()
-        )
+        """Return whether there is a path without engines that failed it."""
         candidates = self._state.candidates
         costs = candidates.make_costs(self.shape, *self.read_tokens())
         # Requests ahead affect which path is chosen, not whether one exists.
-        return self._search(costs, avoided, NO_REQUESTS_AHEAD) is not None
+        return (
+            self._search(costs, self._avoided, NO_REQUESTS_AHEAD) is not None
+        )
 
     def count_first_engine(self) -> None:
         """Count the first engine as one that the request runs on."""
