Ask once for each departure whether the stream may run again

A stream on a lost engine asked twice what may refuse its next run, in the same step, which adds up the retries of all gateways each time; and a new path stopped a wait that its end had stopped already. No behaviour is changed: tests of departures, cut answers and streams pass, and the random observations still fail with the write or the decision taken out.

--- a/magnoliacove/gateway/departures.py
+++ b/magnoliacove/gateway/departures.py
@@ -62,7 +62,6 @@
 
     def reset(self) -> None:
         """Start with a new path, which has no reason to be left yet."""
-        self.stop_waiting()
         self.reason = ""
         self._obstacle = None
         self._silent_at = self._lost_at = -_RETRY_INTERVAL
@@ -80,7 +79,8 @@
         if now - self._silent_at < _RETRY_INTERVAL or self._must_stay():
             return
         self._silent_at = now
-        self._change(reason, engines, engines)
+        if self._may_change(reason):
+            self._change(reason, engines, engines)
 
     def leave_lost(self, reason: str, engines: Collection[str]) -> None:
         """Leave a path whose engines are lost, now or once another is free.
@@ -97,10 +97,10 @@
         if not self._may_change(reason):
             return
         queue = self._state.capacity_queue
-        if not queue.waiting and self._change(reason, engines, ()) is not None:
+        if not queue.waiting and self._change(reason, engines) is not None:
             return
         self._waiter = queue.add(
-            lambda: self._change(reason, engines, ()),
+            lambda: self._change_if_allowed(reason, engines),
             # As for a stream that waits without a path: its caller leaves
             # soon, and what it was sent would be lost.
             priority=-1,
@@ -125,39 +125,46 @@
         """
         return bool(self.reason) or self._delivery.writing
 
+    def _change_if_allowed(
+        self, reason: str, engines: Collection[str]
+    ) -> Path | None:
+        """Change to a path that has got free, unless the stream must stay."""
+        if self._must_stay() or not self._may_change(reason):
+            return None
+        return self._change(reason, engines)
+
+    def _may_change(self, reason: str) -> bool:
+        """Return whether all that may refuse a further run allows it."""
+        facts = self._read_facts()
+        obstacle = find_obstacle(facts)
+        if obstacle is None and facts.retries_left <= 0.0:
+            obstacle = Obstacle.BUDGET
+        if obstacle is not None:
+            self._note_stay(reason, obstacle)
+        return obstacle is None
+
     def _change(
         self,
         reason: str,
         avoided: Collection[str],
-        excluded: Collection[str],
+        excluded: Collection[str] = (),
     ) -> Path | None:
         """Reserve another path, spend a retry and leave the current path.
 
-        :returns: the other path, or None when the stream stays.
+        The caller has just asked whether the stream may change.
+
+        :returns: the other path, or None when none has capacity.
         """
-        if self._must_stay() or not self._may_change(reason):
-            return None
         path = self._path_reservation.reserve_next(avoided, excluded)
         if path is None:
             self._note_stay(reason, Obstacle.CAPACITY)
             return None
-        # The budget was asked above, in the same step.
         budget = self._state.retry_budget
         self._retry_spent = budget.try_spend(self._routed.service.name)
         self.stop_waiting()
         self._leave(reason)
         return path
 
-    def _may_change(self, reason: str) -> bool:
-        """Return whether all that may refuse a further run allows it."""
-        facts = self._read_facts()
-        obstacle = find_obstacle(facts)
-        if obstacle is None and facts.retries_left <= 0.0:
-            obstacle = Obstacle.BUDGET
-        if obstacle is not None:
-            self._note_stay(reason, obstacle)
-        return obstacle is None
-
     def _leave(self, reason: str) -> None:
         self.reason = reason
         self._end_run()
