Name who ended an answer by one type on both data paths

The entry named it by bare strings beside the gateway's enumeration. It stands with the outcomes of a request now; the words in the log are the same.

--- a/magnoliacove/entry/stream_log.py
+++ b/magnoliacove/entry/stream_log.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from magnoliacove import errors
 from magnoliacove.entry.pool import TargetPool
 from magnoliacove.entry.replanning import ChainInterrupted
 from magnoliacove.entry.replanning import StreamChain
@@ -83,11 +84,10 @@
             why="no usable target serves the missing layers",
         )
 
-    def record_cut(self, by: str, why: str, attempt: int, tokens: int) -> None:
-        """Record who ended an answer that had begun, and what was left.
-
-        :param by: "entry" or "caller".
-        """
+    def record_cut(
+        self, by: errors.EndedBy, why: str, attempt: int, tokens: int
+    ) -> None:
+        """Record who ended an answer that had begun, and what was left."""
         left = self._request.deadline - trio.current_time()
         self._recorder.record(
             "answer-cut",
--- a/magnoliacove/entry/streams.py
+++ b/magnoliacove/entry/streams.py
@@ -117,17 +117,19 @@
             if not self._ended:
                 raise self._attempts.make_deadline_error()
         except errors.RequestError as exc:
-            self._record_cut("entry", f"{exc.code}: {exc}")
+            self._record_cut(errors.EndedBy.ENTRY, f"{exc.code}: {exc}")
             raise
         except trio.Cancelled:
-            self._record_cut("caller", "it left, or this process stops")
+            self._record_cut(
+                errors.EndedBy.CALLER, "it left, or this process stops"
+            )
             raise
         finally:
             self._pool.receivers.pop(request.request_id, None)
             reason = "finished" if self._ended else "abandoned"
             self._stages.close_all(self.attempt, reason)
 
-    def _record_cut(self, by: str, why: str) -> None:
+    def _record_cut(self, by: errors.EndedBy, why: str) -> None:
         if self.tokens and not self._ended:
             self._log.record_cut(by, why, self.attempt, len(self.tokens))
 
--- a/magnoliacove/errors.py
+++ b/magnoliacove/errors.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "ConflictError",
+    "EndedBy",
     "Error",
     "NotFoundError",
     "Outcome",
@@ -29,6 +30,15 @@
     MAY_HAVE_RUN = "may_have_run"
 
 
+class EndedBy(enum.StrEnum):
+    """Who ended an answer that had begun and was not complete."""
+
+    CALLER = "caller"
+    ENGINE = "engine"
+    ENTRY = "entry"
+    GATEWAY = "gateway"
+
+
 class Error(Exception):
     """Base class of all errors of this project."""
 
--- a/magnoliacove/gateway/stream_log.py
+++ b/magnoliacove/gateway/stream_log.py
@@ -1,9 +1,9 @@
 """Log events of one stream: its paths, their failures and its answer."""
 
 from dataclasses import dataclass
-import enum
 from typing import Any
 
+from magnoliacove import errors
 from magnoliacove.gateway.delivery import BrokenRunError
 from magnoliacove.gateway.delivery import EventDelivery
 from magnoliacove.gateway.requests import RoutedRequest
@@ -12,22 +12,14 @@
 from magnoliacove.routing.paths import Path
 from magnoliacove.timeline import Recorder
 
-__all__ = ["Cut", "EndedBy", "StreamLog"]
-
-
-class EndedBy(enum.StrEnum):
-    """Who ended an answer that had begun and was not complete."""
-
-    CALLER = "caller"
-    GATEWAY = "gateway"
-    ENGINE = "engine"
+__all__ = ["Cut", "StreamLog"]
 
 
 @dataclass(frozen=True)
 class Cut:
     """The end of an answer that had begun and was not complete."""
 
-    by: EndedBy
+    by: errors.EndedBy
     why: str
 
 
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -29,7 +29,6 @@
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.stream_log import Cut
-from magnoliacove.gateway.stream_log import EndedBy
 from magnoliacove.gateway.stream_log import StreamLog
 from magnoliacove.limits.load import Reservation
 from magnoliacove.limits.reruns import RerunFacts
@@ -45,7 +44,7 @@
 _FIRST_EVENT_MARGIN = 0.5
 # Seconds after which a refused caller may retry.
 _RETRY_AFTER = 0.5
-_STOPPED = Cut(EndedBy.GATEWAY, "this process stops")
+_STOPPED = Cut(errors.EndedBy.GATEWAY, "this process stops")
 
 
 class StreamCall:
@@ -104,7 +103,7 @@
             await self._run_until_deadline()
         except Exception as exc:
             if not isinstance(exc, errors.RequestError):
-                self._cut = Cut(EndedBy.GATEWAY, repr(exc))
+                self._cut = Cut(errors.EndedBy.GATEWAY, repr(exc))
             raise
         finally:
             # Cancelled just as the queue has reserved a path, the stream has
@@ -124,14 +123,14 @@
             await self._run()
             done = True
         if not done:
-            self._cut = Cut(EndedBy.GATEWAY, "its deadline passed")
+            self._cut = Cut(errors.EndedBy.GATEWAY, "its deadline passed")
             raise make_timeout(self._runs > 0 or self._sent)
 
     def _record_cut(self) -> None:
         cut = self._cut
         if self._exchange.caller_left:
             why = "the caller closed its connection"
-            cut = Cut(EndedBy.CALLER, why)
+            cut = Cut(errors.EndedBy.CALLER, why)
         self._log.record_cut(
             cut,
             self._read_rerun_facts(),
@@ -292,7 +291,7 @@
                 else lambda: 0.0,
             )
         except errors.RequestError as exc:
-            self._cut = Cut(EndedBy.GATEWAY, f"{exc.code}: {exc}")
+            self._cut = Cut(errors.EndedBy.GATEWAY, f"{exc.code}: {exc}")
             if not self._runs:
                 raise
             # The failed path may have run the request; a refusal would state
@@ -319,7 +318,7 @@
     ) -> None:
         self._log.record_path_failure(first.name if first else "", failure)
         broke_off = failure.ran and not failure.left
-        by = EndedBy.ENGINE if broke_off else EndedBy.GATEWAY
+        by = errors.EndedBy.ENGINE if broke_off else errors.EndedBy.GATEWAY
         self._cut = Cut(by, failure.reason)
         if first is not None and failure.ran and failure.answer is None:
             age = self._delivery.read_run_age()
@@ -336,7 +335,8 @@
             # Decided and paid for before the path was left.  Only a crash that
             # became known since then stops the stream.
             return self._state.may_repeat(self.fingerprint)
-        if find_obstacle(self._read_rerun_facts(), ran=failure.ran):
+        facts = self._read_rerun_facts()
+        if find_obstacle(facts, ran=failure.ran) is not None:
             return False
         return self._state.retry_budget.try_spend(self.service)
 
