--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -3,6 +3,7 @@
 import contextlib
 from dataclasses import dataclass
 import random
+import re
 
 import trio
 
@@ -15,10 +16,13 @@
 from magnoliacove.gateway.callers import CallerConnection
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.engines import EngineCalls
+from magnoliacove.gateway.path_reservations import PathReservation
 from magnoliacove.gateway.relay import Relay
+from magnoliacove.gateway.requests import RoutedRequest
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.limits import SharedRetryBudget
 from magnoliacove.metrics import Meters
+from magnoliacove.platform import headers
 from magnoliacove.wire import Address
 from tests.shapes import make_shape
 
@@ -50,6 +54,7 @@
     b"content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
 )
 END = b"0\r\n\r\n"
+STREAM_HEADERS = {"x_token_usage": "100,20", "x_deadline_ms": "20000"}
 
 
 @dataclass
@@ -296,3 +301,86 @@
 async def stay_silent(_, stream):
     """Never answer."""
     await trio.sleep_forever()
+
+
+def begin_then(act, events=3):
+    """Return a script that sends some events and then acts.
+
+    :param act: a coroutine of the connection.
+    """
+
+    async def script(received, stream):
+        if received.method == "GET":
+            await stream.send_all(make_answer(b"{}"))
+            return
+        first = chunk(make_events(1, events))
+        await stream.send_all(STREAM + first)
+        await act(stream)
+
+    return script
+
+
+async def pause_for_ever(_):
+    """Never go on."""
+    await trio.sleep_forever()
+
+
+def list_cuts(harness):
+    """Return who ended each answer that was cut off, and why."""
+    return [
+        (event.detail["by"], event.why)
+        for event in harness.recorder.list_events()
+        if event.kind == "answer-cut"
+    ]
+
+
+async def serve_whole(received, stream):
+    """Answer reports, and serve the rest of a stream of six events."""
+    if received.method == "GET":
+        await stream.send_all(make_answer(b"{}"))
+        return
+    first = int(received.headers.get("last-event-id", 0)) + 1
+    events = make_events(first, 6)
+    await stream.send_all(STREAM + chunk(events) + END)
+
+
+def read_ids(answer):
+    """Return the ids of the events in an answer's chunks, in order."""
+    body = answer.partition(b"\r\n\r\n")[2]
+    return [int(n) for n in re.findall(rb"^id: (\d+)$", body, re.M)]
+
+
+async def suspect_when_begun(harness, target):
+    """Suspect an engine once a stream has begun there."""
+    while not any(stream.began for stream in harness.stalls.streams):
+        await trio.sleep(0.01)
+    await trio.sleep(0.2)
+    harness.state.health.suspect(target, "the test says so")
+
+
+async def ask_stream(harness, path="/stream/1", **headers):
+    """Request a stream and return all data until the connection closes."""
+    return await harness.ask(
+        path, method="POST", **{**STREAM_HEADERS, **headers}
+    )
+
+
+def make_reservation(state):
+    """Return the path reservation of a stream that has no path yet."""
+    table = state.routes
+    return PathReservation(
+        state,
+        RoutedRequest(
+            request=None,
+            caller_headers=headers.read_caller(
+                [(b"x-token-usage", b"100,20")]
+            ),
+            route=table.find_route("x", "/stream/1"),
+            service=table.services["llm"],
+            account="",
+            priority=1,
+            deadline=20.0,
+            version=1,
+            fingerprint="f1",
+        ),
+    )
--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import dataclasses
-import re
 
 import pytest
 import trio
@@ -11,51 +10,16 @@
 from magnoliacove.limits import SharedRetryBudget
 from tests.gateway import stubs
 
-_HEADERS = {"x_token_usage": "100,20", "x_deadline_ms": "20000"}
 _ACCOUNT = routes.Account("lannoy", 3)
 
 
-def _begin_then(act, events=3):
-    """Return a script that sends some events and then acts.
-
-    :param act: a coroutine of the connection.
-    """
-
-    async def script(received, stream):
-        if received.method == "GET":
-            await stream.send_all(stubs.make_answer(b"{}"))
-            return
-        first = stubs.chunk(stubs.make_events(1, events))
-        await stream.send_all(stubs.STREAM + first)
-        await act(stream)
-
-    return script
-
-
-async def _pause_for_ever(_):
-    await trio.sleep_forever()
-
-
-async def _ask(harness, path="/once/1", **headers):
-    return await harness.ask(path, method="POST", **{**_HEADERS, **headers})
-
-
-def _list_cuts(harness):
-    """Return who ended each answer that was cut off, and why."""
-    return [
-        (event.detail["by"], event.why)
-        for event in harness.recorder.list_events()
-        if event.kind == "answer-cut"
-    ]
-
-
 async def test_the_log_tells_that_an_engine_cut_an_answer():
     """Guards against cuts that nobody can attribute: here the engine's."""
     async with stubs.open_harness() as harness:
-        script = _begin_then(trio.aclose_forcefully)
+        script = stubs.begin_then(trio.aclose_forcefully)
         await harness.add("i-1", script, layers=(0, 80))
-        await _ask(harness)
-        [(by, _)] = _list_cuts(harness)
+        await stubs.ask_stream(harness, "/once/1")
+        [(by, _)] = stubs.list_cuts(harness)
         assert by == "engine"
         [cut] = [
             event
@@ -71,19 +35,19 @@
 async def test_the_log_tells_that_the_deadline_cut_an_answer():
     """Guards against cuts that nobody can attribute: here the deadline's."""
     async with stubs.open_harness() as harness:
-        script = _begin_then(_pause_for_ever)
+        script = stubs.begin_then(stubs.pause_for_ever)
         await harness.add("i-1", script, layers=(0, 80))
-        await _ask(harness, x_deadline_ms="400")
-        assert _list_cuts(harness) == [("gateway", "its deadline passed")]
+        await stubs.ask_stream(harness, "/once/1", x_deadline_ms="400")
+        assert stubs.list_cuts(harness) == [("gateway", "its deadline passed")]
 
 
 async def test_the_log_tells_that_the_caller_cut_an_answer():
     """Guards against cuts that nobody can attribute: here the caller's."""
     async with stubs.open_harness() as harness:
-        script = _begin_then(_pause_for_ever)
+        script = stubs.begin_then(stubs.pause_for_ever)
         await harness.add("i-1", script, layers=(0, 80))
         await _begin_and_close(harness)
-        [(by, _)] = _list_cuts(harness)
+        [(by, _)] = stubs.list_cuts(harness)
         assert by == "caller"
         assert "caller-left" in harness.list_kinds()
 
@@ -91,7 +55,9 @@
 async def _begin_and_close(harness):
     """Ask for a stream and close the connection after its first event."""
     stream, _ = await harness.connect()
-    await stream.send_all(stubs.make_request("/once/1", "POST", **_HEADERS))
+    await stream.send_all(
+        stubs.make_request("/once/1", "POST", **stubs.STREAM_HEADERS)
+    )
     data = b""
     while b"id: 1" not in data:
         data += await stream.receive_some()
@@ -104,17 +70,17 @@
 async def test_a_stop_of_the_gateway_is_not_logged_as_the_callers_departure():
     """Guards against cuts of a process that stops, told as its callers'."""
     async with stubs.open_harness() as harness:
-        script = _begin_then(_pause_for_ever)
+        script = stubs.begin_then(stubs.pause_for_ever)
         await harness.add("i-1", script, layers=(0, 80))
         stream, _ = await harness.connect()
         await stream.send_all(
-            stubs.make_request("/once/1", "POST", **_HEADERS)
+            stubs.make_request("/once/1", "POST", **stubs.STREAM_HEADERS)
         )
         data = b""
         while b"id: 1" not in data:
             data += await stream.receive_some()
         harness.nursery.cancel_scope.cancel()
-    assert _list_cuts(harness) == [("gateway", "this process stops")]
+    assert stubs.list_cuts(harness) == [("gateway", "this process stops")]
     assert "request-abandoned" in harness.list_kinds()
     assert "caller-left" not in harness.list_kinds()
 
@@ -130,7 +96,7 @@
 
         monkeypatch.setattr(harness.relay, "_run", fail)
         with contextlib.suppress(trio.BrokenResourceError):
-            answer = await _ask(harness)
+            answer = await stubs.ask_stream(harness, "/once/1")
         assert answer.split(b" ")[1] == b"502"
         assert "request-fault" in harness.list_kinds()
         assert "caller-left" not in harness.list_kinds()
@@ -142,33 +108,10 @@
     await stream.send_all(rest + stubs.END)
 
 
-async def _serve_whole(received, stream):
-    if received.method == "GET":
-        await stream.send_all(stubs.make_answer(b"{}"))
-        return
-    first = int(received.headers.get("last-event-id", 0)) + 1
-    events = stubs.make_events(first, 6)
-    await stream.send_all(stubs.STREAM + stubs.chunk(events) + stubs.END)
-
-
 def _empty_retry_budget(harness):
     harness.state.retry_budget = SharedRetryBudget(0.0, 0.0, 10.0)
 
 
-def _read_ids(answer):
-    """Return the ids of the events in an answer's chunks, in order."""
-    body = answer.partition(b"\r\n\r\n")[2]
-    return [int(n) for n in re.findall(rb"^id: (\d+)$", body, re.M)]
-
-
-async def _suspect_when_begun(harness, target):
-    """Suspect an engine once a stream has begun there."""
-    while not any(stream.began for stream in harness.stalls.streams):
-        await trio.sleep(0.01)
-    await trio.sleep(0.2)
-    harness.state.health.suspect(target, "the test says so")
-
-
 @pytest.mark.parametrize("cause", ["pause", "suspicion"])
 @pytest.mark.parametrize("refusal", ["route", "budget"])
 async def test_a_sound_engines_answer_is_not_given_up(cause, refusal):
@@ -180,18 +123,20 @@
     the caller's connection would be closed in the middle of the answer.
     """
     async with stubs.open_harness() as harness:
-        pausing = _begin_then(_pause_then_end)
+        pausing = stubs.begin_then(_pause_then_end)
         await harness.add("i-1", pausing, layers=(0, 80))
         await harness.add(
-            "i-2", _serve_whole, layers=(0, 80), accelerator="a100s"
+            "i-2", stubs.serve_whole, layers=(0, 80), accelerator="a100s"
         )
         if refusal == "budget":
             _empty_retry_budget(harness)
         if cause == "suspicion":
-            harness.nursery.start_soon(_suspect_when_begun, harness, "i-1")
+            harness.nursery.start_soon(
+                stubs.suspect_when_begun, harness, "i-1"
+            )
         path = "/once/1" if refusal == "route" else "/stream/1"
-        answer = await _ask(harness, path)
-        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        answer = await stubs.ask_stream(harness, path)
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
         assert answer.endswith(stubs.END)
         assert "path-kept" in harness.list_kinds()
 
@@ -203,11 +148,11 @@
     it has gone on.  The stream stays and no second run begins.
     """
     async with stubs.open_harness() as harness:
-        pausing = _begin_then(_pause_then_end)
+        pausing = stubs.begin_then(_pause_then_end)
         stub = await harness.add("i-1", pausing, layers=(0, 80))
-        harness.nursery.start_soon(_suspect_when_begun, harness, "i-1")
-        answer = await _ask(harness, "/stream/1")
-        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        harness.nursery.start_soon(stubs.suspect_when_begun, harness, "i-1")
+        answer = await stubs.ask_stream(harness, "/stream/1")
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
         assert len(stub.callers_requests) == 1
         assert not harness.state.capacity_queue.waiting
         assert not harness.state.loads.list_own()
@@ -220,18 +165,18 @@
     later, and the stream, which waits for it, continues there at once.
     """
     async with stubs.open_harness() as harness:
-        script = _begin_then(_pause_for_ever)
+        script = stubs.begin_then(stubs.pause_for_ever)
         await harness.add("i-1", script, layers=(0, 80))
-        harness.nursery.start_soon(_suspect_when_begun, harness, "i-1")
+        harness.nursery.start_soon(stubs.suspect_when_begun, harness, "i-1")
 
         async def add_later():
             await trio.sleep(0.9)
-            await harness.add("i-2", _serve_whole, layers=(0, 80))
+            await harness.add("i-2", stubs.serve_whole, layers=(0, 80))
 
         harness.nursery.start_soon(add_later)
         began = trio.current_time()
-        answer = await _ask(harness, "/stream/1")
-        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        answer = await stubs.ask_stream(harness, "/stream/1")
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
         assert trio.current_time() - began < 1.3
         assert not harness.state.loads.list_own()
 
@@ -256,19 +201,19 @@
     async with stubs.open_harness() as harness:
         _allow_runs(harness, 3)
         silent = await harness.add(
-            "i-1", _begin_then(_pause_for_ever), layers=(0, 80)
+            "i-1", stubs.begin_then(stubs.pause_for_ever), layers=(0, 80)
         )
         await harness.add(
             "i-2",
-            _begin_then(trio.aclose_forcefully, events=4),
+            stubs.begin_then(trio.aclose_forcefully, events=4),
             layers=(0, 80),
             accelerator="a100s",
         )
         await harness.add(
-            "i-3", _serve_whole, layers=(0, 80), accelerator="t4"
+            "i-3", stubs.serve_whole, layers=(0, 80), accelerator="t4"
         )
-        answer = await _ask(harness, "/stream/1")
-        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        answer = await stubs.ask_stream(harness, "/stream/1")
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
         assert answer.endswith(stubs.END)
         assert len(silent.callers_requests) == 1
 
@@ -295,7 +240,7 @@
             refusal = stubs.NOT_RUN.replace(b"content-length", at)
             await stream.send_all(refusal)
             return
-        await _serve_whole(received, stream)
+        await stubs.serve_whole(received, stream)
 
     async def replace(harness):
         await _wait_for(harness, "path-lost")
@@ -307,12 +252,12 @@
             )
 
     async with stubs.open_harness() as harness:
-        script = _begin_then(trio.aclose_forcefully)
+        script = stubs.begin_then(trio.aclose_forcefully)
         await harness.add("i-0", script, layers=(0, 80))
         harness.nursery.start_soon(replace, harness)
-        answer = await _ask(harness, "/stream/1")
+        answer = await stubs.ask_stream(harness, "/stream/1")
         assert len(set(refusals)) == 5
-        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
 
 
 async def test_a_full_queue_does_not_end_an_answer_that_has_begun():
@@ -328,7 +273,7 @@
         await trio.aclose_forcefully(stream)
 
     async with stubs.open_harness() as harness:
-        await harness.add("i-1", _begin_then(break_off), layers=(0, 80))
+        await harness.add("i-1", stubs.begin_then(break_off), layers=(0, 80))
 
         async def replace():
             while not any(stream.began for stream in harness.stalls.streams):
@@ -339,8 +284,8 @@
             await _wait_for(harness, "path-lost")
             harness.state.targets.remove("i-1", 2)
             await trio.sleep(0.3)
-            await harness.add("i-2", _serve_whole, layers=(0, 80))
+            await harness.add("i-2", stubs.serve_whole, layers=(0, 80))
 
         harness.nursery.start_soon(replace)
-        answer = await _ask(harness, "/stream/1")
-        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        answer = await stubs.ask_stream(harness, "/stream/1")
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -15,8 +15,6 @@
 from magnoliacove.limits import CapacityQueue
 from magnoliacove.limits import SharedRetryBudget
 from tests.gateway import stubs
-from tests.gateway import test_cut_answers as cuts
-from tests.gateway import test_path_reservations as reservations
 
 _LAYERS = (0, 80)
 
@@ -29,7 +27,7 @@
         rest = stubs.chunk(stubs.make_events(4, 6))
         await stream.send_all(rest + stubs.END)
 
-    return cuts._begin_then(go_on)
+    return stubs.begin_then(go_on)
 
 
 def _break_after(seconds):
@@ -39,7 +37,7 @@
         await trio.sleep(seconds)
         await trio.aclose_forcefully(stream)
 
-    return cuts._begin_then(break_off)
+    return stubs.begin_then(break_off)
 
 
 async def _hang(received, stream):
@@ -60,6 +58,13 @@
     return await harness.add("i-2", script, layers=_LAYERS)
 
 
+async def _beat(harness):
+    """Change something at intervals, as the heartbeats of peers do."""
+    while True:
+        await trio.sleep(0.1)
+        harness.state.capacity_queue.fill()
+
+
 @pytest.mark.parametrize("refusal", ["route", "budget"])
 async def test_a_request_that_has_not_begun_is_refused_on_a_lost_engine(
     refusal,
@@ -83,7 +88,7 @@
         path = "/once/1" if refusal == "route" else "/stream/1"
         answer = b""
         with trio.move_on_after(2.0):
-            answer = await cuts._ask(harness, path)
+            answer = await stubs.ask_stream(harness, path)
         assert answer.split(b" ")[1:2] == [b"502"]
 
 
@@ -95,7 +100,7 @@
     """
     async with stubs.open_harness() as harness:
         await harness.add("i-1", _serve_after(1.7), layers=_LAYERS)
-        harness.nursery.start_soon(cuts._suspect_when_begun, harness, "i-1")
+        harness.nursery.start_soon(stubs.suspect_when_begun, harness, "i-1")
 
         async def quarantine():
             await trio.sleep(0.7)
@@ -104,9 +109,9 @@
             harness.state.quarantine.begin(stream.fingerprint, 3, "the test")
 
         harness.nursery.start_soon(quarantine)
-        harness.nursery.start_soon(_add_later, harness, 1.0, cuts._serve_whole)
-        answer = await cuts._ask(harness, "/stream/1")
-        assert cuts._read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        harness.nursery.start_soon(_add_later, harness, 1.0, stubs.serve_whole)
+        answer = await stubs.ask_stream(harness, "/stream/1")
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
 
 
 async def test_a_waiting_stream_is_rerouted_at_intervals(monkeypatch):
@@ -122,8 +127,8 @@
             return await original(*args)
 
         monkeypatch.setattr(rerouter, "_try_change_path", count)
-        harness.nursery.start_soon(cuts._suspect_when_begun, harness, "i-1")
-        await cuts._ask(harness, "/stream/1")
+        harness.nursery.start_soon(stubs.suspect_when_begun, harness, "i-1")
+        await stubs.ask_stream(harness, "/stream/1")
         # At most 2 s between the suspicion and the end, at one in 0.25 s,
         # and those before the stream counts as silent.
         assert len(tries) <= 12
@@ -137,11 +142,11 @@
     """
     async with stubs.open_harness() as harness:
         harness.state.routes = stubs.make_table(max_attempts=1)
-        stalled = cuts._begin_then(cuts._pause_for_ever)
+        stalled = stubs.begin_then(stubs.pause_for_ever)
         await harness.add("i-1", stalled, layers=_LAYERS)
         for number in range(8):
             harness.nursery.start_soon(
-                lambda name: cuts._ask(
+                lambda name: stubs.ask_stream(
                     harness, "/stream/1", x_request_id=name
                 ),
                 f"r-{number}",
@@ -150,12 +155,14 @@
             await _wait_streams(harness, 8)
         harness.state.health.suspect("i-1", "the test says so")
         await trio.sleep(0.8)
-        await harness.add("i-2", cuts._serve_whole, layers=_LAYERS)
+        await harness.add("i-2", stubs.serve_whole, layers=_LAYERS)
         answer = b""
         with trio.move_on_after(1.0):
-            answer = await cuts._ask(harness, "/stream/1", x_request_id="new")
+            answer = await stubs.ask_stream(
+                harness, "/stream/1", x_request_id="new"
+            )
         waiting = harness.state.capacity_queue.waiting
-        assert cuts._read_ids(answer) == [1, 2, 3, 4, 5, 6], waiting
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6], waiting
 
 
 async def _ask_beside_a_full_queue(harness):
@@ -171,15 +178,15 @@
         queue.add(lambda: None, priority=1, fresh_until=1e9)
 
     harness.nursery.start_soon(fill_queue)
-    harness.nursery.start_soon(_add_later, harness, 1.0, cuts._serve_whole)
-    return await cuts._ask(harness, "/stream/1")
+    harness.nursery.start_soon(_add_later, harness, 1.0, stubs.serve_whole)
+    return await stubs.ask_stream(harness, "/stream/1")
 
 
 async def test_a_full_queue_does_not_cut_off_an_answer_that_has_begun():
     """Guards against refusing a begun answer, which can only be cut off."""
     async with stubs.open_harness() as harness:
         answer = await _ask_beside_a_full_queue(harness)
-        assert cuts._read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
 
 
 async def test_the_log_does_not_tell_a_gateways_cut_as_the_engines():
@@ -190,7 +197,7 @@
     """
     async with stubs.open_harness() as harness:
         await _ask_beside_a_full_queue(harness)
-        assert [by for by, _ in cuts._list_cuts(harness)] != ["engine"]
+        assert [by for by, _ in stubs.list_cuts(harness)] != ["engine"]
 
 
 async def test_refusals_do_not_cut_off_an_answer_that_has_begun():
@@ -207,7 +214,7 @@
                 refusals.append(received)
                 await stream.send_all(stubs.NOT_RUN)
                 return
-            await cuts._serve_whole(received, stream)
+            await stubs.serve_whole(received, stream)
 
         await harness.add("i-1", _break_after(0.3), layers=_LAYERS)
 
@@ -216,18 +223,12 @@
             harness.state.targets.remove("i-1", 2)
             await harness.add("i-2", refuse_then_serve, layers=_LAYERS)
 
-        async def beat():
-            # As the heartbeats of other gateways do.
-            while True:
-                await trio.sleep(0.1)
-                harness.state.capacity_queue.fill()
-
         harness.nursery.start_soon(replace)
-        harness.nursery.start_soon(beat)
+        harness.nursery.start_soon(_beat, harness)
         began = trio.current_time()
-        answer = await cuts._ask(harness, "/stream/1")
+        answer = await stubs.ask_stream(harness, "/stream/1")
         took = trio.current_time() - began
-        assert cuts._read_ids(answer) == [1, 2, 3, 4, 5, 6], took
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6], took
 
 
 async def test_a_silent_stream_waits_for_a_path_once_its_engine_is_lost():
@@ -237,9 +238,11 @@
     attempt for that reason makes the one for the lost engine come too soon.
     """
     async with stubs.open_harness() as harness:
-        script = cuts._begin_then(cuts._pause_for_ever)
+        script = stubs.begin_then(stubs.pause_for_ever)
         await harness.add("i-1", script, layers=_LAYERS)
-        harness.nursery.start_soon(lambda: cuts._ask(harness, "/stream/1"))
+        harness.nursery.start_soon(
+            lambda: stubs.ask_stream(harness, "/stream/1")
+        )
         await _wait_streams(harness, 1)
         await trio.sleep(1.7)
         harness.state.health.suspect("i-1", "the test says so")
@@ -251,7 +254,7 @@
     """Guards against a run on an engine lost since the reservation."""
     async with stubs.open_harness() as harness:
         await harness.add("i-1", stubs.stay_silent, layers=_LAYERS)
-        reservation = reservations._make_reservation(harness.state)
+        reservation = stubs.make_reservation(harness.state)
         assert reservation.reserve() is not None
         await harness.add("i-2", stubs.stay_silent, layers=_LAYERS)
         path = reservation.reserve_next(["i-1"])
@@ -301,13 +304,13 @@
         async def add():
             await trio.sleep(1.1)
             other.append(
-                await harness.add("i-2", cuts._serve_whole, layers=_LAYERS)
+                await harness.add("i-2", stubs.serve_whole, layers=_LAYERS)
             )
 
-        harness.nursery.start_soon(cuts._suspect_when_begun, harness, "i-1")
+        harness.nursery.start_soon(stubs.suspect_when_begun, harness, "i-1")
         harness.nursery.start_soon(add)
-        answer = await cuts._ask(harness, "/stream/1")
-        assert cuts._read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        answer = await stubs.ask_stream(harness, "/stream/1")
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
         assert not other[0].callers_requests
         assert "request-fault" not in harness.list_kinds()
 
@@ -324,24 +327,18 @@
         async def lose_first_run(received, stream):
             if received.method != "GET":
                 runs.append(received)
-            lost = cuts._begin_then(cuts._pause_for_ever)
-            script = lost if len(runs) == 1 else cuts._serve_whole
+            lost = stubs.begin_then(stubs.pause_for_ever)
+            script = lost if len(runs) == 1 else stubs.serve_whole
             await script(received, stream)
 
         await harness.add("i-1", lose_first_run, layers=_LAYERS)
-        harness.nursery.start_soon(cuts._suspect_when_begun, harness, "i-1")
-
-        async def beat():
-            # As the heartbeats of other gateways do.
-            while True:
-                await trio.sleep(0.1)
-                harness.state.capacity_queue.fill()
+        harness.nursery.start_soon(stubs.suspect_when_begun, harness, "i-1")
 
-        harness.nursery.start_soon(beat)
+        harness.nursery.start_soon(_beat, harness)
         answer = b""
         with trio.move_on_after(6.0):
-            answer = await cuts._ask(harness, "/stream/1")
-        assert cuts._read_ids(answer) == [1, 2, 3, 4, 5, 6]
+            answer = await stubs.ask_stream(harness, "/stream/1")
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
 
 
 async def test_a_stream_does_not_go_back_to_an_engine_that_it_left():
@@ -356,7 +353,7 @@
         await harness.add(
             "i-3", stubs.stay_silent, layers=_LAYERS, accelerator="a100s"
         )
-        reservation = reservations._make_reservation(harness.state)
+        reservation = stubs.make_reservation(harness.state)
         first = reservation.reserve().targets[0]
         second = reservation.reserve_next([first]).targets[0]
         assert {first, second} == {"i-1", "i-2"}
@@ -373,7 +370,9 @@
     """
     async with stubs.open_harness() as harness:
         await harness.add("i-1", _hang, layers=_LAYERS)
-        answer = await cuts._ask(harness, "/once/1", x_deadline_ms="600")
+        answer = await stubs.ask_stream(
+            harness, "/once/1", x_deadline_ms="600"
+        )
         assert answer.split(b" ")[1] == b"504"
         assert b"did not run" not in answer
 
@@ -383,14 +382,16 @@
     async with stubs.open_harness() as harness:
         refuse = stubs.answer_with(stubs.NOT_RUN)
         await harness.add("i-1", refuse, layers=_LAYERS)
-        answer = await cuts._ask(harness, "/once/1", x_deadline_ms="600")
+        answer = await stubs.ask_stream(
+            harness, "/once/1", x_deadline_ms="600"
+        )
         assert answer.split(b" ")[1] == b"503"
 
 
 async def test_a_fault_inside_is_logged_as_the_reason_of_a_cut(monkeypatch):
     """Guards against a fault of the gateway that is told as its stop."""
     async with stubs.open_harness() as harness:
-        script = cuts._begin_then(cuts._pause_for_ever)
+        script = stubs.begin_then(stubs.pause_for_ever)
         await harness.add("i-1", script, layers=_LAYERS)
         original = Exchange.write
 
@@ -399,8 +400,8 @@
             raise RuntimeError("a fault")
 
         monkeypatch.setattr(Exchange, "write", fail)
-        await cuts._ask(harness, "/stream/1")
-        assert cuts._list_cuts(harness) == [
+        await stubs.ask_stream(harness, "/stream/1")
+        assert stubs.list_cuts(harness) == [
             ("gateway", "RuntimeError('a fault')")
         ]
 
@@ -418,7 +419,7 @@
             answer, _ = await read_answer(channel, self._request)
             self._delivery.begin_run(answer)
             await self._delivery.deliver(await channel.read_body())
-            await harness.add("i-2", cuts._serve_whole, layers=_LAYERS)
+            await harness.add("i-2", stubs.serve_whole, layers=_LAYERS)
             [stream] = harness.stalls.streams
             stream.move("the test says so", ["i-1"])
             raise TargetError("reset", errors.Outcome.MAY_HAVE_RUN)
@@ -434,10 +435,10 @@
     monkeypatch.setattr(PathRun, "_read_stream", break_while_leaving)
     async with stubs.open_harness() as harness:
         harness.state.retry_budget = SharedRetryBudget(0.0, 1.0, 10.0)
-        script = cuts._begin_then(cuts._pause_for_ever)
+        script = stubs.begin_then(stubs.pause_for_ever)
         await harness.add("i-1", script, layers=_LAYERS)
-        answer = await cuts._ask(harness, "/stream/1")
-        assert cuts._read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        answer = await stubs.ask_stream(harness, "/stream/1")
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
 
 
 async def test_a_caller_that_leaves_as_a_path_is_granted_leaks_no_capacity(
@@ -470,7 +471,7 @@
 async def _wait_and_leave(harness):
     """Ask for a stream and close the connection while it waits for a path."""
     stream, _ = await harness.connect()
-    request = stubs.make_request("/stream/1", "POST", **cuts._HEADERS)
+    request = stubs.make_request("/stream/1", "POST", **stubs.STREAM_HEADERS)
     await stream.send_all(request)
     with trio.fail_after(3.0):
         while not harness.state.capacity_queue.waiting:
@@ -493,10 +494,10 @@
     async def script(received, stream):
         if received.method == "GET":
             asked.append(trio.current_time())
-        await cuts._begin_then(cuts._pause_for_ever)(received, stream)
+        await stubs.begin_then(stubs.pause_for_ever)(received, stream)
 
     async with stubs.open_harness() as harness:
         await harness.add("i-1", script, layers=_LAYERS)
         began = trio.current_time()
-        await cuts._ask(harness, "/once/1", x_deadline_ms="3000")
+        await stubs.ask_stream(harness, "/once/1", x_deadline_ms="3000")
         assert max(asked) - began > 2.5
--- a/tests/gateway/test_path_reservations.py
+++ b/tests/gateway/test_path_reservations.py
@@ -1,31 +1,8 @@
 """Path reservations of streams, and the search for another path."""
 
-from magnoliacove.gateway.path_reservations import PathReservation
-from magnoliacove.gateway.requests import RoutedRequest
-from magnoliacove.platform import headers
 from tests.gateway import stubs
 
 
-def _make_reservation(state):
-    table = state.routes
-    return PathReservation(
-        state,
-        RoutedRequest(
-            request=None,
-            caller_headers=headers.read_caller(
-                [(b"x-token-usage", b"100,20")]
-            ),
-            route=table.find_route("x", "/stream/1"),
-            service=table.services["llm"],
-            account="",
-            priority=1,
-            deadline=20.0,
-            version=1,
-            fingerprint="f1",
-        ),
-    )
-
-
 async def test_search_for_another_path_ignores_requests_ahead():
     """Delivery of events stalls while a gateway checks silent streams.
 
@@ -36,7 +13,7 @@
     async with stubs.open_harness() as harness:
         for name in ("i-1", "i-2"):
             await harness.add(name, stubs.stay_silent, layers=(0, 80))
-        reservation = _make_reservation(harness.state)
+        reservation = stubs.make_reservation(harness.state)
         sampled = []
         original = harness.state.candidates.sample_ahead
         harness.state.candidates.sample_ahead = lambda service: (
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -13,30 +13,18 @@
 from magnoliacove.directory.listed import LayerRange
 from tests.gateway import stubs
 
-_HEADERS = {"x_token_usage": "100,20", "x_deadline_ms": "20000"}
-
-
-def _read_ids(answer):
-    """Return the ids of the events in an answer's chunks, in order."""
-    body = answer.partition(b"\r\n\r\n")[2]
-    return [int(n) for n in re.findall(rb"^id: (\d+)$", body, re.M)]
-
 
 def _is_whole(answer):
     return answer.endswith(b"\r\n" + stubs.END)
 
 
-async def _ask(harness, path="/stream/1", **headers):
-    return await harness.ask(path, method="POST", **{**_HEADERS, **headers})
-
-
 @contextlib.asynccontextmanager
 async def _asking(harness):
     """Request a stream while the block runs; yield the list of its answer."""
     answers = []
 
     async def ask():
-        answers.append(await _ask(harness))
+        answers.append(await stubs.ask_stream(harness))
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(ask)
@@ -76,8 +64,8 @@
     async with stubs.open_harness() as harness:
         first = await harness.add("i-1", _stream(), layers=(0, 40))
         second = await harness.add("i-2", _stream(), layers=(40, 80))
-        answer = await _ask(harness)
-        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        answer = await stubs.ask_stream(harness)
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
         assert _is_whole(answer)
         assert not second.callers_requests
         hops = first.requests[0].headers["x-hops"]
@@ -97,7 +85,7 @@
         async with _asking(harness) as answers:
             await trio.sleep(0.01)
             other = await harness.add("i-2", _stream(), layers=(0, 80))
-        assert _read_ids(answers[0]) == [1, 2, 3, 4, 5, 6]
+        assert stubs.read_ids(answers[0]) == [1, 2, 3, 4, 5, 6]
         assert _is_whole(answers[0])
         assert answers[0].count(b"HTTP/1.1") == 1
         assert other.requests[0].headers["last-event-id"] == "3"
@@ -121,7 +109,7 @@
         async with _asking(harness) as answers:
             await trio.sleep(0.01)
             await harness.add("i-2", _stream(), layers=(0, 80))
-        assert _read_ids(answers[0]) == [1, 2, 3, 4, 5, 6]
+        assert stubs.read_ids(answers[0]) == [1, 2, 3, 4, 5, 6]
         [answered] = [
             event
             for event in harness.recorder.list_events()
@@ -133,8 +121,8 @@
 async def test_a_resuming_caller_starts_after_its_last_event():
     async with stubs.open_harness() as harness:
         await harness.add("i-1", _stream(), layers=(0, 80))
-        answer = await _ask(harness, last_event_id="4")
-        assert _read_ids(answer) == [5, 6]
+        answer = await stubs.ask_stream(harness, last_event_id="4")
+        assert stubs.read_ids(answer) == [5, 6]
 
 
 async def test_a_stream_that_cannot_continue_looks_incomplete():
@@ -143,8 +131,8 @@
     """
     async with stubs.open_harness() as harness:
         await harness.add("i-1", _stream(cut_after=3), layers=(0, 80))
-        answer = await _ask(harness)
-        assert _read_ids(answer)[:3] == [1, 2, 3]
+        answer = await stubs.ask_stream(harness)
+        assert stubs.read_ids(answer)[:3] == [1, 2, 3]
         assert not _is_whole(answer)
 
 
@@ -152,8 +140,8 @@
     async with stubs.open_harness() as harness:
         await harness.add("i-1", _stream(cut_after=2), layers=(0, 80))
         other = await harness.add("i-2", _stream(cut_after=2), layers=(0, 80))
-        answer = await _ask(harness, "/once/1")
-        assert _read_ids(answer) == [1, 2]
+        answer = await stubs.ask_stream(harness, "/once/1")
+        assert stubs.read_ids(answer) == [1, 2]
         assert not _is_whole(answer)
         assert len(other.callers_requests) <= 1
         assert harness.list_kinds().count("path-chosen") == 1
@@ -170,8 +158,8 @@
 
     async with stubs.open_harness() as harness:
         await harness.add("i-1", skip, layers=(0, 80))
-        answer = await _ask(harness)
-        assert 4 not in _read_ids(answer)
+        answer = await stubs.ask_stream(harness)
+        assert 4 not in stubs.read_ids(answer)
         assert not _is_whole(answer)
 
 
@@ -184,8 +172,8 @@
 
     async with stubs.open_harness() as harness:
         await harness.add("i-1", again, layers=(0, 80))
-        answer = await _ask(harness, last_event_id="3")
-        assert _read_ids(answer) == [4, 5, 6]
+        answer = await stubs.ask_stream(harness, last_event_id="3")
+        assert stubs.read_ids(answer) == [4, 5, 6]
 
 
 async def test_a_refusal_names_the_engine_to_avoid():
@@ -210,7 +198,7 @@
         await harness.add(
             "i-3", stubs.reset, layers=(40, 80), accelerator="l4"
         )
-        answer = await _ask(harness)
+        answer = await stubs.ask_stream(harness)
         assert _is_whole(answer)
         assert "engine-refused" in harness.list_kinds()
 
@@ -232,7 +220,7 @@
             "i-2", _stream(), layers=(0, 80), accelerator="a100s"
         )
         for _ in range(12):
-            assert _is_whole(await _ask(harness))
+            assert _is_whole(await stubs.ask_stream(harness))
         assert 1 <= len(quick.callers_requests) <= 3
 
 
@@ -242,7 +230,7 @@
     """
     async with stubs.open_harness() as harness:
         began = trio.current_time()
-        answer = await _ask(harness)
+        answer = await stubs.ask_stream(harness)
         assert answer.split(b" ")[1] == b"503"
         assert b"retry-after" in answer.lower()
         assert trio.current_time() - began < 1.9
@@ -280,8 +268,8 @@
         spare = await harness.add(
             "i-3", stubs.stay_silent, layers=(40, 80), accelerator="l4"
         )
-        answer = await _ask(harness)
-        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        answer = await stubs.ask_stream(harness)
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
         assert _is_whole(answer)
         assert orders[0]["id"] == "r1"
         assert str(spare.address) in orders[0]["path"]
@@ -301,7 +289,7 @@
         async with _asking(harness) as answers:
             await trio.sleep(0.1)
             await harness.add("i-2", _stream(), layers=(0, 80))
-        assert _read_ids(answers[0]) == [1, 2, 3, 4, 5, 6]
+        assert stubs.read_ids(answers[0]) == [1, 2, 3, 4, 5, 6]
         assert _is_whole(answers[0])
         assert trio.current_time() - began < 2.0
 
@@ -324,8 +312,8 @@
 
     async with stubs.open_harness() as harness:
         await harness.add("i-1", script, layers=(0, 80))
-        answer = await _ask(harness)
-        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        answer = await stubs.ask_stream(harness)
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
         assert _is_whole(answer)
 
 
@@ -340,7 +328,7 @@
             harness.state.targets.remove("i-1", 2)
             await trio.sleep(1.7)
             await harness.add("i-2", _stream(), layers=(0, 80))
-        assert _read_ids(answers[0]) == [1, 2, 3, 4, 5, 6]
+        assert stubs.read_ids(answers[0]) == [1, 2, 3, 4, 5, 6]
         assert _is_whole(answers[0])
 
 
@@ -360,8 +348,8 @@
                     stream.move("the test says so")
 
         harness.nursery.start_soon(disturb)
-        answer = await _ask(harness)
-        ids = _read_ids(answer)
+        answer = await stubs.ask_stream(harness)
+        ids = stubs.read_ids(answer)
         assert ids == list(range(1, len(ids) + 1))
         assert harness.list_kinds().count("path-lost") > 3
 
@@ -383,11 +371,11 @@
         stub = await harness.add("i-1", script, layers=(0, 80))
         stream, _ = await harness.connect()
         await stream.send_all(
-            stubs.make_request("/stream/1", "POST", **_HEADERS)
+            stubs.make_request("/stream/1", "POST", **stubs.STREAM_HEADERS)
         )
         await trio.sleep(1.0)
         answer = await stubs.read_all(stream)
-        assert _read_ids(answer) == list(range(1, 40))
+        assert stubs.read_ids(answer) == list(range(1, 40))
         assert len(stub.callers_requests) == 1
 
 
@@ -411,7 +399,7 @@
             await harness.add(name, script, layers=(0, 80))
         stream, _ = await harness.connect()
         await stream.send_all(
-            stubs.make_request("/stream/1", "POST", **_HEADERS)
+            stubs.make_request("/stream/1", "POST", **stubs.STREAM_HEADERS)
         )
         await trio.sleep(0.3)
         for watched in tuple(harness.stalls.streams):
@@ -471,8 +459,8 @@
             )
             if name == "i-3":
                 other = stub
-        answer = await _ask(harness)
-        assert _read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        answer = await stubs.ask_stream(harness)
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
         assert not orders
         assert other.callers_requests[-1].headers["last-event-id"] == "2"
 
@@ -490,7 +478,7 @@
             await trio.aclose_forcefully(stream)
 
         await harness.add("i-1", take, layers=(0, 80))
-        answer = await _ask(harness)
+        answer = await stubs.ask_stream(harness)
         assert answer.split(b" ")[1] == b"502"
 
 
@@ -501,9 +489,9 @@
     """
     async with stubs.open_harness() as harness:
         await harness.add("i-1", _stream(cut_after=3), layers=(0, 80))
-        await _ask(harness, x_request_id="r1")
-        await _ask(harness, x_request_id="r2")
-        await _ask(harness, "/stream/2", x_request_id="r3")
+        await stubs.ask_stream(harness, x_request_id="r1")
+        await stubs.ask_stream(harness, x_request_id="r2")
+        await stubs.ask_stream(harness, "/stream/2", x_request_id="r3")
     events = harness.recorder.list_events()
     arrived = [e for e in events if e.kind == "request-arrived"]
     first, second, third = (e.detail["fingerprint"] for e in arrived)
@@ -530,7 +518,7 @@
             dataclasses.replace(target, address=closed_port, revision=2)
         )
         third = await harness.add("i-3", _stream(), layers=(0, 80))
-        answer = await _ask(harness)
+        answer = await stubs.ask_stream(harness)
         assert _is_whole(answer)
         assert failing.callers_requests
         assert third.callers_requests
@@ -570,7 +558,7 @@
             "i-3", stubs.stay_silent, layers=(40, 80), accelerator="t4"
         )
         status = EngineStatus(LayerRange(*kept), True, moving=True)
-        harness.nursery.start_soon(_ask, harness)
+        harness.nursery.start_soon(stubs.ask_stream, harness)
         await trio.sleep(0.2)
         harness.state.engine_statuses.note("i-2", status)
         await trio.sleep(0.4)
@@ -598,7 +586,7 @@
 
     async with stubs.open_harness() as harness:
         await harness.add("i-1", script, layers=(0, 80))
-        harness.nursery.start_soon(_ask, harness)
+        harness.nursery.start_soon(stubs.ask_stream, harness)
         await trio.sleep(0.3)
         for _ in range(3):
             time.sleep(0.6)  # noqa: ASYNC251
