Let the watches ask a stream's departure directly

A stream passed two calls on to its departure, with a flag that chose the method, and both stood a second time in the protocol of the watch. The watch and the rerouting use the departure itself now; it knows when a run begins and ends, so one that has ended is not left. No behaviour is changed: tests of departures, streams, cut answers and crashes pass, and the random observations still fail with the write or the decision taken out.

--- a/magnoliacove/gateway/departures.py
+++ b/magnoliacove/gateway/departures.py
@@ -55,17 +55,24 @@
         self._read_facts = read_facts
         self._end_run = end_run
         self._log = log
+        self._running = False
         self._retry_spent = False
         self._waiter: Waiter | None = None
         self._silent_at = self._lost_at = -_RETRY_INTERVAL
         self._obstacle: Obstacle | None = None
 
-    def reset(self) -> None:
-        """Start with a new path, which has no reason to be left yet."""
+    def begin(self) -> None:
+        """Start with a run on a new path, which has no reason to be left."""
         self.reason = ""
+        self._running = True
         self._obstacle = None
         self._silent_at = self._lost_at = -_RETRY_INTERVAL
 
+    def end(self) -> None:
+        """Stop, as the run has ended."""
+        self._running = False
+        self.stop_waiting()
+
     def may_be_rerouted(self, now: float) -> bool:
         """Return whether to try a reroute again after one that failed."""
         return now - self._lost_at >= _RETRY_INTERVAL
@@ -108,7 +115,7 @@
         )
 
     def stop_waiting(self) -> None:
-        """Stop waiting for another path, as the current one works or ended."""
+        """Stop waiting for another path, as the current one works."""
         if self._waiter is not None:
             self._state.capacity_queue.withdraw(self._waiter)
             self._waiter = None
@@ -119,11 +126,12 @@
         return spent
 
     def _must_stay(self) -> bool:
-        """Return whether the path was left already, or is in use.
+        """Return whether the run has ended, was left already or goes on.
 
         While the caller is sent an event, the engine has just gone on.
         """
-        return bool(self.reason) or self._delivery.writing
+        left = bool(self.reason)
+        return not self._running or left or self._delivery.writing
 
     def _change_if_allowed(
         self, reason: str, engines: Collection[str]
--- a/magnoliacove/gateway/rerouting.py
+++ b/magnoliacove/gateway/rerouting.py
@@ -7,7 +7,6 @@
 it.
 """
 
-from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import Protocol
@@ -17,6 +16,7 @@
 from magnoliacove.configuration.routes import ModelShape
 from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.channels import TargetError
+from magnoliacove.gateway.departures import PathDeparture
 from magnoliacove.gateway.engines import EngineCalls
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.limits.load import Reservation
@@ -45,6 +45,7 @@
     request: str
     service: str
     fingerprint: str
+    departure: PathDeparture
 
     @property
     def shape(self) -> ModelShape:
@@ -70,23 +71,6 @@
     def take_path(self, path: Path, reservation: Reservation) -> None:
         """Continue on another path with the same first stage."""
 
-    def may_be_rerouted(self, now: float) -> bool:
-        """Return whether to try a reroute, after one that failed."""
-
-    def move(
-        self,
-        reason: str,
-        engines: Collection[str] = (),
-        *,
-        lost: bool = False,
-    ) -> None:
-        """Leave the current path if a run on another one is certain.
-
-        :param engines: those because of which the stream leaves.
-        :param lost: whether they count as lost, so that the stream waits for
-            another path; otherwise they are silent and may go on.
-        """
-
     def note_unusable_engines(self, targets: Iterable[str]) -> None:
         """Record that engines of the current path are unusable."""
 
@@ -118,7 +102,7 @@
         """
         if stream.request in self._in_progress:
             return
-        if not stream.may_be_rerouted(trio.current_time()):
+        if not stream.departure.may_be_rerouted(trio.current_time()):
             return
         self._in_progress.add(stream.request)
         stream.note_unusable_engines(unusable)
@@ -133,7 +117,7 @@
             self._in_progress.discard(stream.request)
         silent = stream.read_silence(trio.current_time())
         if not changed and silent >= _MIN_SILENCE:
-            stream.move(reason, unusable, lost=True)
+            stream.departure.leave_lost(reason, unusable)
 
     async def _try_change_path(
         self, stream: ReroutableStream, unusable: frozenset[str], reason: str
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -141,7 +141,9 @@
             if waited >= MOVE_TIMEOUT and stream.began:
                 first = stream.first_target
                 engines = [first.name] if first is not None else []
-                stream.move("it was silent for too long", engines)
+                stream.departure.leave_silent(
+                    "it was silent for too long", engines
+                )
             if stream.read_silence(now) >= SILENCE_TIMEOUT:
                 self._check_path(stream, now, nursery)
 
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -5,7 +5,6 @@
 the same answer, so that no event is missing and none is sent twice.
 """
 
-from collections.abc import Collection
 from collections.abc import Iterable
 
 import trio
@@ -48,7 +47,10 @@
 
 
 class StreamCall:
-    """Answers one request from a model's engines."""
+    """Answers one request from a model's engines.
+
+    :param departure: decides whether the stream leaves its current path.
+    """
 
     def __init__(
         self,
@@ -71,11 +73,11 @@
             exchange,
             routed.caller_headers.last_event,
             # The path works, so the stream need not change to another one.
-            lambda: self._departure.stop_waiting(),
+            lambda: self.departure.stop_waiting(),
         )
         self._log = StreamLog(state.recorder, routed, self._delivery)
         self._path_started_at = 0.0
-        self._departure = PathDeparture(
+        self.departure = PathDeparture(
             state,
             routed,
             self._path_reservation,
@@ -195,35 +197,11 @@
 
     def take_path(self, path: Path, reservation: Reservation) -> None:
         """Continue on another path with the same first stage."""
-        self._departure.stop_waiting()
+        self.departure.stop_waiting()
         self._path_reservation.replace_path(path, reservation)
         # The new stages read all tokens so far before the next event.
         self._delivery.received_at = trio.current_time()
 
-    def may_be_rerouted(self, now: float) -> bool:
-        """Return whether to try a reroute, after one that failed."""
-        return self._departure.may_be_rerouted(now)
-
-    def move(
-        self,
-        reason: str,
-        engines: Collection[str] = (),
-        *,
-        lost: bool = False,
-    ) -> None:
-        """Leave the current path if a run on another one is certain.
-
-        :param engines: those because of which the stream leaves.
-        :param lost: whether they count as lost, so that the stream waits for
-            another path; otherwise they are silent and may go on.
-        """
-        if self._scope is None:
-            return
-        if lost:
-            self._departure.leave_lost(reason, engines)
-        else:
-            self._departure.leave_silent(reason, engines)
-
     def note_unusable_engines(self, targets: Iterable[str]) -> None:
         """Record that engines of the current path are unusable."""
         age = self._delivery.read_run_age()
@@ -331,7 +309,7 @@
             self._runs += 1
         else:
             self._refusals += 1
-        if self._departure.take_retry():
+        if self.departure.take_retry():
             # Decided and paid for before the path was left.  Only a crash that
             # became known since then stops the stream.
             return self._state.may_repeat(self.fingerprint)
@@ -371,7 +349,7 @@
             raise BrokenRunError("the first engine is gone", False)
         number = self._runs + self._refusals + 1
         self._log.record_path(path, number, trio.current_time())
-        self._departure.reset()
+        self.departure.begin()
         self._cut = _STOPPED
         self._delivery.prepare_run()
         self._path_started_at = self._delivery.received_at
@@ -390,6 +368,6 @@
         finally:
             self._sent = run.sent
             self._scope = None
-            self._departure.stop_waiting()
+            self.departure.end()
             self._stalls.streams.discard(self)
-        raise BrokenRunError(self._departure.reason, run.sent, left=True)
+        raise BrokenRunError(self.departure.reason, run.sent, left=True)
--- a/tests/gateway/test_departure_sequences.py
+++ b/tests/gateway/test_departure_sequences.py
@@ -60,6 +60,7 @@
             self._end_run,
             SimpleNamespace(record_path_kept=lambda *_: None),
         )
+        self.departure.begin()
 
     def _reserve_next(self, avoided, excluded):
         self.reserved = self.path_free
@@ -124,7 +125,7 @@
         if begun:
             assert all(stream.left)
             assert stream.departure.take_retry() == bool(stream.left)
-        stream.departure.stop_waiting()
+        stream.departure.end()
         assert not stream.queue.waiting
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -421,7 +421,7 @@
             await self._delivery.deliver(await channel.read_body())
             await harness.add("i-2", stubs.serve_whole, layers=_LAYERS)
             [stream] = harness.stalls.streams
-            stream.move("the test says so", ["i-1"])
+            stream.departure.leave_silent("the test says so", ["i-1"])
             raise TargetError("reset", errors.Outcome.MAY_HAVE_RUN)
         await original(self, channel)
 
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -345,7 +345,7 @@
             while True:
                 await trio.sleep(0.011)
                 for stream in tuple(harness.stalls.streams):
-                    stream.move("the test says so")
+                    stream.departure.leave_silent("the test says so", [])
 
         harness.nursery.start_soon(disturb)
         answer = await stubs.ask_stream(harness)
@@ -403,7 +403,7 @@
         )
         await trio.sleep(0.3)
         for watched in tuple(harness.stalls.streams):
-            watched.move("the test says so")
+            watched.departure.leave_silent("the test says so", [])
         answer = await stubs.read_all(stream)
         body = _join_chunks(answer.partition(b"\r\n\r\n")[2])
         ids = [int(n) for n in re.findall(rb"^id: (\d+)$", body, re.M)]
