--- a/measure/cut_counts.py
+++ b/measure/cut_counts.py
@@ -7,6 +7,7 @@
 import statistics
 from typing import Any
 
+from magnoliacove.errors import EndedBy
 from measure.scripted_engines import RunState
 from measure.scripted_gateway import Reading
 from measure.scripted_gateway import ScriptedGateway
@@ -26,7 +27,7 @@
 
     gateway: ScriptedGateway
     readings: dict[str, Reading]
-    ended_by: dict[str, str]
+    ended_by: dict[str, EndedBy]
     delay: float
 
 
@@ -51,7 +52,7 @@
     wrong: int = 0
     unlogged: int = 0
     served: int = 0
-    cut: Counter[str] = field(default_factory=Counter)
+    cut: Counter[EndedBy] = field(default_factory=Counter)
     delay: float = 0.0
     gaps: list[float] = field(default_factory=list)
     traces: list[str] = field(default_factory=list)
@@ -79,12 +80,12 @@
             self.unlogged += 1
             return
         self.cut[by] += 1
-        if by != "engine":
+        if by is not EndedBy.ENGINE:
             lines = played.gateway.recorder.list_events(request=request)
             self.traces += [line.to_json() for line in lines]
         last = played.gateway.runs[request][-1].state
         failed = last in (RunState.BROKEN, RunState.SILENT)
-        self.served += by == "gateway" and not failed
+        self.served += by is EndedBy.GATEWAY and not failed
 
     def describe(self, name: str) -> dict[str, Any]:
         """Return the row of the table."""
@@ -94,9 +95,9 @@
             "case": name,
             "begun": self.begun,
             "whole": self.whole,
-            "gateway": self.cut["gateway"],
-            "caller": self.cut["caller"],
-            "engine": self.cut["engine"],
+            "gateway": self.cut[EndedBy.GATEWAY],
+            "caller": self.cut[EndedBy.CALLER],
+            "engine": self.cut[EndedBy.ENGINE],
             "per 1000": round(1000 * cut / max(1, self.begun), 1),
             "served": self.served,
             "gap p50": round(statistics.median(gaps), 2),
--- a/measure/cuts.py
+++ b/measure/cuts.py
@@ -24,6 +24,7 @@
 
 from magnoliacove.configuration import routes
 from magnoliacove.directory.listed import LayerRange
+from magnoliacove.errors import EndedBy
 from magnoliacove.limits import SharedRetryBudget
 from measure import common
 from measure import gateway
@@ -136,7 +137,7 @@
                 await trio.sleep(0.01)
             nursery.cancel_scope.cancel()
     ended_by = {
-        event.request: str(event.detail["by"])
+        event.request: EndedBy(event.detail["by"])
         for event in relay.recorder.list_events()
         if event.kind == "answer-cut"
     }
