Ask before a request takes capacity, and tell what waits

Gateways that share capacity have to know what waits at each of them, and to leave capacity to more urgent requests elsewhere. The queue asks an optional RoomSharing before a request looks for a path, except for answers that have begun, and tells it of each grant. It summarizes what waits by service and urgency, and counts the grants of each service over two seconds.

A departure passes the service alone: what it waits for is a begun answer, which is neither summarized nor charged to an account.

--- a/magnoliacove/gateway/departures.py
+++ b/magnoliacove/gateway/departures.py
@@ -112,6 +112,7 @@
             # soon, and what it was sent would be lost.
             priority=-1,
             fresh_until=self._routed.deadline,
+            service=self._routed.service.name,
         )
 
     def stop_waiting(self) -> None:
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -267,6 +267,9 @@
                 read_delay=self._path_reservation.read_delay
                 if not self.began
                 else lambda: 0.0,
+                service=self.service,
+                account=routed.account,
+                tokens=sum(self.read_tokens()),
             )
         except errors.RequestError as exc:
             self._cut = Cut(errors.EndedBy.GATEWAY, f"{exc.code}: {exc}")
--- a/magnoliacove/limits/capacity.py
+++ b/magnoliacove/limits/capacity.py
@@ -16,6 +16,9 @@
 import trio
 
 from magnoliacove import errors
+from magnoliacove.limits.waiting import RoomSharing
+from magnoliacove.limits.waiting import WaitingSummary
+from magnoliacove.limits.windows import WindowCounts
 from magnoliacove.routing.paths import Path
 
 __all__ = ["CapacityQueue", "Waiter"]
@@ -39,6 +42,9 @@
 # retries are spread over as long again.
 _MIN_RETRY_AFTER = 2.0
 _MAX_RETRY_AFTER = 5.0
+# Seconds over which the rate of grants is counted.  It follows a change of
+# load within the time that most callers wait.
+_RATE_WINDOW = 2.0
 
 
 @dataclass(eq=False)
@@ -46,7 +52,10 @@
     """A request that waits for a path.
 
     :param find_path: tries to find and reserve a path.
+    :param priority: 0 is the most urgent; -1 is an answer that has begun.
     :param fresh_until: when the request's latency objective ends.
+    :param arrived: when it began to wait, by trio's clock.
+    :param tokens: tokens of its prompt and answer, 0 when unknown.
     :param decided: set when a path is reserved.
     """
 
@@ -54,6 +63,10 @@
     priority: int
     fresh_until: float
     number: int
+    service: str = ""
+    account: str = ""
+    tokens: float = 0.0
+    arrived: float = field(default_factory=trio.current_time)
     decided: trio.Event = field(default_factory=trio.Event)
     path: Path | None = None
 
@@ -61,12 +74,17 @@
 class CapacityQueue:
     """A queue of requests until an engine path has capacity for them.
 
+    :param sharing: decides whether this gateway may take freed capacity, or
+        None to take all that it finds.
     :param max_waiting: maximum number of waiting requests; further requests
         are refused at once.
     """
 
-    def __init__(self, max_waiting: int = 256) -> None:
+    def __init__(
+        self, max_waiting: int = 256, sharing: RoomSharing | None = None
+    ) -> None:
         self.refused = 0
+        self.sharing = sharing
         self._max_waiting = max_waiting
         self._waiters: list[Waiter] = []
         # Where the next pass continues among the requests behind the first.
@@ -75,6 +93,7 @@
         # Moving average of the seconds between two grants, for Retry-After.
         self._grant_interval = _INITIAL_GRANT_INTERVAL
         self._granted_at = 0.0
+        self._grants = WindowCounts(_RATE_WINDOW, trio.current_time)
         self._changed = trio.Event()
 
     @property
@@ -82,6 +101,35 @@
         """The number of waiting requests."""
         return len(self._waiters)
 
+    def summarize(self) -> list[WaitingSummary]:
+        """Return what waits, by service and urgency.
+
+        Begun answers are left out: they take capacity in any case.
+        """
+        now = trio.current_time()
+        groups: dict[tuple[str, int], list[Waiter]] = {}
+        for waiter in self._waiters:
+            if waiter.priority >= 0:
+                key = (waiter.service, waiter.priority)
+                groups.setdefault(key, []).append(waiter)
+        return [
+            WaitingSummary(
+                service,
+                priority,
+                requests=len(waiters),
+                tokens=sum(waiter.tokens for waiter in waiters),
+                oldest=now - min(waiter.arrived for waiter in waiters),
+            )
+            for (service, priority), waiters in sorted(groups.items())
+        ]
+
+    def read_grant_rate(self, service: str) -> float:
+        """Return how many requests of a service get capacity here a second.
+
+        Those that did not wait count too.
+        """
+        return self._grants.count(service) / _RATE_WINDOW
+
     async def wait_path(
         self,
         find_path: Callable[[], Path | None],
@@ -91,6 +139,9 @@
         timeout: float,
         read_delay: Callable[[], float] = lambda: 0.0,
         may_refuse: bool = True,
+        service: str = "",
+        account: str = "",
+        tokens: float = 0.0,
     ) -> Path:
         """Return a path as soon as one has capacity.
 
@@ -103,13 +154,15 @@
             request with a shorter timeout is refused at once.
         :param may_refuse: whether the request is refused when the queue is
             full; an answer that has begun would be cut off.
+        :param account: the client account's name, or "".
+        :param tokens: tokens of the prompt and the answer together.
         :raises magnoliacove.errors.RequestError: when no path has capacity
             in time; the request did not run.
         """
-        if not self._waiters:
+        if not self._waiters and self._may_use(service, priority, 0.0):
             path = find_path()
             if path is not None:
-                self._note_granted()
+                self._note_granted(service, priority)
                 return path
         if may_refuse and len(self._waiters) >= self._max_waiting:
             raise self._refuse()
@@ -119,7 +172,12 @@
             # retry once there is a path again.
             raise self._refuse(delay)
         waiter = self.add(
-            find_path, priority=priority, fresh_until=fresh_until
+            find_path,
+            priority=priority,
+            fresh_until=fresh_until,
+            service=service,
+            account=account,
+            tokens=tokens,
         )
         try:
             with trio.move_on_after(timeout):
@@ -136,12 +194,23 @@
         *,
         priority: int,
         fresh_until: float,
+        service: str = "",
+        account: str = "",
+        tokens: float = 0.0,
     ) -> Waiter:
         """Queue a request that does not wait here; see :meth:`wait_path`.
 
         :param find_path: called repeatedly until it returns a path.
         """
-        waiter = Waiter(find_path, priority, fresh_until, next(self._numbers))
+        waiter = Waiter(
+            find_path,
+            priority,
+            fresh_until,
+            next(self._numbers),
+            service,
+            account,
+            tokens,
+        )
         self._waiters.append(waiter)
         self.fill()
         return waiter
@@ -165,7 +234,11 @@
             self._changed.set()
 
     def _grant_waiting(self) -> None:
+        now = trio.current_time()
         for waiter in self._list_next():
+            waited = now - waiter.arrived
+            if not self._may_use(waiter.service, waiter.priority, waited):
+                continue
             path = waiter.find_path()
             if path is None:
                 continue
@@ -174,7 +247,16 @@
             waiter.path = path
             self.withdraw(waiter)
             waiter.decided.set()
-            self._note_granted()
+            self._note_granted(waiter.service, waiter.priority)
+
+    def _may_use(self, service: str, priority: int, waited: float) -> bool:
+        """Return whether a request may look for capacity now.
+
+        A begun answer always may: its caller disconnects soon.
+        """
+        if self.sharing is None or priority < 0:
+            return True
+        return self.sharing.may_use(service, priority, waited)
 
     def _list_next(self) -> list[Waiter]:
         """Return the requests to try now: the first ones, and some in turn.
@@ -195,8 +277,11 @@
             self._changed.set()
         return first + rest[start : start + _TRIED_IN_TURN]
 
-    def _note_granted(self) -> None:
+    def _note_granted(self, service: str, priority: int) -> None:
         now = trio.current_time()
+        self._grants.note(service)
+        if self.sharing is not None:
+            self.sharing.note_used(service, priority)
         interval = min(now - self._granted_at, _MAX_RETRY_AFTER)
         self._grant_interval += _SMOOTHING * (interval - self._grant_interval)
         self._granted_at = now
