Order by urgency and account, and refuse what cannot be served

An urgent request whose objective had passed stood behind every patient one, client accounts had no share, and a request that no path would serve was held until its caller left.

The order is decided in limits/order.py: urgency, then whether the request can be on time, then the account that got least, then arrival. It applies where the streams of a service differ in urgency; elsewhere the chance to be on time stays first.

A pass no longer tries a request that is as large as one for which it has just found no path.

--- a/magnoliacove/configuration/routes.py
+++ b/magnoliacove/configuration/routes.py
@@ -213,6 +213,14 @@
         for route in routes:
             prefixes = self._by_host.setdefault(route.host.lower(), {})
             prefixes[route.path_prefix] = route
+        self._urgencies = self._collect_urgencies()
+
+    def differs_in_urgency(self, service: str) -> bool:
+        """Return whether streams of one service differ in urgency.
+
+        Either its routes do, or client accounts have urgencies of their own.
+        """
+        return len(self._urgencies.get(service, ())) > 1
 
     @property
     def needs_keys(self) -> bool:
@@ -237,3 +245,20 @@
     def find_account(self, key: str) -> Account | None:
         """Return the account that an API key belongs to, or None."""
         return (self._accounts or {}).get(key)
+
+    def _collect_urgencies(self) -> dict[str, set[int]]:
+        """Return the priorities that a stream of each service can have."""
+        accounts = (self._accounts or {}).values()
+        own = {a.priority for a in accounts if a.priority is not None}
+        # Without a priority of its own, the account has that of the route.
+        all_own = bool(accounts) and all(
+            account.priority is not None for account in accounts
+        )
+        urgencies: dict[str, set[int]] = {}
+        for route in self.routes:
+            if not route.streaming:
+                continue
+            found = own if all_own and not route.public else {route.priority}
+            for share in route.shares:
+                urgencies.setdefault(share.service, set()).update(found, own)
+        return urgencies
--- a/magnoliacove/gateway/assembly.py
+++ b/magnoliacove/gateway/assembly.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from magnoliacove.configuration.routes import RouteTable
 from magnoliacove.directory.engine_status import EngineStatuses
 from magnoliacove.directory.health import Health
 from magnoliacove.directory.targets import TargetList
@@ -19,6 +20,7 @@
 from magnoliacove.limits.backpressure import BackpressureBook
 from magnoliacove.limits.crashes import CrashHistory
 from magnoliacove.limits.grants import GrantBook
+from magnoliacove.limits.order import OrderPolicy
 from magnoliacove.limits.permits import Permits
 from magnoliacove.limits.quarantine import QuarantineBook
 from magnoliacove.metrics import Meters
@@ -59,7 +61,11 @@
     grants = GrantBook(recorder.process)
     permits = Permits(backpressure, grants)
     on_answer = make_notice_handler(backpressure, health)
-    return GatewayState(
+
+    def read_policy(service: str) -> OrderPolicy:
+        return _read_policy(state.routes, service)
+
+    state = GatewayState(
         name=recorder.process,
         data_centre=inputs.data_centre,
         recorder=recorder,
@@ -70,7 +76,7 @@
         loads=loads,
         unreported=unreported,
         retry_budget=inputs.retry_budget,
-        capacity_queue=CapacityQueue(),
+        capacity_queue=CapacityQueue(read_policy=read_policy),
         pool=ChannelPool(inputs.start_soon, on_answer),
         candidates=Candidates(
             inputs.data_centre,
@@ -89,3 +95,12 @@
         permits=permits,
         quarantine=QuarantineBook(recorder, inputs.owns),
     )
+    return state
+
+
+def _read_policy(table: RouteTable | None, service: str) -> OrderPolicy:
+    """Return how the configuration in force orders a service's requests."""
+    if table is None:
+        return OrderPolicy()
+    by_urgency = table.differs_in_urgency(service)
+    return OrderPolicy(by_urgency, by_urgency or table.needs_keys)
--- a/magnoliacove/gateway/gauges.py
+++ b/magnoliacove/gateway/gauges.py
@@ -3,6 +3,7 @@
 import trio
 
 from magnoliacove.gateway.state import GatewayState
+from magnoliacove.limits.capacity import CapacityQueue
 
 __all__ = ["read_gauges"]
 
@@ -23,8 +24,22 @@
         "requests_in_progress": state.open_requests,
         "requests_waiting": state.capacity_queue.waiting,
         "requests_refused": state.capacity_queue.refused,
+        **_read_urgency_gauges(state.capacity_queue),
         "retries_denied": state.retry_budget.denied,
         "requests_quarantined": len(state.quarantine.list_all()),
         "quarantine_refusals": state.quarantine.refused,
         "connections_opened": state.pool.opened,
     }
+
+
+def _read_urgency_gauges(queue: CapacityQueue) -> dict[str, float]:
+    """Return the gauges of the capacity queue for each urgency."""
+    waiting = {
+        f"requests_waiting_urgency_{urgency}": count
+        for urgency, count in queue.count_by_urgency().items()
+    }
+    refused = {
+        f"requests_refused_early_urgency_{urgency}": count
+        for urgency, count in queue.refused_early.items()
+    }
+    return {**waiting, **refused}
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -72,8 +72,7 @@
         self._delivery = EventDelivery(
             exchange,
             routed.caller_headers.last_event,
-            # The path works, so the stream need not change to another one.
-            lambda: self.departure.stop_waiting(),
+            self._note_write,
         )
         self._log = StreamLog(state.recorder, routed, self._delivery)
         self._path_started_at = 0.0
@@ -87,6 +86,7 @@
             self._log,
         )
         self._scope: trio.CancelScope | None = None
+        self._first_event_noted = False
         self._runs = 0
         self._refusals = 0
         # Whether the last run, which may go on, was sent to an engine.
@@ -207,6 +207,14 @@
         age = self._delivery.read_run_age()
         self._crash_watch.check_failed_engines(targets, self._routed, age)
 
+    def _note_write(self) -> None:
+        # The path works, so the stream need not change to another one.
+        self.departure.stop_waiting()
+        if not self._first_event_noted:
+            self._first_event_noted = True
+            seconds = self._delivery.received_at - self._path_started_at
+            self._state.capacity_queue.note_first_event(self.service, seconds)
+
     def _end_run(self) -> None:
         if self._scope is not None:
             self._scope.cancel()
@@ -262,7 +270,8 @@
                 if self.began
                 else arrived + objective,
                 timeout=remaining,
-                may_refuse=not self.began,
+                # Once an engine may have run it, it can no longer be refused.
+                may_refuse=not self.began and not self._runs,
                 # An answer that has begun is never refused.
                 read_delay=self._path_reservation.read_delay
                 if not self.began
--- a/magnoliacove/limits/capacity.py
+++ b/magnoliacove/limits/capacity.py
@@ -2,23 +2,30 @@
 
 A stream that is sent to an engine without enough memory is preempted, or its
 prompt is processed for nothing, and other streams there suffer the same.  So
-a request waits here until a path has capacity.  Requests that can still meet
-their latency objective go first: a request that is late anyway loses little
-by waiting longer.
+a request waits here until a path has capacity.  `limits/order.py` decides who
+is next, and `limits/waits.py` who cannot be served and is refused for that.
 """
 
+from collections import Counter
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 import itertools
+import math
 import random
 
 import trio
 
 from magnoliacove import errors
+from magnoliacove.limits.order import OrderPolicy
+from magnoliacove.limits.order import WaitingOrder
 from magnoliacove.limits.waiting import RoomSharing
 from magnoliacove.limits.waiting import WaitingSummary
-from magnoliacove.limits.windows import WindowCounts
+from magnoliacove.limits.waits import FlowMeter
+from magnoliacove.limits.waits import Prospect
+from magnoliacove.limits.waits import Refusal
+from magnoliacove.limits.waits import find_refusal
 from magnoliacove.routing.paths import Path
 
 __all__ = ["CapacityQueue", "Waiter"]
@@ -32,19 +39,19 @@
 # processor when many requests wait, and delays the detection of callers that
 # disconnect.
 _FILL_INTERVAL = 0.025
-# Weight of the newest interval in the moving average.
-_SMOOTHING = 0.2
-# Initial estimate of the seconds between two grants of capacity.
-_INITIAL_GRANT_INTERVAL = 0.2
+# Seconds between two checks for waiting requests that cannot be served.
+_SHED_INTERVAL = 0.1
 # Bounds of `Retry-After` in seconds.  Capacity is short while the layers of a
 # failed engine are placed again, which takes about two seconds.  Callers retry
-# once; a caller that retries sooner is refused again and then gives up.  The
-# retries are spread over as long again.
+# once; a caller that retries sooner is refused again and then gives up.
 _MIN_RETRY_AFTER = 2.0
 _MAX_RETRY_AFTER = 5.0
-# Seconds over which the rate of grants is counted.  It follows a change of
-# load within the time that most callers wait.
-_RATE_WINDOW = 2.0
+_MAX_FIRST_RETRY = 4.0
+# Seconds of refusals whose retries are spread over the time in which there is
+# room for them.
+_RETRY_WINDOW = 2.0
+# Gauges by urgency are kept for 0 to this one; the rest counts with it.
+_MAX_URGENCY = 9
 
 
 @dataclass(eq=False)
@@ -55,8 +62,10 @@
     :param priority: 0 is the most urgent; -1 is an answer that has begun.
     :param fresh_until: when the request's latency objective ends.
     :param arrived: when it began to wait, by trio's clock.
+    :param leaves_at: when it is refused at the latest.
     :param tokens: tokens of its prompt and answer, 0 when unknown.
-    :param decided: set when a path is reserved.
+    :param may_refuse: whether it may be refused before that.
+    :param decided: set when a path is reserved or the request is refused.
     """
 
     find_path: Callable[[], Path | None]
@@ -67,39 +76,75 @@
     account: str = ""
     tokens: float = 0.0
     arrived: float = field(default_factory=trio.current_time)
+    leaves_at: float = math.inf
+    may_refuse: bool = False
     decided: trio.Event = field(default_factory=trio.Event)
     path: Path | None = None
+    refusal: Refusal | None = None
+
+
+@dataclass(eq=False)
+class _Line:
+    """What waits for one service.
+
+    :param rotation: where the next pass continues behind the first ones.
+    """
+
+    order: WaitingOrder = field(default_factory=WaitingOrder)
+    meter: FlowMeter = field(
+        default_factory=lambda: FlowMeter(trio.current_time)
+    )
+    waiters: list[Waiter] = field(default_factory=list)
+    rotation: int = 0
 
 
 class CapacityQueue:
     """A queue of requests until an engine path has capacity for them.
 
+    :param max_waiting: maximum number of waiting requests; beyond it, the
+        last one in order is refused.
     :param sharing: decides whether this gateway may take freed capacity, or
         None to take all that it finds.
-    :param max_waiting: maximum number of waiting requests; further requests
-        are refused at once.
+    :param read_policy: returns how the requests for a service are ordered.
     """
 
     def __init__(
-        self, max_waiting: int = 256, sharing: RoomSharing | None = None
+        self,
+        max_waiting: int = 256,
+        sharing: RoomSharing | None = None,
+        read_policy: Callable[[str], OrderPolicy] = lambda _: OrderPolicy(),
     ) -> None:
         self.refused = 0
+        # Refusals before the caller's time was over, by urgency.
+        self.refused_early: Counter[int] = Counter()
         self.sharing = sharing
         self._max_waiting = max_waiting
-        self._waiters: list[Waiter] = []
-        # Where the next pass continues among the requests behind the first.
-        self._rotation = 0
+        self._read_policy = read_policy
+        self._lines: dict[str, _Line] = {}
         self._numbers = itertools.count()
-        # Moving average of the seconds between two grants, for Retry-After.
-        self._grant_interval = _INITIAL_GRANT_INTERVAL
-        self._granted_at = 0.0
-        self._grants = WindowCounts(_RATE_WINDOW, trio.current_time)
+        # Times of the latest refusals.
+        self._refusals: deque[float] = deque()
+        # Those that ever waited, so that their gauges return to 0.
+        self._urgencies: set[int] = set()
+        self._shed_at = 0.0
         self._changed = trio.Event()
 
     @property
     def waiting(self) -> int:
         """The number of waiting requests."""
-        return len(self._waiters)
+        return sum(len(line.waiters) for line in self._lines.values())
+
+    def count_by_urgency(self) -> dict[int, int]:
+        """Return the number of waiting requests of each urgency.
+
+        Begun answers are left out.  Each urgency that ever waited is there.
+        """
+        counts = dict.fromkeys(self._urgencies, 0)
+        for line in self._lines.values():
+            for waiter in line.waiters:
+                if waiter.priority >= 0:
+                    counts[min(waiter.priority, _MAX_URGENCY)] += 1
+        return counts
 
     def summarize(self) -> list[WaitingSummary]:
         """Return what waits, by service and urgency.
@@ -108,10 +153,11 @@
         """
         now = trio.current_time()
         groups: dict[tuple[str, int], list[Waiter]] = {}
-        for waiter in self._waiters:
-            if waiter.priority >= 0:
-                key = (waiter.service, waiter.priority)
-                groups.setdefault(key, []).append(waiter)
+        for service, line in self._lines.items():
+            for waiter in line.waiters:
+                if waiter.priority >= 0:
+                    key = (service, waiter.priority)
+                    groups.setdefault(key, []).append(waiter)
         return [
             WaitingSummary(
                 service,
@@ -128,7 +174,12 @@
 
         Those that did not wait count too.
         """
-        return self._grants.count(service) / _RATE_WINDOW
+        line = self._lines.get(service)
+        return line.meter.read_grant_rate() if line else 0.0
+
+    def note_first_event(self, service: str, seconds: float) -> None:
+        """Record the seconds from a grant to the request's first event."""
+        self._get_line(service).meter.note_first_event(seconds)
 
     async def wait_path(
         self,
@@ -148,44 +199,51 @@
         :param find_path: returns a path whose capacity it has reserved, or
             None; called repeatedly.
         :param fresh_until: the time, by trio's clock, until which the
-            request goes before late ones.
+            request's first event is on time.
         :param timeout: seconds after which the request is refused.
         :param read_delay: returns the seconds until any path can exist; a
             request with a shorter timeout is refused at once.
-        :param may_refuse: whether the request is refused when the queue is
-            full; an answer that has begun would be cut off.
+        :param may_refuse: whether the request is refused before the timeout
+            when it cannot be served; an answer that has begun would be cut
+            off.
         :param account: the client account's name, or "".
         :param tokens: tokens of the prompt and the answer together.
         :raises magnoliacove.errors.RequestError: when no path has capacity
             in time; the request did not run.
         """
-        if not self._waiters and self._may_use(service, priority, 0.0):
+        now = trio.current_time()
+        waiter = Waiter(
+            find_path,
+            priority,
+            fresh_until,
+            next(self._numbers),
+            service,
+            account,
+            tokens,
+            arrived=now,
+            leaves_at=now + timeout,
+            may_refuse=may_refuse,
+        )
+        line = self._note_arrival(waiter)
+        if not line.waiters and self._may_use(waiter):
             path = find_path()
             if path is not None:
-                self._note_granted(service, priority)
+                self._note_granted(line, waiter, waited=False)
                 return path
-        if may_refuse and len(self._waiters) >= self._max_waiting:
-            raise self._refuse()
         delay = read_delay()
         if delay > timeout:
             # The request would time out while it waits; its caller can
             # retry once there is a path again.
-            raise self._refuse(delay)
-        waiter = self.add(
-            find_path,
-            priority=priority,
-            fresh_until=fresh_until,
-            service=service,
-            account=account,
-            tokens=tokens,
-        )
+            raise self._refuse(line, waiter, delay)
+        self._enqueue(line, waiter)
+        self._shed(line)
         try:
             with trio.move_on_after(timeout):
                 await waiter.decided.wait()
         finally:
             self.withdraw(waiter)
         if waiter.path is None:
-            raise self._refuse()
+            raise self._refuse(line, waiter)
         return waiter.path
 
     def add(
@@ -211,96 +269,239 @@
             account,
             tokens,
         )
-        self._waiters.append(waiter)
-        self.fill()
+        self._enqueue(self._note_arrival(waiter), waiter)
         return waiter
 
     def withdraw(self, waiter: Waiter) -> None:
         """Remove a request from the queue if it is still there."""
-        if waiter in self._waiters:
-            self._waiters.remove(waiter)
+        line = self._get_line(waiter.service)
+        if waiter in line.waiters:
+            line.waiters.remove(waiter)
+            line.meter.note_waiting(bool(line.waiters))
 
     async def run(self) -> None:
         """Grant capacity to waiting requests until cancelled."""
         while True:
+            changed = await self._wait_changed()
+            if changed or self.sharing is not None:
+                # Capacity left to other gateways is free after a time.
+                for line in self._lines.values():
+                    self._grant_waiting(line)
+            self._shed_all()
+            await trio.sleep(_FILL_INTERVAL)
+
+    async def _wait_changed(self) -> bool:
+        """Return after a change, or False when it is time to shed."""
+        with trio.move_on_after(_SHED_INTERVAL if self.waiting else math.inf):
             await self._changed.wait()
             self._changed = trio.Event()
-            self._grant_waiting()
-            await trio.sleep(_FILL_INTERVAL)
+            return True
+        return False
 
     def fill(self) -> None:
         """Schedule a pass over the waiting requests after a change."""
-        if self._waiters:
+        if self.waiting:
             self._changed.set()
 
-    def _grant_waiting(self) -> None:
-        now = trio.current_time()
-        for waiter in self._list_next():
-            waited = now - waiter.arrived
-            if not self._may_use(waiter.service, waiter.priority, waited):
+    def _get_line(self, service: str) -> _Line:
+        return self._lines.setdefault(service, _Line())
+
+    def _note_arrival(self, waiter: Waiter) -> _Line:
+        line = self._get_line(waiter.service)
+        line.meter.note_arrival(self._read_urgency(waiter))
+        return line
+
+    def _read_urgency(self, waiter: Waiter) -> int:
+        """Return a request's urgency as far as it affects the order."""
+        by_urgency = self._read_policy(waiter.service).by_urgency
+        return waiter.priority if by_urgency else min(waiter.priority, 0)
+
+    def _enqueue(self, line: _Line, waiter: Waiter) -> None:
+        line.order.note_waiting(waiter, line.waiters)
+        line.waiters.append(waiter)
+        if waiter.priority >= 0:
+            self._urgencies.add(min(waiter.priority, _MAX_URGENCY))
+        line.meter.note_waiting(True)
+        self.fill()
+
+    # Granting capacity.
+
+    def _grant_waiting(self, line: _Line) -> None:
+        """Try the first requests, and some of the others in turn.
+
+        Without the latter, a few streams that no path can serve would keep
+        all later requests from paths that are free.
+        """
+        # The fewest tokens for which this pass has found no path.
+        too_many = math.inf
+        tries, rest = 0, list[Waiter]()
+        for waiter in self._list_in_order(line):
+            if not self._may_try(waiter, too_many):
                 continue
-            path = waiter.find_path()
-            if path is None:
+            if tries == _TRIED_FIRST:
+                rest.append(waiter)
                 continue
-            # Others move up, and the turn may have passed over them.
+            tries += 1
+            too_many = self._try(line, waiter, too_many)
+        for waiter in self._take_turn(line, rest):
+            if self._may_try(waiter, too_many):
+                too_many = self._try(line, waiter, too_many)
+
+    def _take_turn(self, line: _Line, rest: list[Waiter]) -> list[Waiter]:
+        """Return the requests behind the first ones to try in this pass."""
+        if rest and self._read_policy(rest[0].service).by_urgency:
+            level = rest[0].priority
+            rest = [waiter for waiter in rest if waiter.priority == level]
+        start = line.rotation if line.rotation < len(rest) else 0
+        line.rotation = start + _TRIED_IN_TURN
+        if line.rotation < len(rest):
+            # Another pass, so that the rest has its turn without a change.
             self._changed.set()
-            waiter.path = path
-            self.withdraw(waiter)
-            waiter.decided.set()
-            self._note_granted(waiter.service, waiter.priority)
+        return rest[start : start + _TRIED_IN_TURN]
+
+    def _may_try(self, waiter: Waiter, too_many: float) -> bool:
+        """Return whether a search for a path may succeed."""
+        known = waiter.may_refuse and waiter.tokens > 0.0
+        if known and waiter.tokens >= too_many:
+            return False
+        return self._may_use(waiter)
+
+    def _try(self, line: _Line, waiter: Waiter, too_many: float) -> float:
+        """Grant a request a path if there is one.
 
-    def _may_use(self, service: str, priority: int, waited: float) -> bool:
+        :returns: the fewest tokens for which there is no path.
+        """
+        path = waiter.find_path()
+        if path is None:
+            # A path that only this request must not use may serve others.
+            known = waiter.may_refuse and waiter.tokens > 0.0
+            return min(too_many, waiter.tokens) if known else too_many
+        # Others move up, and the turn may have passed over them.
+        self._changed.set()
+        waiter.path = path
+        self.withdraw(waiter)
+        waiter.decided.set()
+        self._note_granted(line, waiter, waited=True)
+        return too_many
+
+    def _may_use(self, waiter: Waiter) -> bool:
         """Return whether a request may look for capacity now.
 
         A begun answer always may: its caller disconnects soon.
         """
-        if self.sharing is None or priority < 0:
+        if self.sharing is None or waiter.priority < 0:
             return True
-        return self.sharing.may_use(service, priority, waited)
+        waited = trio.current_time() - waiter.arrived
+        return self.sharing.may_use(waiter.service, waiter.priority, waited)
 
-    def _list_next(self) -> list[Waiter]:
-        """Return the requests to try now: the first ones, and some in turn.
+    def _note_granted(
+        self, line: _Line, waiter: Waiter, *, waited: bool
+    ) -> None:
+        line.order.note_granted(waiter, line.waiters)
+        line.meter.note_granted(waited)
+        if self.sharing is not None:
+            self.sharing.note_used(waiter.service, waiter.priority)
 
-        Without the latter, a few streams that no path can serve would keep
-        all later requests from paths that are free.
-        """
-        now = trio.current_time()
-        ordered = sorted(
-            self._waiters,
-            key=lambda w: (w.fresh_until < now, w.priority, w.number),
-        )
-        first, rest = ordered[:_TRIED_FIRST], ordered[_TRIED_FIRST:]
-        start = self._rotation if self._rotation < len(rest) else 0
-        self._rotation = start + _TRIED_IN_TURN
-        if self._rotation < len(rest):
-            # Another pass, so that the rest has its turn without a change.
-            self._changed.set()
-        return first + rest[start : start + _TRIED_IN_TURN]
+    def _list_in_order(self, line: _Line) -> list[Waiter]:
+        """Return the waiting requests of one service, the next one first."""
+        if not line.waiters:
+            return []
+        flow, now = line.meter.read(), trio.current_time()
+
+        def is_fresh(waiter: Waiter) -> bool:
+            objective = waiter.fresh_until - waiter.arrived
+            expected = flow.estimate_first_event(objective)
+            return now + expected <= waiter.fresh_until
+
+        policy = self._read_policy(line.waiters[0].service)
+        return line.order.sort(line.waiters, policy, is_fresh)
 
-    def _note_granted(self, service: str, priority: int) -> None:
+    # Refusing.
+
+    def _shed_all(self) -> None:
         now = trio.current_time()
-        self._grants.note(service)
-        if self.sharing is not None:
-            self.sharing.note_used(service, priority)
-        interval = min(now - self._granted_at, _MAX_RETRY_AFTER)
-        self._grant_interval += _SMOOTHING * (interval - self._grant_interval)
-        self._granted_at = now
+        if now - self._shed_at < _SHED_INTERVAL:
+            return
+        self._shed_at = now
+        for line in self._lines.values():
+            self._shed(line)
+
+    def _shed(self, line: _Line) -> None:
+        """Refuse the waiting requests that cannot be served.
+
+        Keeping one until its caller leaves would only cost the caller the
+        time in which it could try elsewhere.
+        """
+        flow = line.meter.read()
+        elsewhere = self.waiting - len(line.waiters)
+        places = self._max_waiting - elsewhere
+        if not flow.has_evidence and len(line.waiters) <= places:
+            return
+        ahead, seen = 0, set[int]()
+        for waiter in self._list_in_order(line):
+            urgency = self._read_urgency(waiter)
+            prospect = _make_prospect(
+                waiter, urgency, ahead, urgency not in seen
+            )
+            refusal = find_refusal(flow, prospect)
+            if ahead >= places:
+                refusal = flow.refuse(urgency, ahead)
+            if waiter.may_refuse and refusal is not None:
+                self._dismiss(waiter, refusal)
+                continue
+            ahead += 1
+            seen.add(urgency)
+
+    def _dismiss(self, waiter: Waiter, refusal: Refusal) -> None:
+        self.refused_early[min(waiter.priority, _MAX_URGENCY)] += 1
+        waiter.refusal = refusal
+        self.withdraw(waiter)
+        waiter.decided.set()
 
-    def _refuse(self, delay: float = 0.0) -> errors.RequestError:
+    def _refuse(
+        self,
+        line: _Line,
+        waiter: Waiter,
+        delay: float = 0.0,
+    ) -> errors.RequestError:
         """Count a refusal and return its error.
 
         :param delay: seconds until any path can exist, 0 when paths exist or
             it is not known.
         """
         self.refused += 1
-        expected = delay or max(
-            self._grant_interval * (len(self._waiters) + 1), _MIN_RETRY_AFTER
+        now = trio.current_time()
+        self._refusals.append(now)
+        while self._refusals[0] < now - _RETRY_WINDOW:
+            self._refusals.popleft()
+        flow = line.meter.read()
+        refusal = waiter.refusal or flow.refuse(
+            self._read_urgency(waiter), len(line.waiters)
         )
+        expected = delay or max(refusal.wait, _MIN_RETRY_AFTER)
+        # All that were refused lately return, and need as many grants.
+        spread = max(expected, len(self._refusals) / flow.grant_rate)
+        first = min(expected, _MAX_FIRST_RETRY)
         return errors.RequestError(
             "no_room",
-            "no path of engines has room for the request",
+            "no path of engines has room for the request: "
+            + refusal.describe(),
             status=503,
-            retry_after=min(
-                expected * random.uniform(1.0, 2.0), _MAX_RETRY_AFTER
+            retry_after=random.uniform(
+                first, min(first + spread, _MAX_RETRY_AFTER)
             ),
         )
+
+
+def _make_prospect(
+    waiter: Waiter, urgency: int, ahead: int, is_first: bool
+) -> Prospect:
+    now = trio.current_time()
+    return Prospect(
+        urgency,
+        ahead,
+        is_first,
+        patience=waiter.leaves_at - now,
+        objective=waiter.fresh_until - waiter.arrived,
+        objective_left=waiter.fresh_until - now,
+    )
