--- a/magnoliacove/limits/admission.py
+++ b/magnoliacove/limits/admission.py
@@ -16,6 +16,7 @@
 
 from magnoliacove import defaults
 from magnoliacove import errors
+from magnoliacove.limits.order import AccountShares
 
 __all__ = ["Admission", "RateLimit"]
 
@@ -43,14 +44,10 @@
 
 @dataclass(eq=False)
 class _AccountQueue:
-    """The waiting requests of one account, by priority.
-
-    :param virtual_time: grows by 1 / weight with each admitted request;
-        within a priority, the queue with the lowest value goes first.
-    """
+    """The waiting requests of one account, by priority."""
 
+    account: str
     weight: float = 1.0
-    virtual_time: float = 0.0
     waiting: list[tuple[int, int, _Waiter]] = field(default_factory=list)
 
 
@@ -71,7 +68,7 @@
         self.refused = 0
         self._read_capacity = read_capacity
         self._queues: dict[str, _AccountQueue] = {}
-        self._virtual_time = 0.0
+        self._shares = AccountShares()
         self._mean_duration = _INITIAL_DURATION
         self._order = itertools.count()
         self._shed_at = 0.0
@@ -106,7 +103,7 @@
         while self.waiting and self.running < capacity:
             queue = self._pick_queue()
             _, _, waiter = heapq.heappop(queue.waiting)
-            self._charge(queue)
+            self._shares.charge(queue.account, queue.weight)
             self.waiting -= 1
             self.running += 1
             waiter.admitted = True
@@ -128,11 +125,11 @@
     async def _enter(
         self, account: str, weight: float, priority: int, timeout: float
     ) -> None:
-        queue = self._queues.setdefault(account, _AccountQueue())
+        queue = self._queues.setdefault(account, _AccountQueue(account))
         queue.weight = weight
         capacity = self._read_capacity()
         if not self.waiting and self.running < capacity:
-            self._charge(queue)
+            self._shares.charge(account, weight)
             self.running += 1
             return
         ahead = sum(1 for item in queue.waiting if -item[0] >= priority)
@@ -141,7 +138,7 @@
         if expected + self._mean_duration > timeout or full:
             self._refuse(expected)
         if not queue.waiting:
-            queue.virtual_time = max(queue.virtual_time, self._virtual_time)
+            self._shares.join(account)
         waiter = _Waiter(priority, trio.current_time() + timeout)
         heapq.heappush(queue.waiting, (-priority, next(self._order), waiter))
         self.waiting += 1
@@ -213,15 +210,12 @@
         """Return the queue whose first request is admitted next."""
         return min(
             (queue for queue in self._queues.values() if queue.waiting),
-            key=lambda queue: (queue.waiting[0][0], queue.virtual_time),
+            key=lambda queue: (
+                queue.waiting[0][0],
+                self._shares.read(queue.account),
+            ),
         )
 
-    def _charge(self, queue: _AccountQueue) -> None:
-        """Advance a queue's virtual time by one request."""
-        start = max(queue.virtual_time, self._virtual_time)
-        self._virtual_time = start
-        queue.virtual_time = start + 1.0 / queue.weight
-
 
 class RateLimit:
     """A token bucket that limits an account's requests per second.
