Find paths over engines with memory for some of their layers

Cause: the search by position put two stages on one engine wherever its free memory held some of its layers only: each stage fitted, both together did not, and engines refuse a path that names an engine twice. The search then fell back to stages that end where an engine's layers end, which need the memory that is not there, and found nothing.

Ruled out: stages that also end where an engine's memory does, alone; the same detour took the place of the paths that they allow.

Change: only where the first search finds no path, or one that names an engine twice, a second one keeps the engines of each partial path, and ends stages where the memory of an engine ends. Where engines have room nothing changes.

--- a/magnoliacove/routing/search.py
+++ b/magnoliacove/routing/search.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from magnoliacove.routing.costs import PathCosts
+from magnoliacove.routing.pieces import search_pieces
 from magnoliacove.routing.stages import Path
 from magnoliacove.routing.stages import PathStage
 from magnoliacove.routing.stages import StageOption
@@ -72,17 +73,24 @@
 def search_path(
     options: Sequence[StageOption], costs: PathCosts
 ) -> Path | None:
-    """Return the fastest path over all layers, or None."""
+    """Return the fastest path over all layers, or None.
+
+    Stages end where engines' layers begin or end.  Only without such a path,
+    they also end where the capacity of an engine does.
+    """
     options = _drop_dominated(options, costs)
     if measure_capacity(options, costs.shape.layers)[1] < costs.tokens:
         return None
     path = search_cuts(options, costs, _list_cuts(options, costs))
-    if path is not None and len(set(path.targets)) < len(path.stages):
-        # Engines refuse a path that names an engine twice.  If each stage
-        # ends where the layers of its engine end, the path cannot return to
-        # an engine.
-        path = search_cuts(options, costs, None)
-    return path
+    if path is not None and len(set(path.targets)) == len(path.stages):
+        return path
+    # Engines refuse a path that names an engine twice.
+    path = search_pieces(options, costs)
+    if path is not None:
+        return path
+    # If each stage ends where the layers of its engine end, the path cannot
+    # return to an engine.
+    return search_cuts(options, costs, None)
 
 
 def _drop_dominated(
@@ -176,6 +184,12 @@
 def _list_ends(
     option: StageOption, at: int, cuts: Sequence[int] | None, last: int
 ) -> list[int]:
+    """Return the layers at which a stage of an engine may end.
+
+    :param at: the first layer of the stage.
+    :param cuts: layers at which it may end beside its engine's last one.
+    :param last: one past the last layer to run.
+    """
     end = min(option.layers.end, last)
     if cuts is None:
         return [end]
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -247,3 +247,31 @@
 def test_incomplete_engines_have_no_path(count):
     options = [make_option("i-1", 5, 80)][:count]
     assert paths.find_path(options, _COSTS) is None
+
+
+def test_engine_with_capacity_for_some_layers_is_used_once():
+    """An engine holds the first half and has capacity for some layers of it.
+
+    The search by position puts two stages on it, each of which fits, and no
+    path was found although another engine takes over where the capacity of
+    the first one ends.
+    """
+    options = [
+        make_option("i-1", 0, 41, kind="h100", capacity=912 * 38.0),
+        make_option("i-2", 1, 80, kind="h100", capacity=912 * 42.0),
+    ]
+    path = paths.find_path(options, _COSTS)
+    assert path.describe() == "i-1:0-38 i-2:38-80"
+
+
+def test_pieces_that_no_engine_ends_at_are_used():
+    """Each engine of a data centre has capacity for half of its layers."""
+    options = [
+        make_option(f"i-{first}-{n}", first, first + 40, capacity=912 * 20.0)
+        for first in (0, 40)
+        for n in (1, 2)
+    ]
+    path = paths.find_path(options, _COSTS)
+    assert _list_layers(path) == list(range(80))
+    assert len(set(path.targets)) == 4
+    assert paths.find_path(options[:3], _COSTS) is None
