Bound the link between data centres by the prompts that begin

Cause: paths that cross were bounded by the number of concurrent hops, as if each request sent all its bytes evenly over three seconds. A prompt crosses at once and makes up four fifths of them. So up to eighty prompts began at the same moment, which the link takes seconds to carry, and then long streams that send almost nothing held the bound for five seconds and more while requests waited.

Change: the bound follows from what the link has to carry. Hops that began recently are counted from own reservations and from the growth of the count in other gateways' heartbeats; a prompt may begin while those before it take no more than 0.1 s, beside the tokens of the answers under way. A hop's cost includes the wait of each token behind the prompts of others, so that paths with fewer hops are chosen under load.

The earlier test of the bound counted concurrent hops, and is replaced by one that lets old hops pass, stops a burst, and stops all hops when the answers take the bandwidth.

--- a/magnoliacove/limits/load.py
+++ b/magnoliacove/limits/load.py
@@ -70,10 +70,15 @@
     report is subtracted and its new one added.  Adding up the reports of all
     gateways at each heartbeat would cost the square of their number, and
     callers of small instances in a large fleet would wait for it.
+
+    :ivar crossings: hops between data centres of this gateway's requests.
+    :ivar begun_crossings: such hops that all gateways ever began.  Of other
+        gateways it includes what their reports grew by.
     """
 
     def __init__(self) -> None:
         self.crossings = 0
+        self.begun_crossings = 0
         self._own: dict[str, TargetLoad] = {}
         self._others: dict[str, _Report] = {}
         self._sums: dict[str, _Total] = {}
@@ -90,6 +95,7 @@
             (stage.target, tokens * (stage.end - stage.first))
             for stage in path.stages
         )
+        self.begun_crossings += path.crossings
         return self.reserve(Reservation(parts, path.crossings))
 
     def reserve_target(self, target: str) -> Reservation:
@@ -135,6 +141,9 @@
         self, gateway: str, loads: Mapping[str, TargetLoad], crossings: int
     ) -> None:
         """Replace the load that another gateway reported."""
+        known = self._others.get(gateway)
+        if known is not None:
+            self.begun_crossings += max(0, crossings - known.crossings)
         self._subtract(gateway)
         report = _Report(loads, crossings)
         self._others[gateway] = report
--- a/magnoliacove/routing/candidates.py
+++ b/magnoliacove/routing/candidates.py
@@ -13,6 +13,8 @@
 from magnoliacove.directory.health import Health
 from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.directory.targets import TargetList
+from magnoliacove.limits.links import BegunHops
+from magnoliacove.limits.links import Link
 from magnoliacove.limits.load import LoadBook
 from magnoliacove.limits.permits import Permits
 from magnoliacove.limits.unreported import UnreportedRequests
@@ -22,12 +24,6 @@
 
 __all__ = ["Candidates", "TargetStatistics"]
 
-# Share of the bandwidth between data centres that requests may use.  The
-# rest is headroom, so that the transfer of a prompt does not delay the
-# tokens of other requests.
-_LINK_SHARE = 0.75
-# Typical duration of a stream, in seconds.
-_STREAM_SECONDS = 3.0
 # Weight of a new sample in the moving mean of response times.
 _SMOOTHING = 0.2
 # Response time assumed for a target without samples, in seconds.
@@ -99,6 +95,7 @@
         self._unreported = unreported
         self._permits = permits
         self._rng = rng
+        self._begun_hops = BegunHops()
         self._statistics: dict[str, TargetStatistics] = {}
         self._paused: dict[str, tuple[float, float]] = {}
 
@@ -213,29 +210,20 @@
         :param prompt: tokens of the prompt.
         :param answer: expected tokens of the answer.
         """
-        crossing = 0.0
-        if shape.link_mbps > 0:
-            bits = (prompt + answer) * shape.hop_bytes * 8
-            utilization = self._loads.all_crossings / max(
-                1.0, self.compute_max_crossings(shape)
-            )
-            # At full utilization a transfer is assumed to take five times as
-            # long as on an idle link.
-            crossing = bits / (shape.link_mbps * 1e6) * (1 + 4 * utilization)
+        now = trio.current_time()
+        self._begun_hops.update(self._loads.begun_crossings, now)
+        crossing = Link.of_shape(shape).estimate_hop_seconds(
+            prompt, answer, self._begun_hops, now
+        )
         return PathCosts(shape, prompt, answer, crossing)
 
-    def compute_max_crossings(self, shape: ModelShape) -> float:
-        """Return how many hops between data centres may run concurrently.
-
-        :returns: practically unlimited if a hop transfers no bytes.
-        """
-        bytes_per_second = shape.link_mbps * 1e6 / 8
-        needed = shape.hop_bytes * shape.usual_tokens / _STREAM_SECONDS
-        return _LINK_SHARE * bytes_per_second / needed if needed else 1e9
-
     def may_cross(self, shape: ModelShape) -> bool:
-        """Return whether one more hop between data centres may start."""
-        return self._loads.all_crossings < self.compute_max_crossings(shape)
+        """Return whether a request may begin to cross the link."""
+        now = trio.current_time()
+        self._begun_hops.update(self._loads.begun_crossings, now)
+        return Link.of_shape(shape).may_begin(
+            self._begun_hops, self._loads.all_crossings, now
+        )
 
     def pause_engine(self, target: str) -> None:
         """Block new requests to an engine that refused or reset one.
--- a/tests/limits/test_load.py
+++ b/tests/limits/test_load.py
@@ -70,3 +70,16 @@
     book.take_others("e-new", {"i-1": TargetLoad(2, 50.0)}, 0)
     assert [loads.reads for loads in others] == before
     assert book.read_others("i-1").requests == 69
+
+
+def test_begun_crossings_are_those_that_reports_grew_by():
+    """A gateway that is heard anew reports hops that it began long ago."""
+    book = LoadBook()
+    book.take_others("e-1", {}, 40)
+    assert book.begun_crossings == 0
+    for crossings in (43, 41, 42):
+        book.take_others("e-1", {}, crossings)
+    assert book.begun_crossings == 4
+    book.forget_peers(["e-1"])
+    book.take_others("e-1", {}, 42)
+    assert book.begun_crossings == 4
--- a/tests/routing/test_candidates.py
+++ b/tests/routing/test_candidates.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 import trio
 
 from magnoliacove import timeline
@@ -136,17 +137,36 @@
     assert world.candidates.choose_target("desk", ["d-1"]) is None
 
 
-async def test_hops_between_data_centres_are_limited(
-    autojump_clock,
-):
+async def test_link_is_limited_by_the_prompts_that_begin(autojump_clock):
+    """Requests that begin together queue at the link between data centres.
+
+    A number of concurrent hops lets eighty prompts begin at the same moment,
+    which the link takes two seconds to carry, and then keeps it idle while
+    these requests generate their tokens.
+    """
+    world = _World()
+    candidates, loads = world.candidates, world.loads
+    # Most of the requests under way were begun long ago.
+    loads.take_others("e-2", {}, 60)
+    assert candidates.may_cross(_SHAPE)
+    # A token has 59,000 bytes, so the link carries some 20 prompts a second.
+    loads.take_others("e-2", {}, 63)
+    assert not candidates.may_cross(_SHAPE)
+    await trio.sleep(0.2)
+    assert candidates.may_cross(_SHAPE)
+    # The tokens of far more answers leave nothing for prompts.
+    loads.take_others("e-3", {}, 300)
+    assert not candidates.may_cross(_SHAPE)
+
+
+async def test_hop_costs_more_while_others_cross(autojump_clock):
+    """Each token of an answer waits for the prompts that cross meanwhile."""
     world = _World()
-    limit = world.candidates.compute_max_crossings(_SHAPE)
-    # A token has 59,000 bytes; a stream sends 946 of them in about 3 s.
-    assert 40 < limit < 70
-    world.loads.take_others("e-2", {}, int(limit) - 1)
-    assert world.candidates.may_cross(_SHAPE)
-    world.loads.take_others("e-3", {}, 2)
-    assert not world.candidates.may_cross(_SHAPE)
+    idle = world.candidates.make_costs(_SHAPE, 772, 174).crossing
+    assert idle == pytest.approx(946 * 59_000 * 8 / 11e9)
+    world.loads.take_others("e-2", {}, 0)
+    world.loads.take_others("e-2", {}, 40)
+    assert world.candidates.make_costs(_SHAPE, 772, 174).crossing > 20 * idle
 
 
 async def test_streams_of_a_failed_engine_count_as_requests_ahead():
