Tell the room that a path can use, and what stands against one

Cause: `room` in `request-waiting` took an engine's whole free memory for each of its layers.

Change: `room` is the size of the largest request that has a path whose stages end where engines' layers begin or end. `why` names what stands against a path: the link, engines paused after a refusal, no first engine, memory in pieces, or too little memory.

--- a/magnoliacove/gateway/path_reservations.py
+++ b/magnoliacove/gateway/path_reservations.py
@@ -9,12 +9,13 @@
 from magnoliacove.gateway.requests import RoutedRequest
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.limits.load import Reservation
+from magnoliacove.routing.bottlenecks import describe_bottlenecks
+from magnoliacove.routing.bottlenecks import find_obstacles
 from magnoliacove.routing.paths import NO_REQUESTS_AHEAD
 from magnoliacove.routing.paths import Path
 from magnoliacove.routing.paths import PathCosts
 from magnoliacove.routing.paths import RequestsAhead
 from magnoliacove.routing.paths import StageOption
-from magnoliacove.routing.paths import describe_bottlenecks
 from magnoliacove.routing.paths import find_path
 
 __all__ = ["PathReservation"]
@@ -284,13 +285,17 @@
         return path if self._may_cross() else None
 
     def _list_options(
-        self, avoided: Collection[str], beyond_limits: bool = False
+        self,
+        avoided: Collection[str],
+        beyond_limits: bool = False,
+        paused: bool = False,
     ) -> list[StageOption]:
         return self._state.candidates.list_options(
             self._routed.service.name,
             self.shape,
             avoided,
             beyond_limits=beyond_limits,
+            paused=paused,
         )
 
     def _may_cross(self) -> bool:
@@ -314,18 +319,21 @@
         if self._waiting_recorded:
             return
         self._waiting_recorded = True
-        candidates = self._state.candidates
-        costs = candidates.make_costs(self.shape, *self.read_tokens())
+        tokens, layers = sum(self.read_tokens()), self.shape.layers
+        options = self._list_options(())
+        obstacles = find_obstacles(
+            options,
+            self._list_options((), paused=True),
+            self._list_first_engines(),
+            tokens,
+            layers,
+        )
         self._state.recorder.record(
             "request-waiting",
             request=self._routed.caller_headers.request,
-            why="no path has room"
-            if self._may_cross()
-            else "no path has room, and the pipe between data centres is full",
-            tokens=round(costs.tokens),
-            room=describe_bottlenecks(
-                self._list_options(()), self.shape.layers
-            ),
+            why=f"no path has room: {', '.join(obstacles)}",
+            tokens=round(tokens),
+            room=describe_bottlenecks(options, layers),
             waiting=self._state.capacity_queue.waiting,
             avoided=sorted(self._avoided),
         )
--- a/magnoliacove/routing/candidates.py
+++ b/magnoliacove/routing/candidates.py
@@ -108,6 +108,7 @@
         avoided: Collection[str] = (),
         *,
         beyond_limits: bool = False,
+        paused: bool = False,
     ) -> list[StageOption]:
         """Return the usable engines of a model with layers and capacity.
 
@@ -115,6 +116,8 @@
         :param beyond_limits: include engines to which this gateway may not
             send a request now, if a preceding engine of the path would
             forward the request to them.
+        :param paused: return those that are paused after a refusal, and no
+            others.
         """
         now = trio.current_time()
         options = []
@@ -138,7 +141,8 @@
             capacity = shape.compute_capacity(
                 target.accelerator, status.layers.count
             )
-            if self._paused.get(target.name, _NEVER_PAUSED)[1] > now:
+            is_paused = self._paused.get(target.name, _NEVER_PAUSED)[1] > now
+            if is_paused is not paused:
                 continue
             options.append(
                 StageOption(
--- a/magnoliacove/routing/paths.py
+++ b/magnoliacove/routing/paths.py
@@ -20,7 +20,6 @@
 
 from magnoliacove.routing.costs import HOP_SECONDS
 from magnoliacove.routing.costs import PathCosts
-from magnoliacove.routing.search import describe_bottlenecks
 from magnoliacove.routing.search import search_cuts
 from magnoliacove.routing.search import search_path
 from magnoliacove.routing.stages import NO_REQUESTS_AHEAD
@@ -38,7 +37,6 @@
     "PathCosts",
     "PathStage",
     "StageOption",
-    "describe_bottlenecks",
     "find_reroute",
     "find_path",
 ]
--- a/magnoliacove/routing/search.py
+++ b/magnoliacove/routing/search.py
@@ -15,7 +15,7 @@
 from magnoliacove.routing.stages import make_path
 
 __all__ = [
-    "describe_bottlenecks",
+    "list_ends",
     "measure_capacity",
     "search_cuts",
     "search_path",
@@ -40,23 +40,6 @@
     return bottleneck, capacities[bottleneck]
 
 
-def describe_bottlenecks(
-    options: Sequence[StageOption], layers: int
-) -> dict[str, str]:
-    """Return the layer with the lowest capacity for each data centre.
-
-    The text explains why a request waits: ``7: 0`` means that no engine with
-    free capacity has layer 7, ``7: 412`` that the engine with the most
-    capacity can hold 412 tokens there.
-    """
-    bottlenecks = {}
-    for data_centre in sorted({option.data_centre for option in options}):
-        inside = [o for o in options if o.data_centre == data_centre]
-        layer, capacity = measure_capacity(inside, layers)
-        bottlenecks[data_centre] = f"{layer}: {capacity:.0f}"
-    return bottlenecks
-
-
 @dataclass(frozen=True)
 class _BestStep:
     """The last step of the fastest path that ends at one position.
@@ -166,7 +149,7 @@
                 )
                 for previous, step in best[at].items()
             )
-            for end in _list_ends(option, at, cuts, last):
+            for end in list_ends(option, at, cuts, last):
                 if costs.tokens * (end - at) > option.capacity:
                     continue
                 seconds = base + hop + per_layer * (end - at)
@@ -181,7 +164,7 @@
     return _trace(best, last)
 
 
-def _list_ends(
+def list_ends(
     option: StageOption, at: int, cuts: Sequence[int] | None, last: int
 ) -> list[int]:
     """Return the layers at which a stage of an engine may end.
