Search the whole fleet only while a path may cross

Cause: while the link is full, each try of a waiting request searched all data centres together, the most expensive search, and discarded what it found. Change: the search is told whether the path may cross. Decisions are the same.

--- a/magnoliacove/gateway/path_reservations.py
+++ b/magnoliacove/gateway/path_reservations.py
@@ -279,10 +279,13 @@
     ) -> Path | None:
         """Return the best path with capacity that may be used, or None."""
         options = self._list_options(avoided, beyond_limits)
-        path = find_path(options, costs, self._list_first_engines(), ahead)
-        if path is None or not path.crossings:
-            return path
-        return path if self._may_cross() else None
+        return find_path(
+            options,
+            costs,
+            self._list_first_engines(),
+            ahead,
+            may_cross=self._state.candidates.may_cross(self.shape),
+        )
 
     def _list_options(
         self,
@@ -298,9 +301,6 @@
             paused=paused,
         )
 
-    def _may_cross(self) -> bool:
-        return self._state.candidates.may_cross(self.shape)
-
     def _list_first_engines(self) -> frozenset[str] | None:
         """Return the engines that may be first in a path, None for all.
 
--- a/magnoliacove/routing/paths.py
+++ b/magnoliacove/routing/paths.py
@@ -51,6 +51,8 @@
     costs: PathCosts,
     first_engines: Collection[str] | None = None,
     ahead: RequestsAhead = NO_REQUESTS_AHEAD,
+    *,
+    may_cross: bool = True,
 ) -> Path | None:
     """Return the fastest path with capacity for the request, or None.
 
@@ -58,6 +60,7 @@
     :param ahead: requests that are placed before this one, each on its
         fastest path.  They affect only which path is returned, not whether
         one is returned.
+    :param may_cross: whether the path may use the link between data centres.
 
     Paths inside one data centre are preferred.  All gateways share the link
     between data centres, which carries one transfer after another, so it is
@@ -71,7 +74,7 @@
         ]
     data_centres = _DataCentrePaths(options, costs)
     path = _choose_after(data_centres, ahead)
-    if path is None and len(data_centres.names) > 1:
+    if path is None and may_cross and len(data_centres.names) > 1:
         return search_path(options, costs)
     return path
 
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -191,6 +191,7 @@
     path = paths.find_path(options[:3], _COSTS)
     assert path.targets == ("i-1", "i-2")
     assert path.crossings == 1
+    assert paths.find_path(options[:3], _COSTS, may_cross=False) is None
 
 
 def test_faster_and_less_loaded_engine_is_chosen():
