--- a/magnoliacove/routing/pieces.py
+++ b/magnoliacove/routing/pieces.py
@@ -23,6 +23,21 @@
 _MAX_STAGES = 32
 
 
+@dataclass(frozen=True)
+class _Engine:
+    """An engine, and what the request costs on it.
+
+    :param fitting: how many of its layers have capacity for the request.
+    :param per_layer: seconds in one layer.
+    :param hop: seconds for each stage on it.
+    """
+
+    option: StageOption
+    fitting: int
+    per_layer: float
+    hop: float
+
+
 @dataclass(frozen=True)
 class _Partial:
     """A path from the first layer up to the end of its last stage.
@@ -45,48 +60,55 @@
     layer and last engine, so the result need not be the fastest path.
     """
     last = costs.shape.layers
-    cuts = _list_cuts(options, costs)
-    fitting = {o.target: _count_fitting(o, costs) for o in options}
+    engines = _list_engines(options, costs)
+    cuts = _list_cuts(engines, last)
     partials: dict[int, dict[str, _Partial]] = defaultdict(dict)
     partials[0][""] = _Partial(0.0, (), frozenset())
-    for at in cuts:
-        if at == last or at not in partials:
+    for number, at in enumerate(cuts[:-1]):
+        if at not in partials:
             continue
-        for option in options:
-            if not option.layers.first <= at < option.layers.end:
-                continue
-            before = _choose_before(partials[at].values(), option, costs)
-            if before is None:
-                continue
-            most = min(option.layers.end, last, at + fitting[option.target])
-            for end in cuts:
-                if at < end <= most:
-                    extended = _extend(before, option, at, end, costs)
-                    _keep_faster(partials[end], option.target, extended)
+        for engine in engines:
+            layers = engine.option.layers
+            if layers.first <= at < layers.end:
+                most = min(layers.end, at + engine.fitting)
+                ends = [cut for cut in cuts[number + 1 :] if cut <= most]
+                _extend(partials, engine, at, ends, costs)
     complete = partials[last].values() if last in partials else ()
     best = min(complete, key=lambda partial: partial.seconds, default=None)
     return make_path(best.stages, best.seconds) if best else None
 
 
-def _count_fitting(option: StageOption, costs: PathCosts) -> int:
-    """Return how many layers of an engine have capacity for the request."""
-    return int(option.capacity // max(1.0, costs.tokens))
-
-
-def _list_cuts(options: Sequence[StageOption], costs: PathCosts) -> list[int]:
+def _list_engines(
+    options: Sequence[StageOption], costs: PathCosts
+) -> list[_Engine]:
+    """Return the engines with capacity for at least one layer."""
+    tokens = max(1.0, costs.tokens)
+    return [
+        _Engine(
+            option,
+            int(option.capacity // tokens),
+            costs.layer_seconds(option),
+            costs.hop_seconds(option),
+        )
+        for option in options
+        if option.capacity >= tokens
+    ]
+
+
+def _list_cuts(engines: Sequence[_Engine], last: int) -> list[int]:
     """Return the layers at which a stage may begin or end.
 
     An engine that cannot run all of its layers can run the last ones, so the
     preceding stage may end where they begin; or those from another cut on.
     """
-    last = costs.shape.layers
     cuts = {0, last}
-    for option in options:
-        cuts.update((option.layers.first, min(option.layers.end, last)))
+    for engine in engines:
+        layers = engine.option.layers
+        cuts.update((layers.first, min(layers.end, last)))
     capacity_cuts = set()
-    for option in options:
-        layers, fitting = option.layers, _count_fitting(option, costs)
-        if 0 < fitting < layers.count:
+    for engine in engines:
+        layers, fitting = engine.option.layers, engine.fitting
+        if fitting < layers.count:
             capacity_cuts.add(layers.end - fitting)
             capacity_cuts.update(
                 cut + fitting
@@ -96,6 +118,33 @@
     return sorted(cut for cut in cuts | capacity_cuts if cut <= last)
 
 
+def _extend(
+    partials: dict[int, dict[str, _Partial]],
+    engine: _Engine,
+    at: int,
+    ends: Sequence[int],
+    costs: PathCosts,
+) -> None:
+    """Extend the best partial path up to a layer by a stage on an engine."""
+    option = engine.option
+    before = _choose_before(partials[at].values(), option, costs)
+    if before is None:
+        return
+    base = before.seconds + _crossing_seconds(before, option, costs)
+    used = before.used | {option.target}
+    for end in ends:
+        seconds = base + engine.hop + engine.per_layer * (end - at)
+        present = partials[end].get(option.target)
+        if present is not None and present.seconds <= seconds:
+            continue
+        stage = PathStage(
+            option.target, option.address, option.data_centre, at, end
+        )
+        partials[end][option.target] = _Partial(
+            seconds, (*before.stages, stage), used
+        )
+
+
 def _choose_before(
     partials: Collection[_Partial], option: StageOption, costs: PathCosts
 ) -> _Partial | None:
@@ -119,28 +168,3 @@
         return 0.0
     crosses = partial.stages[-1].data_centre != option.data_centre
     return costs.crossing if crosses else 0.0
-
-
-def _extend(
-    before: _Partial, option: StageOption, at: int, end: int, costs: PathCosts
-) -> _Partial:
-    stage = PathStage(
-        option.target, option.address, option.data_centre, at, end
-    )
-    seconds = (
-        before.seconds
-        + _crossing_seconds(before, option, costs)
-        + costs.hop_seconds(option)
-        + costs.layer_seconds(option) * (end - at)
-    )
-    return _Partial(
-        seconds, (*before.stages, stage), before.used | {option.target}
-    )
-
-
-def _keep_faster(
-    partials: dict[str, _Partial], target: str, partial: _Partial
-) -> None:
-    present = partials.get(target)
-    if present is None or partial.seconds < present.seconds:
-        partials[target] = partial
