Tell paused engines before a missing first engine

A request whose only first engines are paused after a refusal was told that no engine may be first. Tested by the gateway's line for such a request.

--- a/magnoliacove/routing/bottlenecks.py
+++ b/magnoliacove/routing/bottlenecks.py
@@ -14,6 +14,7 @@
 from magnoliacove.routing.search import list_ends
 from magnoliacove.routing.search import measure_capacity
 from magnoliacove.routing.stages import StageOption
+from magnoliacove.routing.stages import list_permitted
 
 __all__ = [
     "Obstacle",
@@ -104,22 +105,20 @@
     :param paused: engines that may not be used after a refusal.
     :param first_engines: the engines that may be first, None for all.
     """
-    if not any(
-        option.layers.first == 0
-        and (first_engines is None or option.target in first_engines)
-        for option in options
-    ):
-        return [Obstacle.FIRST_ENGINE]
+    usable = list_permitted(options, first_engines)
     obstacles = []
-    if measure_path_capacity(options, layers)[1] >= tokens:
+    if measure_path_capacity(usable, layers)[1] >= tokens:
         obstacles.append(Obstacle.LINK)
+    resumed = [*usable, *list_permitted(paused, first_engines)]
     if paused and any(
         measure_path_capacity(group, layers)[1] >= tokens
-        for group in _group_by_data_centre([*options, *paused]).values()
+        for group in _group_by_data_centre(resumed).values()
     ):
         obstacles.append(Obstacle.PAUSED)
     if obstacles:
         return obstacles
+    if not any(option.layers.first == 0 for option in usable):
+        return [Obstacle.FIRST_ENGINE]
     free = measure_capacity(options, layers)[1] >= tokens
     return [Obstacle.PIECES if free else Obstacle.MEMORY]
 
--- a/magnoliacove/routing/paths.py
+++ b/magnoliacove/routing/paths.py
@@ -27,6 +27,7 @@
 from magnoliacove.routing.stages import PathStage
 from magnoliacove.routing.stages import RequestsAhead
 from magnoliacove.routing.stages import StageOption
+from magnoliacove.routing.stages import list_permitted
 from magnoliacove.routing.stages import make_path
 
 __all__ = [
@@ -66,12 +67,7 @@
     between data centres, which carries one transfer after another, so it is
     used only while no data centre has a complete path of its own.
     """
-    if first_engines is not None:
-        options = [
-            option
-            for option in options
-            if option.layers.first > 0 or option.target in first_engines
-        ]
+    options = list_permitted(options, first_engines)
     data_centres = _DataCentrePaths(options, costs)
     path = _choose_after(data_centres, ahead)
     if path is None and may_cross and len(data_centres.names) > 1:
--- a/magnoliacove/routing/stages.py
+++ b/magnoliacove/routing/stages.py
@@ -1,5 +1,6 @@
 """Candidate engines for a request, and the path that it takes."""
 
+from collections.abc import Collection
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -12,6 +13,7 @@
     "Path",
     "PathStage",
     "StageOption",
+    "list_permitted",
     "make_path",
 ]
 
@@ -100,3 +102,19 @@
         for a, b in zip(stages, stages[1:], strict=False)
     )
     return Path(tuple(stages), seconds, crossings)
+
+
+def list_permitted(
+    options: Sequence[StageOption], first_engines: Collection[str] | None
+) -> list[StageOption]:
+    """Return the engines without those that must not be first but would be.
+
+    :param first_engines: the engines that may be first, None for all.
+    """
+    return [
+        option
+        for option in options
+        if option.layers.first > 0
+        or first_engines is None
+        or option.target in first_engines
+    ]
