Use pieces of engines last

Nobody waited there before; after engines were lost, gateways that chose at the same time competed for the same pieces, where they had used the link before.

Change: pieces are searched only when no data centre has a path by itself and none may cross, and then after the requests that others are assumed to place.

--- a/magnoliacove/routing/paths.py
+++ b/magnoliacove/routing/paths.py
@@ -12,6 +12,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Sequence
 from dataclasses import replace
@@ -20,6 +21,7 @@
 
 from magnoliacove.routing.costs import HOP_SECONDS
 from magnoliacove.routing.costs import PathCosts
+from magnoliacove.routing.pieces import search_pieces
 from magnoliacove.routing.search import search_cuts
 from magnoliacove.routing.search import search_path
 from magnoliacove.routing.stages import NO_REQUESTS_AHEAD
@@ -65,13 +67,18 @@
 
     Paths inside one data centre are preferred.  All gateways share the link
     between data centres, which carries one transfer after another, so it is
-    used only while no data centre has a complete path of its own.
+    used only while no data centre has a complete path of its own.  Engines
+    with capacity for some of their layers only are used last: gateways that
+    choose at the same time would compete for the same pieces.
     """
     options = list_permitted(options, first_engines)
     data_centres = _DataCentrePaths(options, costs)
     path = _choose_after(data_centres, ahead)
     if path is None and may_cross and len(data_centres.names) > 1:
-        return search_path(options, costs)
+        path = search_path(options, costs)
+    if path is None:
+        pieces = _DataCentrePaths(options, costs, search_pieces)
+        path = _choose_after(pieces, ahead)
     return path
 
 
@@ -128,15 +135,20 @@
     """
 
     def __init__(
-        self, options: Sequence[StageOption], costs: PathCosts
+        self,
+        options: Sequence[StageOption],
+        costs: PathCosts,
+        search: Callable[
+            [Sequence[StageOption], PathCosts], Path | None
+        ] = search_path,
     ) -> None:
         self._costs = costs
+        self._search = search
         self._options: dict[str, list[StageOption]] = defaultdict(list)
         for option in options:
             self._options[option.data_centre].append(option)
         self._paths = {
-            name: search_path(group, costs)
-            for name, group in self._options.items()
+            name: search(group, costs) for name, group in self._options.items()
         }
 
     @property
@@ -154,7 +166,7 @@
         name = path.stages[0].data_centre
         loaded = _add_load(self._options[name], path, self._costs, placed, ())
         self._options[name] = loaded
-        self._paths[name] = search_path(loaded, self._costs)
+        self._paths[name] = self._search(loaded, self._costs)
 
 
 class _ReroutedPaths:
--- a/magnoliacove/routing/pieces.py
+++ b/magnoliacove/routing/pieces.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from magnoliacove.routing.costs import PathCosts
+from magnoliacove.routing.search import measure_capacity
 from magnoliacove.routing.stages import Path
 from magnoliacove.routing.stages import PathStage
 from magnoliacove.routing.stages import StageOption
@@ -60,6 +61,8 @@
     layer and last engine, so the result need not be the fastest path.
     """
     last = costs.shape.layers
+    if measure_capacity(options, last)[1] < costs.tokens:
+        return None
     engines = _list_engines(options, costs)
     cuts = _list_cuts(engines, last)
     partials: dict[int, dict[str, _Partial]] = defaultdict(dict)
--- a/magnoliacove/routing/search.py
+++ b/magnoliacove/routing/search.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 
 from magnoliacove.routing.costs import PathCosts
-from magnoliacove.routing.pieces import search_pieces
 from magnoliacove.routing.stages import Path
 from magnoliacove.routing.stages import PathStage
 from magnoliacove.routing.stages import StageOption
@@ -56,24 +55,17 @@
 def search_path(
     options: Sequence[StageOption], costs: PathCosts
 ) -> Path | None:
-    """Return the fastest path over all layers, or None.
-
-    Stages end where engines' layers begin or end.  Only without such a path,
-    they also end where the capacity of an engine does.
-    """
+    """Return the fastest path over all layers, or None."""
     options = _drop_dominated(options, costs)
     if measure_capacity(options, costs.shape.layers)[1] < costs.tokens:
         return None
     path = search_cuts(options, costs, _list_cuts(options, costs))
-    if path is not None and len(set(path.targets)) == len(path.stages):
-        return path
-    # Engines refuse a path that names an engine twice.
-    path = search_pieces(options, costs)
-    if path is not None:
-        return path
-    # If each stage ends where the layers of its engine end, the path cannot
-    # return to an engine.
-    return search_cuts(options, costs, None)
+    if path is not None and len(set(path.targets)) < len(path.stages):
+        # Engines refuse a path that names an engine twice.  If each stage
+        # ends where the layers of its engine end, the path cannot return to
+        # an engine.
+        path = search_cuts(options, costs, None)
+    return path
 
 
 def _drop_dominated(
