Refuse on arrival by the counted rate while an overload lasts

The optimistic rate let more wait than could be on time, and the next checks refused them after 0.05 to 0.3 s. During an overload, which has evidence of its own, the counted rate decides; the optimistic one still decides whether the wait outlasts the caller. A request that the next check would refuse is refused on arrival.

--- a/magnoliacove/limits/capacity.py
+++ b/magnoliacove/limits/capacity.py
@@ -236,7 +236,7 @@
             # retry once there is a path again.
             raise self._refuse(line, waiter, delay)
         self._enqueue(line, waiter)
-        self._shed(line)
+        self._shed(line, arriving=waiter)
         try:
             with trio.move_on_after(timeout):
                 await waiter.decided.wait()
@@ -426,11 +426,14 @@
         for line in self._lines.values():
             self._shed(line)
 
-    def _shed(self, line: _Line) -> None:
+    def _shed(self, line: _Line, arriving: Waiter | None = None) -> None:
         """Refuse the waiting requests that cannot be served.
 
         Keeping one until its caller leaves would only cost the caller the
         time in which it could try elsewhere.
+
+        :param arriving: the one that has just joined the line; one that the
+            next check would refuse is refused now.
         """
         flow = line.meter.read()
         elsewhere = self.waiting - len(line.waiters)
@@ -441,7 +444,11 @@
         for waiter in self._list_in_order(line):
             urgency = self._read_urgency(waiter)
             prospect = _make_prospect(
-                waiter, urgency, ahead, urgency not in seen
+                waiter,
+                urgency,
+                ahead,
+                urgency not in seen,
+                _SHED_INTERVAL if waiter is arriving else 0.0,
             )
             refusal = find_refusal(flow, prospect)
             if ahead >= places:
@@ -494,8 +501,12 @@
 
 
 def _make_prospect(
-    waiter: Waiter, urgency: int, ahead: int, is_first: bool
+    waiter: Waiter, urgency: int, ahead: int, is_first: bool, margin: float
 ) -> Prospect:
+    """Return what is known of a waiting request.
+
+    :param margin: seconds that it must be able to spare.
+    """
     now = trio.current_time()
     return Prospect(
         urgency,
@@ -503,5 +514,5 @@
         is_first,
         patience=waiter.leaves_at - now,
         objective=waiter.fresh_until - waiter.arrived,
-        objective_left=waiter.fresh_until - now,
+        objective_left=waiter.fresh_until - now - margin,
     )
--- a/magnoliacove/limits/waits.py
+++ b/magnoliacove/limits/waits.py
@@ -76,6 +76,11 @@
 
     @property
     def grant_rate(self) -> float:
+        """The counted grants a second while requests waited."""
+        return max(self.granted, 1) / max(self.waited, _MIN_EVIDENCE)
+
+    @property
+    def highest_rate(self) -> float:
         """The most grants a second that the counts make likely."""
         likely = self.granted + math.sqrt(self.granted) + 1.0
         return likely / max(self.waited, _MIN_EVIDENCE)
@@ -90,13 +95,23 @@
         :param ahead: waiting requests that precede it.  More urgent ones
             that arrive later precede it too.
         """
+        return (ahead + 1) / self._read_rate(priority, self.grant_rate)
+
+    def estimate_least_wait(self, priority: int, ahead: int) -> float:
+        """Return the shortest wait that the counts make likely."""
+        return ahead / self._read_rate(priority, self.highest_rate)
+
+    def _read_rate(self, priority: int, rate: float) -> float:
+        """Return the grants a second that more urgent requests leave.
+
+        :param rate: grants a second for all requests.
+        """
         urgent = sum(
             count
             for level, count in self.window.arrivals.items()
             if level < priority
         )
-        left = self.grant_rate - urgent / self.window.seconds
-        return ahead / max(left, self.grant_rate * _LEAST_SHARE)
+        return max(rate - urgent / self.window.seconds, rate * _LEAST_SHARE)
 
     def refuse(self, priority: int, ahead: int) -> "Refusal":
         """Return the refusal of a request, with what is expected of it."""
@@ -159,14 +174,16 @@
     """
     if prospect.is_first or not flow.has_evidence:
         return None
-    refusal = flow.refuse(prospect.priority, prospect.ahead)
+    priority, ahead = prospect.priority, prospect.ahead
+    refusal = flow.refuse(priority, ahead)
     first_event = flow.estimate_first_event(prospect.objective)
     # Later arrivals that can be on time precede a request that cannot.  While
     # there are more of them than grants, it is never reached.
-    never_reached = flow.is_overloaded(prospect.priority) and (
+    never_reached = flow.is_overloaded(priority) and (
         refusal.wait + first_event > prospect.objective_left
     )
-    if refusal.wait <= prospect.patience and not never_reached:
+    least_wait = flow.estimate_least_wait(priority, ahead)
+    if least_wait <= prospect.patience and not never_reached:
         return None
     return refusal
 
