--- a/magnoliacove/limits/capacity.py
+++ b/magnoliacove/limits/capacity.py
@@ -409,6 +409,8 @@
         flow, now = line.meter.read(), trio.current_time()
 
         def is_fresh(waiter: Waiter) -> bool:
+            if waiter.priority < 0:
+                return True
             objective = waiter.fresh_until - waiter.arrived
             expected = flow.estimate_first_event(objective)
             return now + expected <= waiter.fresh_until
--- a/magnoliacove/limits/waits.py
+++ b/magnoliacove/limits/waits.py
@@ -123,7 +123,8 @@
 
         :param objective: the request's latency objective, in seconds.
         """
-        return min(self.first_event, objective * _MAX_FIRST_EVENT_PART)
+        longest = max(0.0, objective) * _MAX_FIRST_EVENT_PART
+        return min(self.first_event, longest)
 
 
 @dataclass(frozen=True)
