--- a/magnoliacove/limits/capacity.py
+++ b/magnoliacove/limits/capacity.py
@@ -25,6 +25,7 @@
 from magnoliacove.limits.waits import FlowMeter
 from magnoliacove.limits.waits import Prospect
 from magnoliacove.limits.waits import Refusal
+from magnoliacove.limits.waits import RoomFlow
 from magnoliacove.limits.waits import find_refusal
 from magnoliacove.routing.paths import Path
 
@@ -45,7 +46,9 @@
 # failed engine are placed again, which takes about two seconds.  Callers retry
 # once; a caller that retries sooner is refused again and then gives up.
 _MIN_RETRY_AFTER = 2.0
-_MAX_RETRY_AFTER = 5.0
+_MAX_RETRY_AFTER = 6.5
+# The longest time to the first retry.  Later ones are spread up to the maximum
+# instead of returning together at it.
 _MAX_FIRST_RETRY = 4.0
 # Seconds of refusals whose retries are spread over the time in which there is
 # room for them.
@@ -487,20 +490,30 @@
         refusal = waiter.refusal or flow.refuse(
             self._read_urgency(waiter), len(line.waiters)
         )
-        expected = delay or max(refusal.wait, _MIN_RETRY_AFTER)
-        # All that were refused lately return, and need as many grants.
-        spread = max(expected, len(self._refusals) / flow.grant_rate)
-        first = min(expected, _MAX_FIRST_RETRY)
+        first, last = self._estimate_return(flow, refusal, delay)
         return errors.RequestError(
             "no_room",
             "no path of engines has room for the request: "
             + refusal.describe(),
             status=503,
-            retry_after=random.uniform(
-                first, min(first + spread, _MAX_RETRY_AFTER)
-            ),
+            retry_after=random.uniform(first, last),
         )
 
+    def _estimate_return(
+        self, flow: RoomFlow, refusal: Refusal, delay: float
+    ) -> tuple[float, float]:
+        """Return the seconds between which refused callers find room."""
+        expected = delay or max(refusal.wait, _MIN_RETRY_AFTER)
+        if not delay and flow.is_overloaded(refusal.priority):
+            # There is no room while the overload lasts.  A late answer is as
+            # late after four seconds as after two, and a caller that is
+            # refused again gives up.
+            expected = _MAX_FIRST_RETRY
+        # All that were refused lately return, and need as many grants.
+        spread = max(expected, len(self._refusals) / flow.grant_rate)
+        first = min(expected, _MAX_FIRST_RETRY)
+        return first, min(first + spread, _MAX_RETRY_AFTER)
+
 
 def _make_prospect(
     waiter: Waiter, urgency: int, ahead: int, is_first: bool, margin: float
