--- a/magnoliacove/limits/capacity.py
+++ b/magnoliacove/limits/capacity.py
@@ -25,6 +25,7 @@
 from magnoliacove.limits.waits import FlowMeter
 from magnoliacove.limits.waits import Prospect
 from magnoliacove.limits.waits import Refusal
+from magnoliacove.limits.waits import RoomFlow
 from magnoliacove.limits.waits import find_refusal
 from magnoliacove.routing.paths import Path
 
@@ -45,7 +46,9 @@
 # failed engine are placed again, which takes about two seconds.  Callers retry
 # once; a caller that retries sooner is refused again and then gives up.
 _MIN_RETRY_AFTER = 2.0
-_MAX_RETRY_AFTER = 5.0
+_MAX_RETRY_AFTER = 6.5
+# The longest time to the first retry.  Later ones are spread up to the maximum
+# instead of returning together at it.
 _MAX_FIRST_RETRY = 4.0
 # Seconds of refusals whose retries are spread over the time in which there is
 # room for them.
@@ -236,7 +239,7 @@
             # retry once there is a path again.
             raise self._refuse(line, waiter, delay)
         self._enqueue(line, waiter)
-        self._shed(line)
+        self._shed(line, arriving=waiter)
         try:
             with trio.move_on_after(timeout):
                 await waiter.decided.wait()
@@ -409,6 +412,8 @@
         flow, now = line.meter.read(), trio.current_time()
 
         def is_fresh(waiter: Waiter) -> bool:
+            if waiter.priority < 0:
+                return True
             objective = waiter.fresh_until - waiter.arrived
             expected = flow.estimate_first_event(objective)
             return now + expected <= waiter.fresh_until
@@ -426,11 +431,14 @@
         for line in self._lines.values():
             self._shed(line)
 
-    def _shed(self, line: _Line) -> None:
+    def _shed(self, line: _Line, arriving: Waiter | None = None) -> None:
         """Refuse the waiting requests that cannot be served.
 
         Keeping one until its caller leaves would only cost the caller the
         time in which it could try elsewhere.
+
+        :param arriving: the one that has just joined the line; one that the
+            next check would refuse is refused now.
         """
         flow = line.meter.read()
         elsewhere = self.waiting - len(line.waiters)
@@ -441,7 +449,11 @@
         for waiter in self._list_in_order(line):
             urgency = self._read_urgency(waiter)
             prospect = _make_prospect(
-                waiter, urgency, ahead, urgency not in seen
+                waiter,
+                urgency,
+                ahead,
+                urgency not in seen,
+                _SHED_INTERVAL if waiter is arriving else 0.0,
             )
             refusal = find_refusal(flow, prospect)
             if ahead >= places:
@@ -478,24 +490,38 @@
         refusal = waiter.refusal or flow.refuse(
             self._read_urgency(waiter), len(line.waiters)
         )
-        expected = delay or max(refusal.wait, _MIN_RETRY_AFTER)
-        # All that were refused lately return, and need as many grants.
-        spread = max(expected, len(self._refusals) / flow.grant_rate)
-        first = min(expected, _MAX_FIRST_RETRY)
+        first, last = self._estimate_return(flow, refusal, delay)
         return errors.RequestError(
             "no_room",
             "no path of engines has room for the request: "
             + refusal.describe(),
             status=503,
-            retry_after=random.uniform(
-                first, min(first + spread, _MAX_RETRY_AFTER)
-            ),
+            retry_after=random.uniform(first, last),
         )
 
+    def _estimate_return(
+        self, flow: RoomFlow, refusal: Refusal, delay: float
+    ) -> tuple[float, float]:
+        """Return the seconds between which refused callers find room."""
+        expected = delay or max(refusal.wait, _MIN_RETRY_AFTER)
+        if not delay and flow.is_overloaded(refusal.priority):
+            # There is no room while the overload lasts.  A late answer is as
+            # late after four seconds as after two, and a caller that is
+            # refused again gives up.
+            expected = _MAX_FIRST_RETRY
+        # All that were refused lately return, and need as many grants.
+        spread = max(expected, len(self._refusals) / flow.grant_rate)
+        first = min(expected, _MAX_FIRST_RETRY)
+        return first, min(first + spread, _MAX_RETRY_AFTER)
+
 
 def _make_prospect(
-    waiter: Waiter, urgency: int, ahead: int, is_first: bool
+    waiter: Waiter, urgency: int, ahead: int, is_first: bool, margin: float
 ) -> Prospect:
+    """Return what is known of a waiting request.
+
+    :param margin: seconds that it must be able to spare.
+    """
     now = trio.current_time()
     return Prospect(
         urgency,
@@ -503,5 +529,5 @@
         is_first,
         patience=waiter.leaves_at - now,
         objective=waiter.fresh_until - waiter.arrived,
-        objective_left=waiter.fresh_until - now,
+        objective_left=waiter.fresh_until - now - margin,
     )
