Keep one order of waiting for capacity over all gateways

Cause: each gateway has a queue of its own and none knows who waits at the others. One with an empty queue takes freed capacity at once while more urgent requests, or far more of the same urgency, wait elsewhere.

Ruled out: holding a request until it has waited as long as those elsewhere (then nearly none is in time under overload), a lease holder or the store on the way of a request, sums over all peers for each heartbeat.

Change: heartbeats tell what waits by service and urgency, and the grants a second, only while something waits. A request leaves capacity to more urgent ones elsewhere; among equally urgent ones a gateway with a shorter expected wait takes its part of the grants.

--- a/magnoliacove/configuration/routes.py
+++ b/magnoliacove/configuration/routes.py
@@ -209,8 +209,17 @@
         self.services = services
         self.limits = limits
         self._accounts = accounts
+        self._account_priorities = {
+            account.priority
+            for account in (accounts or {}).values()
+            if account.priority is not None
+        }
         self._by_host: dict[str, dict[str, Route]] = {}
+        self._priorities: dict[str, set[int]] = {}
         for route in routes:
+            for share in route.shares:
+                names = self._priorities.setdefault(share.service, set())
+                names.add(route.priority)
             prefixes = self._by_host.setdefault(route.host.lower(), {})
             prefixes[route.path_prefix] = route
 
@@ -234,6 +243,11 @@
                 return route
         return None
 
+    def has_urgencies(self, service: str) -> bool:
+        """Return whether the requests of a service differ in urgency."""
+        priorities = self._priorities.get(service, set())
+        return len(priorities | self._account_priorities) > 1
+
     def find_account(self, key: str) -> Account | None:
         """Return the account that an API key belongs to, or None."""
         return (self._accounts or {}).get(key)
--- a/magnoliacove/gateway/assembly.py
+++ b/magnoliacove/gateway/assembly.py
@@ -21,6 +21,7 @@
 from magnoliacove.limits.grants import GrantBook
 from magnoliacove.limits.permits import Permits
 from magnoliacove.limits.quarantine import QuarantineBook
+from magnoliacove.limits.shared_waiting import SharedWaiting
 from magnoliacove.metrics import Meters
 from magnoliacove.routing.candidates import Candidates
 from magnoliacove.timeline import Recorder
@@ -59,7 +60,10 @@
     grants = GrantBook(recorder.process)
     permits = Permits(backpressure, grants)
     on_answer = make_notice_handler(backpressure, health)
-    return GatewayState(
+    shared_waiting = SharedWaiting(
+        inputs.rng, lambda service: state.has_urgencies(service)
+    )
+    state = GatewayState(
         name=recorder.process,
         data_centre=inputs.data_centre,
         recorder=recorder,
@@ -70,7 +74,8 @@
         loads=loads,
         unreported=unreported,
         retry_budget=inputs.retry_budget,
-        capacity_queue=CapacityQueue(),
+        capacity_queue=CapacityQueue(sharing=shared_waiting),
+        shared_waiting=shared_waiting,
         pool=ChannelPool(inputs.start_soon, on_answer),
         candidates=Candidates(
             inputs.data_centre,
@@ -89,3 +94,4 @@
         permits=permits,
         quarantine=QuarantineBook(recorder, inputs.owns),
     )
+    return state
--- a/magnoliacove/gateway/gauges.py
+++ b/magnoliacove/gateway/gauges.py
@@ -10,10 +10,11 @@
 def read_gauges(state: GatewayState) -> dict[str, float]:
     """Return the current value of each gauge."""
     table = state.routes
+    now = trio.current_time()
+    elsewhere = state.shared_waiting.reported.count_requests(now)
     return {
         "configuration_version": table.version if table else 0,
-        "configuration_age_seconds": trio.current_time()
-        - state.routes_applied_at,
+        "configuration_age_seconds": now - state.routes_applied_at,
         "targets_listed": len(state.targets.list_all()),
         "targets_suspected": len(
             {s.target for s in state.health.list_suspicions()}
@@ -22,6 +23,11 @@
         "calls_withheld": state.permits.withheld,
         "requests_in_progress": state.open_requests,
         "requests_waiting": state.capacity_queue.waiting,
+        "room_left_to_others": len(state.shared_waiting.held_at),
+        **{
+            f"requests_waiting_elsewhere_urgency_{priority}": count
+            for priority, count in elsewhere.items()
+        },
         "requests_refused": state.capacity_queue.refused,
         "retries_denied": state.retry_budget.denied,
         "requests_quarantined": len(state.quarantine.list_all()),
--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -12,6 +12,7 @@
 from magnoliacove.gateway.limit_sharing import LimitSharing
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.store import StoreFollower
+from magnoliacove.gateway.waiting_exchange import WaitingExchange
 from magnoliacove.limits.quarantine import Quarantine
 from magnoliacove.peers import Heartbeat
 from magnoliacove.peers import Heartbeats
@@ -83,6 +84,7 @@
             self.heartbeats.list_live,
             lambda: state.leaving,
         )
+        self.waiting = WaitingExchange(state)
         state.backpressure.listen(self.heartbeats.send_soon)
         state.health.listen(lambda _: self.heartbeats.send_soon())
         state.listen_routes(self.heartbeats.send_soon)
@@ -110,6 +112,7 @@
         if grants:
             # Engines with a limit admit further requests as time passes.
             state.capacity_queue.fill()
+        waiting = self.waiting.summarize()
         return Heartbeat(
             name=state.name,
             address=str(self._address),
@@ -145,6 +148,8 @@
             answered=state.crash_history.list_answered(),
             limits=tuple(state.backpressure.list_own()),
             grants=grants,
+            waiting=waiting,
+            grant_rates=self.waiting.read_grant_rates(waiting),
             quarantines=tuple(
                 ReportedQuarantine(
                     q.fingerprint, q.round, q.seconds, age, q.crashes
@@ -207,6 +212,7 @@
             state.engine_statuses.note(item.target, item.holding, item.age)
         self._take_crashes(heartbeat)
         self._sharing.take(heartbeat)
+        self.waiting.take(heartbeat)
         state.capacity_queue.fill()
         if heartbeat.acting and heartbeat.store_reachable:
             self._store.compare_list(heartbeat.newest_change)
@@ -249,6 +255,7 @@
         self._state.retry_budget.forget_peers(names)
         self._state.unreported.forget_peers(names)
         self._sharing.remove_peers(names)
+        self._state.shared_waiting.forget_peers(names)
 
     def announce_update(self) -> None:
         """Send a heartbeat at once and retry the requests in the queue."""
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -179,6 +179,7 @@
                 "crashes": self._crash_watch.run,
                 "quarantines": self._quarantines.run,
                 "room": self.state.capacity_queue.run,
+                "shared waiting": self._peers.waiting.run,
                 "tidy": self._tidy,
                 "catch-up": self._peers.catch_up,
                 "readiness": self._serve_readiness,
--- a/magnoliacove/gateway/state.py
+++ b/magnoliacove/gateway/state.py
@@ -21,6 +21,7 @@
 from magnoliacove.limits.permits import Permits
 from magnoliacove.limits.quarantine import QuarantineBook
 from magnoliacove.limits.retries import SharedRetryBudget
+from magnoliacove.limits.shared_waiting import SharedWaiting
 from magnoliacove.limits.unreported import UnreportedRequests
 from magnoliacove.metrics import Meters
 from magnoliacove.routing.candidates import Candidates
@@ -35,6 +36,8 @@
 
     :param unreported: estimates the requests of other gateways that no
         heartbeat reports yet.
+    :param shared_waiting: decides when this gateway leaves capacity to the
+        others.
     :param routes: the configuration in force, None before the first.
     :param routes_applied_at: when it was applied, by trio's clock.
     :param leaving: whether this process is about to stop.
@@ -53,6 +56,7 @@
     unreported: UnreportedRequests
     retry_budget: SharedRetryBudget
     capacity_queue: CapacityQueue
+    shared_waiting: SharedWaiting
     pool: ChannelPool
     candidates: Candidates
     rng: random.Random
@@ -74,6 +78,10 @@
         """Return the estimator of the gaps in a model's layers."""
         return self._gaps.setdefault(service, GapEstimator())
 
+    def has_urgencies(self, service: str) -> bool:
+        """Return whether the requests of a service differ in urgency."""
+        return self.routes is not None and self.routes.has_urgencies(service)
+
     def may_repeat(self, fingerprint: str) -> bool:
         """Return whether a request that broke off may run once more.
 
--- a/magnoliacove/peers/datagram.py
+++ b/magnoliacove/peers/datagram.py
@@ -16,6 +16,7 @@
 from magnoliacove.limits.grants import Grant
 from magnoliacove.limits.load import TargetLoad
 from magnoliacove.limits.runs import CrashedRun
+from magnoliacove.limits.waiting import WaitingSummary
 
 __all__ = [
     "Heartbeat",
@@ -123,6 +124,9 @@
     :param limits: limits that the gateway received from targets.
     :param grants: grants of the limits that the gateway coordinates, for all
         gateways.
+    :param waiting: what waits for capacity at the gateway.
+    :param grant_rates: requests a second that get capacity there, of each
+        service for which some wait.
     """
 
     name: str
@@ -149,11 +153,13 @@
     store_era: int = 0
     limits: tuple[ReportedLimit, ...] = ()
     grants: tuple[Grant, ...] = ()
+    waiting: tuple[WaitingSummary, ...] = ()
+    grant_rates: Mapping[str, float] = field(default_factory=dict)
 
     def encode(self) -> bytes:
         """Return the heartbeat as one datagram."""
         schema = _load_schema()
-        data: bytes = schema.Heartbeat.new_message(
+        message = schema.Heartbeat.new_message(
             name=self.name,
             address=self.address,
             incarnation=self.incarnation,
@@ -201,8 +207,10 @@
             storeEra=self.store_era,
             limits=_write_limits(self.limits),
             grants=_write_grants(self.grants),
-        ).to_bytes()
-        return zlib.compress(data, _COMPRESSION_LEVEL)
+        )
+        if self.waiting:
+            message.waiting = _write_waiting(self.waiting, self.grant_rates)
+        return zlib.compress(message.to_bytes(), _COMPRESSION_LEVEL)
 
     @classmethod
     def decode(cls, data: bytes) -> "Heartbeat":
@@ -258,6 +266,8 @@
                     store_era=read.storeEra,
                     limits=_read_limits(read.limits),
                     grants=_read_grants(read.grants),
+                    waiting=_read_waiting(read.waiting),
+                    grant_rates=_read_grant_rates(read.waiting),
                 )
         except (capnp.KjException, ValueError, zlib.error) as exc:
             raise errors.ProtocolError(
@@ -343,6 +353,38 @@
     return tuple(Grant(*column) for column in columns)
 
 
+def _write_waiting(
+    items: Sequence[WaitingSummary], grant_rates: Mapping[str, float]
+) -> dict[str, list[Any]]:
+    return {
+        "services": [item.service for item in items],
+        "priorities": [item.priority for item in items],
+        "requests": [item.requests for item in items],
+        "tokens": [int(item.tokens) for item in items],
+        "ages": [int(item.oldest * 1000) for item in items],
+        "grantRates": [grant_rates.get(item.service, 0.0) for item in items],
+    }
+
+
+def _read_waiting(read: Any) -> tuple[WaitingSummary, ...]:
+    columns = zip(
+        read.services,
+        read.priorities,
+        read.requests,
+        read.tokens,
+        read.ages,
+        strict=True,
+    )
+    return tuple(
+        WaitingSummary(service, priority, requests, float(tokens), age / 1000)
+        for service, priority, requests, tokens, age in columns
+    )
+
+
+def _read_grant_rates(read: Any) -> dict[str, float]:
+    return dict(zip(read.services, read.grantRates, strict=True))
+
+
 def _read_loads(read: Any) -> dict[str, TargetLoad]:
     columns = zip(read.targets, read.requests, read.tokenLayers, strict=True)
     return {
--- a/magnoliacove/peers/heartbeat.capnp
+++ b/magnoliacove/peers/heartbeat.capnp
@@ -27,6 +27,8 @@
   storeEra @21 :UInt32;
   limits @22 :Limits;
   grants @23 :Grants;
+  # Null while nothing waits.
+  waiting @24 :Waiting;
 }
 
 # A target that ended while a request ran there.  With `silent`, the target
@@ -76,6 +78,17 @@
   rates @2 :List(Float64);
 }
 
+# What waits for capacity; equal indexes belong to one service and urgency.
+# The rates, of grants a second, are those of the whole service.
+struct Waiting {
+  services @0 :List(Text);
+  priorities @1 :List(Int32);
+  requests @2 :List(UInt32);
+  tokens @3 :List(UInt64);
+  ages @4 :List(UInt32);
+  grantRates @5 :List(Float32);
+}
+
 struct Suspicion {
   target @0 :Text;
   age @1 :UInt32;
--- a/tests/peers/samples.py
+++ b/tests/peers/samples.py
@@ -7,6 +7,7 @@
 from magnoliacove.limits.backpressure import ReportedLimit
 from magnoliacove.limits.grants import Grant
 from magnoliacove.limits.runs import CrashedRun
+from magnoliacove.limits.waiting import WaitingSummary
 from magnoliacove.platform.eras import MAX_ERA
 from magnoliacove.platform.eras import join_revision
 
@@ -60,5 +61,10 @@
         "quarantines": (
             peers.ReportedQuarantine("00c3b2a190817263", 2, 240.0, 30.5, 4),
         ),
+        "waiting": (
+            WaitingSummary("llm", 0, 12, 9600.0, 0.75),
+            WaitingSummary("llm", 3, 2, 800.0, 4.5),
+        ),
+        "grant_rates": {"llm": 7.5},
     }
     return peers.Heartbeat(**{**values, **changes})
--- a/tests/peers/test_datagram.py
+++ b/tests/peers/test_datagram.py
@@ -38,3 +38,51 @@
     broken.loads.targets = ["i-1", "i-2"]
     with pytest.raises(errors.ProtocolError):
         peers.Heartbeat.decode(zlib.compress(broken.to_bytes()))
+
+
+@pytest.fixture(scope="module", name="previous_schema")
+def _load_previous_schema(tmp_path_factory):
+    """Return the schema of the release that did not know what waits."""
+    path = pathlib.Path(datagram.__file__).with_name("heartbeat.capnp")
+    lines = path.read_text().splitlines(keepends=True)
+    kept = [line for line in lines if "waiting @" not in line]
+    assert len(kept) == len(lines) - 1
+    previous = tmp_path_factory.mktemp("schema") / "previous.capnp"
+    # Two loaded schemas must not have the same id.
+    previous.write_text("".join(kept).replace("@0xb1f4", "@0xb1f5", 1))
+    return capnp.load(str(previous))
+
+
+def test_the_previous_release_reads_a_heartbeat_that_tells_what_waits(
+    previous_schema,
+):
+    """Gateways are replaced one after the other, under load as well.  If
+    those of the previous release refused these heartbeats they would take
+    their senders for unreachable.
+    """
+    data = zlib.decompress(make_heartbeat().encode())
+    with previous_schema.Heartbeat.from_bytes(data) as read:
+        assert read.name == "g-1"
+        assert list(read.grants.rates) == [0.5, 0.75]
+
+
+def test_nothing_waits_at_a_gateway_of_the_previous_release(
+    previous_schema, monkeypatch
+):
+    sent = make_heartbeat(waiting=(), grant_rates={})
+    with monkeypatch.context() as patch:
+        patch.setattr(datagram, "_load_schema", lambda: previous_schema)
+        data = sent.encode()
+    assert peers.Heartbeat.decode(data) == sent
+
+
+def test_a_heartbeat_grows_only_while_something_waits(
+    previous_schema, monkeypatch
+):
+    """Heartbeats of a large fleet are most of a small instance's traffic."""
+    idle = make_heartbeat(waiting=(), grant_rates={})
+    with monkeypatch.context() as patch:
+        patch.setattr(datagram, "_load_schema", lambda: previous_schema)
+        previous = idle.encode()
+    assert len(idle.encode()) <= len(previous) + 4
+    assert len(make_heartbeat().encode()) <= len(previous) + 200
