Leave capacity to equals only for much shorter waits

Cause: leaving capacity for every difference in expected wait costs more than it gives. Each place that is left stays unused until others hear of it, and several then try for it.

Ruled out: parts of the grants for every gateway at all times, and for each with a somewhat shorter wait.

Change: only a gateway with less than half of the expected wait elsewhere takes its part of the grants. Gauges of what waits elsewhere fall to 0.

--- a/magnoliacove/gateway/waiting_exchange.py
+++ b/magnoliacove/gateway/waiting_exchange.py
@@ -98,7 +98,7 @@
         queue.fill()
         self._log_changes()
         counts = shared.reported.count_requests(self._read_time())
-        return bool(counts or self._left_since)
+        return any(counts.values()) or bool(self._left_since)
 
     def _log_changes(self) -> None:
         now = self._read_time()
--- a/magnoliacove/limits/reported_waiting.py
+++ b/magnoliacove/limits/reported_waiting.py
@@ -95,6 +95,7 @@
         # In the order in which the reports were received.
         self._reports: dict[str, _Report] = {}
         self._services: dict[str, _ServiceSums] = {}
+        self._urgencies: set[int] = set()
 
     def take_others(
         self,
@@ -111,6 +112,7 @@
         if waiting:
             report = _Report(waiting, grant_rates, int(now * _SCALE))
             self._reports[gateway] = report
+            self._urgencies.update(item.priority for item in waiting)
             self._add(report, 1)
 
     def forget_peers(self, gateways: Iterable[str]) -> None:
@@ -137,12 +139,15 @@
         )
 
     def count_requests(self, now: float) -> dict[int, int]:
-        """Return how many requests wait elsewhere, by urgency."""
+        """Return how many requests wait elsewhere, by urgency.
+
+        An urgency once reported stays, so that its gauge falls to 0.
+        """
         self._expire(now)
-        counts: dict[int, int] = {}
+        counts = dict.fromkeys(sorted(self._urgencies), 0)
         for sums in self._services.values():
             for priority, total in sums.waiting.items():
-                counts[priority] = counts.get(priority, 0) + total.count
+                counts[priority] += total.count
         return counts
 
     def list_waiting(
--- a/magnoliacove/limits/shared_waiting.py
+++ b/magnoliacove/limits/shared_waiting.py
@@ -7,11 +7,11 @@
 whether a request looks for capacity or leaves it to them:
 
 - A request leaves capacity to more urgent ones.
-- Among equally urgent ones, a gateway whose requests expect a shorter wait
-  than those elsewhere takes only its part of what is granted, in proportion
-  to what waits here and there.  Which of its requests take it is up to its
-  queue: if all of them waited for as long as those elsewhere, none would meet
-  its latency objective.
+- Among equally urgent ones, a gateway with a much shorter expected wait than
+  elsewhere takes only its part of what is granted, in proportion to what
+  waits here and there.  Which of its requests take it is up to its queue: if
+  all of them waited for as long as those elsewhere, none would meet its
+  latency objective.
 
 Both hold only while the reports are fresh, and
 :class:`~magnoliacove.limits.room_trials.RoomTrials` bounds for how long
@@ -38,12 +38,13 @@
 # below which none is left capacity: a single one has mostly got its capacity
 # by the time that its report arrives.
 _MIN_MORE_URGENT = 1.0
-# Part of the expected wait elsewhere up to which an own one counts as equal.
-# Reports of two gateways always differ by what happened between them.
-_EQUAL_WAIT = 0.8
-# Seconds; a shorter wait than one between two heartbeats is not worth a
-# difference.
+# Expected wait elsewhere in seconds below which nothing is left: it is over
+# when the others hear of freed capacity.
 _MIN_WAIT = 0.1
+# Part of the expected wait elsewhere up to which an own one is much shorter.
+# Each place that is left is unused until others hear of it, so it is not left
+# for small differences.
+_SHORT_WAIT = 0.5
 # Seconds of a gateway's part of the grants that it may save up.
 _MAX_SAVED = 0.5
 # Factor on the part, so that the grants grow again when there is more room.
@@ -65,6 +66,10 @@
             if other <= priority
         )
 
+    def estimate_wait(self, priority: int) -> float:
+        """Return the expected wait in seconds, as with other gateways."""
+        return self.count(priority) / max(self.grant_rate, 1.0)
+
 
 _EMPTY_QUEUE = _OwnQueue()
 
@@ -181,15 +186,17 @@
             _MIN_MORE_URGENT, _MIN_WAIT * elsewhere.grant_rate
         ):
             return True
-        if not elsewhere.as_urgent:
+        if not elsewhere.as_urgent or elsewhere.expected_wait < _MIN_WAIT:
             return False
         own = self._own.get(service, _EMPTY_QUEUE)
-        waiting = own.count(priority)
-        wait = waiting / max(own.grant_rate, 1.0)
-        expected = elsewhere.expected_wait
-        if expected < _MIN_WAIT or max(wait, waited) >= _EQUAL_WAIT * expected:
+        if (
+            own.estimate_wait(priority)
+            >= _SHORT_WAIT * elsewhere.expected_wait
+        ):
             return False
-        part = (waiting + 1.0) / (waiting + 1.0 + elsewhere.requests)
+        # With the one that asks, which may not be counted yet.
+        waiting = own.count(priority) + 1.0
+        part = waiting / (waiting + elsewhere.requests)
         granted = own.grant_rate + elsewhere.grant_rate
         credit = self._credits.setdefault((service, priority), _Credit())
         credit.accrue(_PART_MARGIN * part * granted, self._read_time())
--- a/tests/limits/test_reported_waiting.py
+++ b/tests/limits/test_reported_waiting.py
@@ -89,7 +89,8 @@
     rows = _summarize({("llm", 0): 200})
     book.take_others("g-1", rows, {"llm": 4.0}, 10.0)
     assert book.read("llm", 0, 10.0).expected_wait == 50.0
+    assert book.count_requests(10.0) == {0: 200}
     halfway = book.read("llm", 0, 10.0 + REPORT_LIFETIME / 2)
     assert halfway.requests == pytest.approx(100.0, rel=0.01)
     assert book.read("llm", 0, 10.0 + REPORT_LIFETIME) is None
-    assert not book.count_requests(10.0 + REPORT_LIFETIME)
+    assert book.count_requests(10.0 + REPORT_LIFETIME) == {0: 0}
