--- a/magnoliacove/configuration/routes.py
+++ b/magnoliacove/configuration/routes.py
@@ -209,19 +209,18 @@
         self.services = services
         self.limits = limits
         self._accounts = accounts
-        self._account_priorities = {
-            account.priority
-            for account in (accounts or {}).values()
-            if account.priority is not None
-        }
         self._by_host: dict[str, dict[str, Route]] = {}
-        self._priorities: dict[str, set[int]] = {}
         for route in routes:
-            for share in route.shares:
-                names = self._priorities.setdefault(share.service, set())
-                names.add(route.priority)
             prefixes = self._by_host.setdefault(route.host.lower(), {})
             prefixes[route.path_prefix] = route
+        self._urgencies = self._collect_urgencies()
+
+    def differs_in_urgency(self, service: str) -> bool:
+        """Return whether streams of one service differ in urgency.
+
+        Either its routes do, or client accounts have urgencies of their own.
+        """
+        return len(self._urgencies.get(service, ())) > 1
 
     @property
     def needs_keys(self) -> bool:
@@ -243,11 +242,23 @@
                 return route
         return None
 
-    def has_urgencies(self, service: str) -> bool:
-        """Return whether the requests of a service differ in urgency."""
-        priorities = self._priorities.get(service, set())
-        return len(priorities | self._account_priorities) > 1
-
     def find_account(self, key: str) -> Account | None:
         """Return the account that an API key belongs to, or None."""
         return (self._accounts or {}).get(key)
+
+    def _collect_urgencies(self) -> dict[str, set[int]]:
+        """Return the priorities that a stream of each service can have."""
+        accounts = (self._accounts or {}).values()
+        own = {a.priority for a in accounts if a.priority is not None}
+        # Without a priority of its own, the account has that of the route.
+        all_own = bool(accounts) and all(
+            account.priority is not None for account in accounts
+        )
+        urgencies: dict[str, set[int]] = {}
+        for route in self.routes:
+            if not route.streaming:
+                continue
+            found = own if all_own and not route.public else {route.priority}
+            for share in route.shares:
+                urgencies.setdefault(share.service, set()).update(found, own)
+        return urgencies
--- a/magnoliacove/gateway/state.py
+++ b/magnoliacove/gateway/state.py
@@ -78,10 +78,6 @@
         """Return the estimator of the gaps in a model's layers."""
         return self._gaps.setdefault(service, GapEstimator())
 
-    def has_urgencies(self, service: str) -> bool:
-        """Return whether the requests of a service differ in urgency."""
-        return self.routes is not None and self.routes.has_urgencies(service)
-
     def may_repeat(self, fingerprint: str) -> bool:
         """Return whether a request that broke off may run once more.
 
--- a/tests/configuration/test_routes.py
+++ b/tests/configuration/test_routes.py
@@ -42,4 +42,4 @@
         routes.CallerLimits(),
         {f"key-{n}": routes.Account("a", p) for n, p in enumerate(accounts)},
     )
-    assert table.has_urgencies("llm") is expected
+    assert table.differs_in_urgency("llm") is expected
