Merge the sharing of what waits between gateways

Both parts asked the table of routes whether a service's streams differ in urgency, and tested it; one method and one test with the cases of both stay.

--- a/magnoliacove/gateway/assembly.py
+++ b/magnoliacove/gateway/assembly.py
@@ -23,6 +23,7 @@
 from magnoliacove.limits.order import OrderPolicy
 from magnoliacove.limits.permits import Permits
 from magnoliacove.limits.quarantine import QuarantineBook
+from magnoliacove.limits.shared_waiting import SharedWaiting
 from magnoliacove.metrics import Meters
 from magnoliacove.routing.candidates import Candidates
 from magnoliacove.timeline import Recorder
@@ -65,6 +66,9 @@
     def read_policy(service: str) -> OrderPolicy:
         return _read_policy(state.routes, service)
 
+    shared_waiting = SharedWaiting(
+        inputs.rng, lambda service: read_policy(service).by_urgency
+    )
     state = GatewayState(
         name=recorder.process,
         data_centre=inputs.data_centre,
@@ -76,7 +80,10 @@
         loads=loads,
         unreported=unreported,
         retry_budget=inputs.retry_budget,
-        capacity_queue=CapacityQueue(read_policy=read_policy),
+        capacity_queue=CapacityQueue(
+            sharing=shared_waiting, read_policy=read_policy
+        ),
+        shared_waiting=shared_waiting,
         pool=ChannelPool(inputs.start_soon, on_answer),
         candidates=Candidates(
             inputs.data_centre,
--- a/tests/configuration/test_routes.py
+++ b/tests/configuration/test_routes.py
@@ -24,13 +24,15 @@
 
 
 def _account(priority):
-    return routes.Account("lannoy", priority)
+    return routes.Account("acme", priority)
 
 
 @pytest.mark.parametrize(
     ("made", "accounts", "differs"),
     [
+        ([], None, False),
         ([_route(1)], None, False),
+        ([_route(2), _route(2)], None, False),
         ([_route(1), _route(2)], None, True),
         ([_route(1), _route(2, streaming=False)], None, False),
         ([_route(1), _route(2, service="desk")], None, False),
