Move the ratings of a placement out of the balancing

Another search, for a data centre whose capacity is used up, rates layer ranges the same way. Only names change: the classes and functions lose their underscore.

--- a/tests/placement/test_plan.py
+++ b/tests/placement/test_plan.py
@@ -7,9 +7,9 @@
 import pytest
 
 from magnoliacove.directory.listed import LayerRange
-from magnoliacove.placement import balance
 from magnoliacove.placement import capacity
 from magnoliacove.placement import plan
+from magnoliacove.placement import ratings
 from magnoliacove.placement.balance import find_improvement
 from tests.shapes import KINDS
 from tests.shapes import make_shape
@@ -333,10 +333,12 @@
     layers = LayerRange(first, min(80, first + count))
     changed = [replace(engines[0], layers=layers), *engines[1:]]
     wanted = 50_000.0
-    rated = balance._OtherEngines(engines[0], engines, _SHAPE).rate_with(
+    rated = ratings.OtherEngines(engines[0], engines, _SHAPE).rate_with(
         layers, wanted
     )
-    measured = balance._rate(balance._compute_totals(changed, _SHAPE), wanted)
+    measured = ratings.rate_totals(
+        ratings.compute_totals(changed, _SHAPE), wanted
+    )
     assert rated.replicated == measured.replicated
     assert rated.tokens == pytest.approx(measured.tokens)
     assert rated.slowness == pytest.approx(measured.slowness)
