Leave the memory of a third replica to requests

Cause: in a full fleet the engines held the model 2.1 to 2.6 times in each data centre, and a quarter of the memory beside one copy was for requests. The capacity was chosen for a single path; further replicas were a by-product. Ruled out by the same trace: fragments (84 to 89 of 100 tokens were taken) and unused slow engines (0.5 to 0.9 of their capacity in use).

Change: the capacity is the largest that leaves two replicas of each layer, within the slots of a first engine and without less throughput of a path. Where the engines do not hold the model more than twice, plans are as before. This changes plans in calm too: the first loads are no more than before, and each engine loads fewer layers.

--- a/magnoliacove/placement/capacity.py
+++ b/magnoliacove/placement/capacity.py
@@ -37,6 +37,11 @@
 # as well, so requests beyond a smaller capacity would go to those paths
 # instead of to another data centre, and their first events would be late.
 _MIN_COPIES_FOR_MAX_CAPACITY = 2.5
+# Replicas of each layer for which memory is used; with two, an engine can fail
+# and each layer is still served.  A third replica takes the memory of its
+# layers from requests, which then wait while more than half of the engines'
+# memory holds weights.
+_REPLICAS = 2
 # Mean wait of a token that arrives at an engine, as a fraction of a pass.
 _PASS_WAIT = 0.5
 
@@ -54,13 +59,22 @@
 def _choose_capacity(kinds: tuple[str, ...], shape: ModelShape) -> int:
     """Return the capacity for engines of these accelerator types.
 
+    The result is cached because plans are made ten times a second.
+    """
+    path_capacity = _choose_path_capacity(kinds, shape)
+    return max(
+        path_capacity, _find_replicated_capacity(kinds, shape, path_capacity)
+    )
+
+
+def _choose_path_capacity(kinds: tuple[str, ...], shape: ModelShape) -> int:
+    """Return the capacity that suits a single path.
+
     It is the smallest capacity that reaches nearly the maximum throughput, or
     the maximum capacity where the engines can load the model several times.
     It is reduced where the engines could not load the whole model without the
     largest of them.  This condition never reduces it below half of the maximum
     capacity.
-
-    The result is cached because plans are made ten times a second.
     """
     maximum = find_max_capacity(kinds, shape)
     rates = {
@@ -81,6 +95,26 @@
     return max(min(preferred, maximum // 2), _MIN_STREAMS)
 
 
+def _find_replicated_capacity(
+    kinds: tuple[str, ...], shape: ModelShape, minimum: int
+) -> int:
+    """Return the largest capacity with two replicas of each layer, or 0.
+
+    It is never more than the slots of a path's first engine, and the path has
+    at least the throughput that it has with the minimum capacity.
+    """
+    rate = estimate_rate(kinds, shape, minimum)
+    for streams in range(shape.slots, minimum, -1):
+        sizes = [count_layers(shape, kind, streams) for kind in kinds]
+        # Ranges of whole engines do not tile the model exactly; the overlap
+        # is at most one of the smaller ranges.
+        if sum(sizes) < _REPLICAS * shape.layers + min(sizes, default=0):
+            continue
+        if estimate_rate(kinds, shape, streams) >= rate:
+            return streams
+    return 0
+
+
 def find_max_capacity(kinds: Sequence[str], shape: ModelShape) -> int:
     """Return the maximum capacity of one path in requests, 0 for no path."""
     for streams in range(int(shape.slots * _MAX_BATCH_FRACTION), 0, -1):
