Move engines that can be spared to layers of a full data centre

Cause: after engines were lost, a few layers of a data centre held 45 requests and the others 94. Balancing asks for the capacity of one path, which the weak layers had, and moves only idle engines, of which a full fleet has none.

Change: while no engine of a data centre has room for a usual request on some layer, for most of about five seconds, one engine at a time moves to the layers that lack most. It may be in use and completes its requests first. No layer holds less than the weakest did, also during the move. Three moves in five minutes at most; while requests find room, plans are the same. Ruled out: moves that overlap the old range, and giving up replicas, since paths would be chosen by the new range before the memory is free.

--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -343,6 +343,7 @@
             "engine_orders": self._calls.orders,
             "peers_live": len(self._peers.heartbeats.list_live()),
             "placement_duty": float(self._leadership.acting),
+            "placement_reliefs": self._placement.reliefs,
         }
 
 
--- a/magnoliacove/placement/controller.py
+++ b/magnoliacove/placement/controller.py
@@ -8,6 +8,9 @@
 concurrent orders.
 """
 
+from collections import defaultdict
+from collections.abc import Sequence
+
 import trio
 
 from magnoliacove.configuration.routes import ModelShape
@@ -20,6 +23,9 @@
 from magnoliacove.placement.plan import EngineState
 from magnoliacove.placement.plan import PlacedLayers
 from magnoliacove.placement.plan import make_plan
+from magnoliacove.placement.pressure import PressureWatch
+from magnoliacove.placement.pressure import measure_room
+from magnoliacove.placement.relief import find_relief
 from magnoliacove.placement.reports import REPORT_INTERVAL
 from magnoliacove.placement.reports import EngineRecord
 from magnoliacove.placement.reports import EngineReports
@@ -47,7 +53,10 @@
 
 
 class PlacementController:
-    """Plans placements and sends orders while this gateway is the leader."""
+    """Plans placements and sends orders while this gateway is the leader.
+
+    :ivar reliefs: moves that this gateway began for full data centres.
+    """
 
     def __init__(
         self, inputs: ControllerInputs, leadership: Leadership
@@ -59,6 +68,8 @@
         self._started = trio.current_time()
         self._balanced_at = 0.0
         self._next_data_centre = 0
+        self._pressures: dict[str, PressureWatch] = defaultdict(PressureWatch)
+        self.reliefs = 0
 
     async def run(self) -> None:
         """Run the leader election and the controller until cancelled."""
@@ -67,6 +78,7 @@
             while True:
                 if self._leadership.decide():
                     self._engines.clear()
+                    self._pressures.clear()
                 if self._leadership.acting:
                     await self._do_round(nursery)
                 await trio.sleep(_ROUND_INTERVAL)
@@ -119,7 +131,7 @@
         )
         plan = make_plan(states, shape)
         if not plan and not loading:
-            plan = self._find_improvements(states, shape)
+            plan = self._find_improvements(service, states, shape)
         if self._inputs.is_settled():
             # Each of several concurrent loads takes longer, and a load that
             # closes a gap should not wait for one that does not.
@@ -135,7 +147,7 @@
             nursery.start_soon(self._send_order, target, engine, item)
 
     def _find_improvements(
-        self, states: list[EngineState], shape: ModelShape
+        self, service: str, states: list[EngineState], shape: ModelShape
     ) -> list[PlacedLayers]:
         """Return at most one move, searched for at intervals.
 
@@ -153,12 +165,44 @@
             data_centres
         )
         data_centre = data_centres[self._next_data_centre]
-        move = find_improvement(
-            [s for s in states if s.usable and s.data_centre == data_centre],
-            shape,
+        usable = [
+            s for s in states if s.usable and s.data_centre == data_centre
+        ]
+        move = find_improvement(usable, shape) or self._find_relief(
+            service, data_centre, usable, shape
         )
         return [move] if move is not None else []
 
+    def _find_relief(
+        self,
+        service: str,
+        data_centre: str,
+        usable: Sequence[EngineState],
+        shape: ModelShape,
+    ) -> PlacedLayers | None:
+        """Return a move for a data centre that has been full, or None."""
+        now = trio.current_time()
+        pressure = self._pressures[service]
+        room = measure_room(usable, shape)
+        pressure.note_room(data_centre, room, shape.usual_tokens, now)
+        if not pressure.may_move(data_centre, now):
+            return None
+        move = find_relief(usable, shape)
+        if move is None:
+            return None
+        pressure.note_move(data_centre, now)
+        self.reliefs += 1
+        self._inputs.recorder.record(
+            "capacity-short",
+            target=move.target,
+            why="no engine has room for a usual request on the layer",
+            data_centre=data_centre,
+            layer=room.layer,
+            room=round(room.tokens),
+            layers=format_layers(move.layers),
+        )
+        return move
+
     def _describe_engine(self, target: ListedTarget) -> EngineState:
         engine = self._engines[target.name]
         report = engine.report
@@ -177,6 +221,7 @@
                 if report is not None
                 else self._inputs.engine_statuses.read(target).layers
             )
+        load = self._inputs.loads.read(target.name)
         return EngineState(
             target=target.name,
             data_centre=target.data_centre,
@@ -190,11 +235,12 @@
             and askable
             and report is not None
             and not report.loading,
-            requests=self._inputs.loads.read(target.name).requests,
+            requests=load.requests,
             settled=engine.ordered is None,
             foreign=engine.ordered is None
             and report is not None
             and report.loading,
+            used=max(load.token_layers, report.used if report else 0.0),
         )
 
     async def _send_order(
--- a/magnoliacove/placement/plan.py
+++ b/magnoliacove/placement/plan.py
@@ -45,6 +45,7 @@
     :param foreign: whether it loads layers because of an order that this
         gateway has no record of, such as one from another gateway or one
         that was applied late.
+    :param used: the capacity that requests have reserved, in token-layers.
     """
 
     target: str
@@ -56,6 +57,7 @@
     requests: int = 0
     settled: bool = True
     foreign: bool = False
+    used: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/magnoliacove/placement/ratings.py
+++ b/magnoliacove/placement/ratings.py
@@ -22,6 +22,7 @@
     "compute_totals",
     "count_capacity",
     "rate_totals",
+    "sum_prefixes",
 ]
 
 # Step factor of a layer that no engine has loaded.
@@ -103,6 +104,8 @@
     The search rates several hundred ranges for each engine, in a process
     that relays events at the same time.  Prefix sums reduce each rating to a
     few operations.
+
+    :ivar totals: the totals of the other engines.
     """
 
     def __init__(
@@ -113,9 +116,9 @@
     ) -> None:
         totals = compute_totals((e for e in engines if e is not engine), shape)
         factor = shape.accelerators[engine.accelerator].step_factor
+        self.totals = totals
         self._engine = engine
         self._shape = shape
-        self._capacities = totals.capacities
         # Minimum capacity of the layers before each index, and from each
         # index on.
         self._before = list(
@@ -124,10 +127,10 @@
         self._after = list(
             accumulate(reversed(totals.capacities), min, initial=math.inf)
         )[::-1]
-        self._loaded = _sum_prefixes(count > 0 for count in totals.counts)
-        self._replicated = _sum_prefixes(count > 1 for count in totals.counts)
-        self._slowness = _sum_prefixes(totals.factors)
-        self._slowness_with = _sum_prefixes(
+        self._loaded = sum_prefixes(count > 0 for count in totals.counts)
+        self._replicated = sum_prefixes(count > 1 for count in totals.counts)
+        self._slowness = sum_prefixes(totals.factors)
+        self._slowness_with = sum_prefixes(
             min(f, factor) for f in totals.factors
         )
 
@@ -137,7 +140,7 @@
         capacity = count_capacity(self._engine, layers, self._shape)
         tokens = min(
             self._before[first],
-            min(self._capacities[first:end]) + capacity,
+            min(self.totals.capacities[first:end]) + capacity,
             self._after[end],
             required,
         )
@@ -154,6 +157,6 @@
         return Rating(tokens, int(replicated), slowness)
 
 
-def _sum_prefixes(values: Iterable[float]) -> list[float]:
+def sum_prefixes(values: Iterable[float]) -> list[float]:
     """Return the sum of all values before each position."""
     return list(accumulate(values, initial=0.0))
--- a/tests/placement/test_controller.py
+++ b/tests/placement/test_controller.py
@@ -22,6 +22,7 @@
 from magnoliacove.limits.backpressure import BackpressureBook
 from magnoliacove.limits.backpressure import TargetNotice
 from magnoliacove.limits.grants import GrantBook
+from magnoliacove.limits.load import Reservation
 from magnoliacove.limits.permits import Permits
 from magnoliacove.placement import controller
 from magnoliacove.placement import leadership
@@ -109,6 +110,7 @@
         self.lists = []
         self.healths = []
         self.books = []
+        self.loads = []
         self.permits = []
         self.gateways = {}
         for number, kind in enumerate(kinds):
@@ -165,12 +167,13 @@
         self.books.append(BackpressureBook(recorder))
         self.permits.append(Permits(self.books[-1], GrantBook(name)))
         self.healths.append(Health(recorder))
+        self.loads.append(LoadBook())
         placement = controller.PlacementController(
             controller.ControllerInputs(
                 targets,
                 self.healths[-1],
                 EngineStatuses(),
-                LoadBook(),
+                self.loads[-1],
                 self.permits[-1],
                 self.calls,
                 recorder,
@@ -257,6 +260,38 @@
     assert len(names) == len(set(names))
 
 
+async def test_engines_move_only_while_requests_lack_room(
+    autojump_clock, nursery
+):
+    """Two engines that had loaded the same layers end, and their layers have
+    half the capacity of the others.  Nothing moves while requests find room.
+    Then a burst fills all engines: an engine in use moves to these layers.
+    """
+    fleet = _Fleet(nursery, ("h100", "a100s", *["l4"] * 8, *["t4"] * 10))
+    fleet.add_gateway("g-1")
+    await _wait_for_complete_path(fleet, 12.0)
+    await trio.sleep(5.0)
+    window = fleet.calls.all["i-12"].layers
+    sharing = [
+        name
+        for name, engine in fleet.calls.all.items()
+        if name not in ("i-0", "i-1") and engine.layers.intersect(window)
+    ]
+    for name in sharing[:2]:
+        fleet.kill(name)
+    await trio.sleep(20.0)
+    given = len(fleet.calls.given_orders)
+    await trio.sleep(60.0)
+    assert len(fleet.calls.given_orders) == given
+    for name, engine in fleet.calls.all.items():
+        if not engine.dead:
+            fleet.loads[0].reserve(Reservation(((name, 1e9),)))
+    await trio.sleep(60.0)
+    moves = fleet.calls.given_orders[given:]
+    assert 1 <= len(moves) <= 3
+    assert fleet.has_complete_path()
+
+
 async def test_another_gateway_takes_over_when_the_leader_ends(
     autojump_clock, fleet
 ):
