--- a/magnoliacove/placement/capacity.py
+++ b/magnoliacove/placement/capacity.py
@@ -8,6 +8,10 @@
 first grows with the capacity, then hardly grows, and drops where one more
 slow engine is needed.  Requests beyond the capacity go to other data centres,
 where they complete sooner.
+
+Engines that have loaded the model more than twice have memory for more
+requests: a path's capacity is then as large as two replicas of each layer
+allow.
 """
 
 from collections.abc import Iterable
--- a/magnoliacove/placement/pressure.py
+++ b/magnoliacove/placement/pressure.py
@@ -61,12 +61,12 @@
 class _Observations:
     """What was observed of one data centre.
 
-    :param full: weighted fraction of the time without room.
     :param noted_at: time of the last observation, by trio's clock.
+    :param full: weighted fraction of the time without room.
     """
 
+    noted_at: float
     full: float = 0.0
-    noted_at: float = -math.inf
 
 
 class PressureWatch:
@@ -84,13 +84,10 @@
         :param needed: tokens of a usual request.
         :param now: the time by trio's clock.
         """
-        seen = self._observations.setdefault(data_centre, _Observations())
+        seen = self._observations.setdefault(data_centre, _Observations(now))
         is_full = 1.0 if room.tokens < needed else 0.0
         weight = math.exp((seen.noted_at - now) / _MEAN_SECONDS)
         seen.full = weight * seen.full + (1.0 - weight) * is_full
-        if math.isinf(seen.noted_at):
-            # A single observation says nothing about the time before it.
-            seen.full = 0.0
         seen.noted_at = now
 
     def may_move(self, data_centre: str, now: float) -> bool:
@@ -106,4 +103,4 @@
     def note_move(self, data_centre: str, now: float) -> None:
         """Count a move, and observe its effect before the next."""
         self._moves[data_centre].append(now)
-        self._observations[data_centre] = _Observations()
+        del self._observations[data_centre]
