--- a/magnoliacove/gateway/assembly.py
+++ b/magnoliacove/gateway/assembly.py
@@ -23,6 +23,8 @@
 from magnoliacove.limits.order import OrderPolicy
 from magnoliacove.limits.permits import Permits
 from magnoliacove.limits.quarantine import QuarantineBook
+from magnoliacove.limits.room_shares import RoomShares
+from magnoliacove.limits.saturation import Saturation
 from magnoliacove.limits.shared_waiting import SharedWaiting
 from magnoliacove.metrics import Meters
 from magnoliacove.routing.candidates import Candidates
@@ -95,6 +97,8 @@
             permits,
             inputs.rng,
         ),
+        saturation=Saturation(recorder),
+        room_shares=RoomShares(inputs.rng),
         rng=inputs.rng,
         crash_history=CrashHistory(),
         backpressure=backpressure,
--- a/magnoliacove/gateway/gauges.py
+++ b/magnoliacove/gateway/gauges.py
@@ -31,6 +31,7 @@
         },
         "requests_refused": state.capacity_queue.refused,
         **_read_urgency_gauges(state.capacity_queue),
+        "services_full": len(state.saturation.list_full()),
         "retries_denied": state.retry_budget.denied,
         "requests_quarantined": len(state.quarantine.list_all()),
         "quarantine_refusals": state.quarantine.refused,
