Compare one order of waiting with a queue for each gateway

Change: measure.hard_load, real queues and decisions of 4, 32 and 68 gateways before scripted engines, a third of the gateways with three times the requests; rows of both ways side by side.

--- a/measure/hard_load.py
+++ b/measure/hard_load.py
@@ -23,6 +23,7 @@
 from magnoliacove.limits.capacity import CapacityQueue
 from magnoliacove.limits.load import LoadBook
 from magnoliacove.limits.load import Reservation
+from magnoliacove.limits.order import OrderPolicy
 from magnoliacove.limits.shared_waiting import SharedWaiting
 from magnoliacove.routing.paths import Path
 from magnoliacove.routing.paths import PathStage
@@ -137,7 +138,10 @@
         self.loads = LoadBook()
         self.fleet = fleet
         self.sharing = SharedWaiting(fleet.rng) if shares_order else None
-        self.queue = CapacityQueue(sharing=self.sharing)
+        policy = OrderPolicy(by_urgency=True, by_account=True)
+        self.queue = CapacityQueue(
+            sharing=self.sharing, read_policy=lambda _: policy
+        )
         # Until when engines that refused a request count as full.
         self.full_until: dict[str, float] = {}
 
