Retry requests held back from the comparison alone

Cause: with a decision on sharing in place, the queue tried all waiting requests at intervals even while nothing waits elsewhere.

--- a/magnoliacove/limits/capacity.py
+++ b/magnoliacove/limits/capacity.py
@@ -282,9 +282,7 @@
     async def run(self) -> None:
         """Grant capacity to waiting requests until cancelled."""
         while True:
-            changed = await self._wait_changed()
-            if changed or self.sharing is not None:
-                # Capacity left to other gateways is free after a time.
+            if await self._wait_changed():
                 for line in self._lines.values():
                     self._grant_waiting(line)
             self._shed_all()
