Blame no busy engine for our own delay, and log withheld retries

Cause: the second request for a report of an engine of a full service did not look at whether this process was late itself. The pause of a full engine could double after minutes without a refusal. A refused stream that waits for a retry left no line.

Change: each of the three; `request-waiting` has `the retry budget is spent`.

--- a/magnoliacove/gateway/engine_checks.py
+++ b/magnoliacove/gateway/engine_checks.py
@@ -92,9 +92,13 @@
         """
         report: EngineReport | None = None
         if not self._shows_life(target.name, began):
+            asked = trio.current_time()
             report = await self._fetch_report(target, _LATE_REPORT_TIMEOUT)
-        alive = report is not None or self._shows_life(target.name, began)
-        if not alive:
+            if report is None and was_process_delayed(
+                asked, _LATE_REPORT_TIMEOUT
+            ):
+                return None
+        if report is None and not self._shows_life(target.name, began):
             self._suspect_silent(target, why)
             return None
         self._state.recorder.record(
--- a/magnoliacove/gateway/stream_log.py
+++ b/magnoliacove/gateway/stream_log.py
@@ -37,6 +37,7 @@
         self._arrived = routed.request.arrived
         self._version = routed.version
         self._delivery = delivery
+        self._retry_withheld = False
 
     def record_path(self, path: Path, number: int, now: float) -> None:
         """Record that the request is sent along a path.
@@ -54,6 +55,20 @@
             number=number,
         )
 
+    def record_withheld_retry(self, facts: RerunFacts) -> None:
+        """Record once that a refused stream waits until a retry is left."""
+        if self._retry_withheld:
+            return
+        self._retry_withheld = True
+        self._recorder.record(
+            "request-waiting",
+            request=self._request,
+            why="the retry budget is spent",
+            refusals=facts.refusals,
+            retries_left=round(facts.retries_left, 1),
+            seconds_left=round(facts.seconds_left, 3),
+        )
+
     def record_path_failure(
         self, target: str, failure: BrokenRunError
     ) -> None:
--- a/magnoliacove/routing/candidates.py
+++ b/magnoliacove/routing/candidates.py
@@ -279,8 +279,8 @@
         if until > now:
             return
         accepted = self._accepted_at.get(target, -math.inf) > until - pause
-        pause = _INITIAL_PAUSE if accepted else min(pause * 2, _MAX_PAUSE)
-        pause = max(pause, _INITIAL_PAUSE)
+        repeated = now - until < _PAUSE_RESET_AFTER and not accepted
+        pause = min(pause * 2, _MAX_PAUSE) if repeated else _INITIAL_PAUSE
         seconds = pause * self._rng.uniform(0.5, 1.5)
         self._paused[target] = (pause, now + seconds)
 
--- a/tests/gateway/test_path_reservations.py
+++ b/tests/gateway/test_path_reservations.py
@@ -65,6 +65,7 @@
         answer = await stubs.ask_stream(harness)
         assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
         assert state.retry_budget.list_counts()["llm"][1] == 1
+        assert harness.list_kinds().count("request-waiting") == 1
 
 
 async def test_a_refused_stream_fails_as_before_while_no_service_is_full():
