Spare no engine that is the fastest on its layers

Cause: moves were allowed if the step factors of all layers added up to no more.

Change: each layer keeps an engine as fast as its fastest, during the move too.

--- a/magnoliacove/placement/relief.py
+++ b/magnoliacove/placement/relief.py
@@ -15,6 +15,7 @@
 from magnoliacove.placement.capacity import count_layers
 from magnoliacove.placement.plan import EngineState
 from magnoliacove.placement.plan import PlacedLayers
+from magnoliacove.placement.ratings import LayerTotals
 from magnoliacove.placement.ratings import OtherEngines
 from magnoliacove.placement.ratings import compute_totals
 from magnoliacove.placement.ratings import rate_totals
@@ -53,22 +54,30 @@
     current = rate_totals(totals, required)
     for engine in engines:
         others = OtherEngines(engine, engines, shape)
-        if min(others.totals.capacities) < required - _ROUNDING:
-            # Its layers would be short while it moves.
+        if not _can_spare(others.totals, totals):
             continue
         for layers, missing in _list_moves(engine, others, shape, wanted):
             if missing >= least:
                 continue
             rating = others.rate_with(layers, required)
-            if (
-                rating.replicated >= current.replicated
-                and rating.slowness <= current.slowness + _ROUNDING
-            ):
+            if rating.replicated >= current.replicated:
                 least = missing
                 best_move = PlacedLayers(engine.target, layers, False)
     return best_move
 
 
+def _can_spare(others: LayerTotals, totals: LayerTotals) -> bool:
+    """Return whether an engine may give up all of its layers.
+
+    No layer has less capacity without it than the weakest has now, and each
+    keeps an engine as fast as its fastest.  If the fast first engine of most
+    paths moved, they would begin at a slow one.
+    """
+    return min(others.capacities) >= min(totals.capacities) - _ROUNDING and (
+        others.factors == totals.factors
+    )
+
+
 def _list_moves(
     engine: EngineState,
     others: OtherEngines,
