--- a/magnoliacove/limits/waits.py
+++ b/magnoliacove/limits/waits.py
@@ -4,6 +4,7 @@
 about to return is worse for its caller than a short wait.
 """
 
+from collections import Counter
 from collections import deque
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -25,8 +26,11 @@
 # The least share of the grants that goes to less urgent requests; see
 # `limits/order.py`.
 _LEAST_SHARE = 1 / 16
-# Weight of the newest first event in the moving averages.
-_SMOOTHING = 0.1
+# The latest first events that are kept, and the part of them that came within
+# the expected time.  A mean would follow the few that an engine in trouble
+# delays by seconds.
+_KEPT_FIRST_EVENTS = 32
+_FIRST_EVENT_QUANTILE = 0.75
 # The expected time to a first event is at most this part of the objective.
 # Where engines are slower than that, all requests are late alike, and none is
 # refused for it.
@@ -35,11 +39,11 @@
 
 @dataclass(frozen=True)
 class _Counts:
-    """Arrivals by priority, and grants, within some seconds."""
+    """Arrivals and grants by priority within some seconds."""
 
     seconds: float
     arrivals: Mapping[int, int]
-    grants: int
+    grants: Mapping[int, int]
 
     def exceeds(self, priority: int) -> bool:
         """Return whether more arrived than was granted.
@@ -51,7 +55,8 @@
             for level, count in self.arrivals.items()
             if level <= priority
         )
-        return arrived > _OVERLOAD_FACTOR * self.grants + _OVERLOAD_MARGIN
+        granted = sum(self.grants.values())
+        return arrived > _OVERLOAD_FACTOR * granted + _OVERLOAD_MARGIN
 
 
 @dataclass(frozen=True)
@@ -76,6 +81,11 @@
 
     @property
     def grant_rate(self) -> float:
+        """The counted grants a second while requests waited."""
+        return max(self.granted, 1) / max(self.waited, _MIN_EVIDENCE)
+
+    @property
+    def highest_rate(self) -> float:
         """The most grants a second that the counts make likely."""
         likely = self.granted + math.sqrt(self.granted) + 1.0
         return likely / max(self.waited, _MIN_EVIDENCE)
@@ -84,19 +94,37 @@
         """Return whether requests at least as urgent take all capacity."""
         return self.window.exceeds(priority) and self.recent.exceeds(priority)
 
+    def grants_less_urgent(self, priority: int) -> bool:
+        """Return whether less urgent requests get more than their share."""
+        grants = self.window.grants
+        less = sum(
+            count for level, count in grants.items() if level > priority
+        )
+        return less > _LEAST_SHARE * sum(grants.values()) + 1
+
     def estimate_wait(self, priority: int, ahead: int) -> float:
         """Return the expected seconds until a request gets capacity.
 
         :param ahead: waiting requests that precede it.  More urgent ones
             that arrive later precede it too.
         """
+        return (ahead + 1) / self._read_rate(priority, self.grant_rate)
+
+    def estimate_least_wait(self, priority: int, ahead: int) -> float:
+        """Return the shortest wait that the counts make likely."""
+        return ahead / self._read_rate(priority, self.highest_rate)
+
+    def _read_rate(self, priority: int, rate: float) -> float:
+        """Return the grants a second that more urgent requests leave.
+
+        :param rate: grants a second for all requests.
+        """
         urgent = sum(
             count
             for level, count in self.window.arrivals.items()
             if level < priority
         )
-        left = self.grant_rate - urgent / self.window.seconds
-        return ahead / max(left, self.grant_rate * _LEAST_SHARE)
+        return max(rate - urgent / self.window.seconds, rate * _LEAST_SHARE)
 
     def refuse(self, priority: int, ahead: int) -> "Refusal":
         """Return the refusal of a request, with what is expected of it."""
@@ -108,7 +136,8 @@
 
         :param objective: the request's latency objective, in seconds.
         """
-        return min(self.first_event, objective * _MAX_FIRST_EVENT_PART)
+        longest = max(0.0, objective) * _MAX_FIRST_EVENT_PART
+        return min(self.first_event, longest)
 
 
 @dataclass(frozen=True)
@@ -159,14 +188,21 @@
     """
     if prospect.is_first or not flow.has_evidence:
         return None
-    refusal = flow.refuse(prospect.priority, prospect.ahead)
+    priority, ahead = prospect.priority, prospect.ahead
+    refusal = flow.refuse(priority, ahead)
     first_event = flow.estimate_first_event(prospect.objective)
     # Later arrivals that can be on time precede a request that cannot.  While
     # there are more of them than grants, it is never reached.
-    never_reached = flow.is_overloaded(prospect.priority) and (
-        refusal.wait + first_event > prospect.objective_left
+    wait = refusal.wait
+    if flow.grants_less_urgent(priority):
+        # The next capacity may be its own, whoever is ahead: the line was
+        # often empty when capacity came.
+        wait = 0.0
+    never_reached = flow.is_overloaded(priority) and (
+        wait + first_event > prospect.objective_left
     )
-    if refusal.wait <= prospect.patience and not never_reached:
+    least_wait = flow.estimate_least_wait(priority, ahead)
+    if least_wait <= prospect.patience and not never_reached:
         return None
     return refusal
 
@@ -180,22 +216,24 @@
     def __init__(self, read_time: Callable[[], float]) -> None:
         self._read_time = read_time
         self._arrivals: deque[tuple[float, int]] = deque()
-        # Times of grants, and whether the request had waited.
-        self._grants: deque[tuple[float, bool]] = deque()
+        # Times of grants, priorities, and whether the request had waited.
+        self._grants: deque[tuple[float, int, bool]] = deque()
         # Times at which requests began and ceased to wait.
         self._spans: deque[tuple[float, float]] = deque()
         self._waiting_since: float | None = None
-        self._first_event = 0.0
-        self._deviation = 0.0
+        self._first_events: deque[float] = deque(maxlen=_KEPT_FIRST_EVENTS)
 
     def note_arrival(self, priority: int) -> None:
         """Record that a request arrives."""
         self._arrivals.append((self._read_time(), priority))
         self._trim()
 
-    def note_granted(self, waited: bool) -> None:
-        """Record that a request got capacity."""
-        self._grants.append((self._read_time(), waited))
+    def note_granted(self, priority: int, *, waited: bool) -> None:
+        """Record that a request got capacity.
+
+        :param waited: whether it waited before.
+        """
+        self._grants.append((self._read_time(), priority, waited))
         self._trim()
 
     def note_waiting(self, waiting: bool) -> None:
@@ -209,11 +247,7 @@
 
     def note_first_event(self, seconds: float) -> None:
         """Record the time from a grant to the first event."""
-        if not self._first_event:
-            self._first_event = seconds
-        error = seconds - self._first_event
-        self._first_event += _SMOOTHING * error
-        self._deviation += _SMOOTHING * (abs(error) - self._deviation)
+        self._first_events.append(seconds)
 
     def read_grant_rate(self) -> float:
         """Return the grants a second, to requests that waited or not."""
@@ -230,19 +264,26 @@
             spans.append((self._waiting_since, now))
         return RoomFlow(
             waited=sum(end - max(begin, start) for begin, end in spans),
-            granted=sum(waited for _, waited in self._grants),
+            granted=sum(waited for _, _, waited in self._grants),
             window=self._count(now, _WINDOW),
             recent=self._count(now, _RECENT),
-            first_event=self._first_event + self._deviation,
+            first_event=self._expect_first_event(),
         )
 
+    def _expect_first_event(self) -> float:
+        if not self._first_events:
+            return 0.0
+        last = len(self._first_events) - 1
+        return sorted(self._first_events)[round(last * _FIRST_EVENT_QUANTILE)]
+
     def _count(self, now: float, seconds: float) -> _Counts:
         start = now - seconds
-        arrivals: dict[int, int] = {}
-        for time, priority in self._arrivals:
-            if time >= start:
-                arrivals[priority] = arrivals.get(priority, 0) + 1
-        grants = sum(time >= start for time, _ in self._grants)
+        arrivals = Counter(
+            priority for time, priority in self._arrivals if time >= start
+        )
+        grants = Counter(
+            priority for time, priority, _ in self._grants if time >= start
+        )
         return _Counts(seconds, arrivals, grants)
 
     def _trim(self) -> None:
--- a/tests/configuration/test_routes.py
+++ b/tests/configuration/test_routes.py
@@ -1,45 +1,47 @@
-"""Routes and accounts of one version of the configuration."""
+"""Route tables: whether the streams of a service differ in urgency."""
 
 import pytest
 
 from magnoliacove.configuration import routes
 
 
-def _make_route(name, priority, service="llm"):
+def _route(priority, streaming=True, public=False, service="llm"):
     return routes.Route(
-        name=name,
-        host="a.example",
-        path_prefix=f"/{name}/",
-        idempotent=False,
-        streaming=True,
+        name=f"r{priority}",
+        host="example",
+        path_prefix=f"/{priority}/",
+        idempotent=True,
+        streaming=streaming,
         resumable=True,
         timeout=20.0,
         latency_objective=0.5,
         gap_objective=0.3,
         priority=priority,
         max_attempts=2,
-        public=True,
+        public=public,
         shares=(routes.ServiceShare(service, 1.0),),
     )
 
 
+def _account(priority):
+    return routes.Account("lannoy", priority)
+
+
 @pytest.mark.parametrize(
-    ("priorities", "accounts", "expected"),
-    [((2, 2), (), False), ((0, 2), (), True), ((2,), (None,), False)]
-    + [((2,), (0,), True), ((2,), (2,), False), ((), (), False)],
+    ("made", "accounts", "differs"),
+    [
+        ([_route(1)], None, False),
+        ([_route(1), _route(2)], None, True),
+        ([_route(1), _route(2, streaming=False)], None, False),
+        ([_route(1), _route(2, service="desk")], None, False),
+        ([_route(1)], {"k1": _account(None)}, False),
+        ([_route(1)], {"k1": _account(None), "k2": _account(3)}, True),
+        ([_route(1), _route(2)], {"k1": _account(3)}, False),
+        ([_route(1, public=True)], {"k1": _account(3)}, True),
+    ],
 )
-def test_urgencies_of_a_service_come_from_routes_and_accounts(
-    priorities, accounts, expected
-):
-    """Less urgent requests leave capacity to others only on such a service."""
+def test_streams_of_a_service_differ_in_urgency(made, accounts, differs):
     table = routes.RouteTable(
-        1,
-        (
-            *(_make_route(f"r{n}", p) for n, p in enumerate(priorities)),
-            _make_route("other", 5, "desk"),
-        ),
-        {},
-        routes.CallerLimits(),
-        {f"key-{n}": routes.Account("a", p) for n, p in enumerate(accounts)},
+        1, tuple(made), {}, routes.CallerLimits(), accounts
     )
-    assert table.differs_in_urgency("llm") is expected
+    assert table.differs_in_urgency("llm") is differs
