Leave capacity to equals only where they wait for long

Cause: with queues that refuse early, waits are short, and a request that was held back for equals elsewhere was late itself.

Ruled out: collisions at the engines. Urgency is not it either: on that installation client accounts have a priority that overrides the routes', so most streams are equally urgent whatever their kind.

Change: equals elsewhere must expect to wait for 1 s, not 0.1 s.

--- a/magnoliacove/limits/shared_waiting.py
+++ b/magnoliacove/limits/shared_waiting.py
@@ -38,9 +38,12 @@
 # below which none is left capacity: a single one has mostly got its capacity
 # by the time that its report arrives.
 _MIN_MORE_URGENT = 1.0
-# Expected wait elsewhere in seconds below which nothing is left: it is over
-# when the others hear of freed capacity.
+# Expected wait of more urgent requests elsewhere in seconds below which
+# nothing is left to them: it is over when the others hear of freed capacity.
 _MIN_WAIT = 0.1
+# The same for equally urgent requests.  Below it they may be in time, and one
+# that is held back here would be late instead of them.
+_MIN_EQUAL_WAIT = 1.0
 # Part of the expected wait elsewhere up to which an own one is much shorter.
 # Each place that is left is unused until others hear of it, so it is not left
 # for small differences.
@@ -186,7 +189,10 @@
             _MIN_MORE_URGENT, _MIN_WAIT * elsewhere.grant_rate
         ):
             return True
-        if not elsewhere.as_urgent or elsewhere.expected_wait < _MIN_WAIT:
+        if (
+            not elsewhere.as_urgent
+            or elsewhere.expected_wait < _MIN_EQUAL_WAIT
+        ):
             return False
         own = self._own.get(service, _EMPTY_QUEUE)
         if (
