--- a/magnoliacove/commands/gateway_command.py
+++ b/magnoliacove/commands/gateway_command.py
@@ -48,6 +48,13 @@
     help="The address for callers in the settings file.  The gateway listens "
     "on it before it reads that file, so that callers connect and wait.",
 )
+@click.option(
+    "--share-waiting",
+    is_flag=True,
+    show_envvar=True,
+    help="Leave capacity to requests that wait at other gateways and are more "
+    "urgent, or wait much longer.  All gateways report what waits anyway.",
+)
 @flags.log_level_option
 @click.option(
     "--check",
@@ -59,6 +66,7 @@
     listener: socket.socket | None,
     path: str,
     metrics_port: int,
+    share_waiting: bool,
     log_level: str,
     check: bool,
 ) -> None:
@@ -73,7 +81,15 @@
             return
         running.tune_collector()
         writer = logs.start_line_logging(log_level)
-        trio.run(_serve, settings, path, metrics_port, listener, writer)
+        trio.run(
+            _serve,
+            settings,
+            path,
+            metrics_port,
+            share_waiting,
+            listener,
+            writer,
+        )
 
     running.show_user_errors(run)
 
@@ -82,11 +98,14 @@
     settings: NodeSettings,
     path: str,
     metrics_port: int,
+    share_waiting: bool,
     listener: socket.socket | None,
     writer: logs.LineWriter,
 ) -> None:
     api = HttpObjectApi(f"http://{settings.store}", timeout=_STORE_TIMEOUT)
-    gateway = Gateway(settings, api, metrics_port, listener)
+    gateway = Gateway(
+        settings, api, metrics_port, listener, shares_waiting=share_waiting
+    )
     with trio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
     ) as signals:
--- a/magnoliacove/gateway/assembly.py
+++ b/magnoliacove/gateway/assembly.py
@@ -42,6 +42,8 @@
     :param start_soon: starts a task that may outlive an exchange.
     :param owns: returns whether this gateway admits the first trial of the
         quarantined request with a fingerprint.
+    :param shares_waiting: whether requests leave capacity to those that wait
+        at other gateways.
     """
 
     recorder: Recorder
@@ -52,6 +54,7 @@
     grace: float
     start_soon: Callable[..., object] = trio.lowlevel.spawn_system_task
     owns: Callable[[str], bool] = lambda _: True
+    shares_waiting: bool = False
 
 
 def make_state(inputs: StateInputs) -> GatewayState:
@@ -83,7 +86,8 @@
         unreported=unreported,
         retry_budget=inputs.retry_budget,
         capacity_queue=CapacityQueue(
-            sharing=shared_waiting, read_policy=read_policy
+            sharing=shared_waiting if inputs.shares_waiting else None,
+            read_policy=read_policy,
         ),
         shared_waiting=shared_waiting,
         pool=ChannelPool(inputs.start_soon, on_answer),
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -65,6 +65,8 @@
     :param meters_port: port of the metrics, 0 to serve none.
     :param listener: a socket that already listens at the callers' address, or
         None.
+    :param shares_waiting: whether requests leave capacity to those that wait
+        at other gateways.
     """
 
     def __init__(
@@ -73,11 +75,14 @@
         api: platform.ObjectApi,
         meters_port: int,
         listener: socket.socket | None = None,
+        *,
+        shares_waiting: bool = False,
     ) -> None:
         self._settings = settings
         self._listener = listener
         self._api = api
         self._meters_port = meters_port
+        self._shares_waiting = shares_waiting
         self._incarnation = time.time_ns() // 1_000_000
         recorder = Recorder(settings.name)
         self.recorder = recorder
@@ -94,6 +99,7 @@
                 rng=random.Random(),
                 grace=max(0.0, grace),
                 owns=lambda fingerprint: self._peers.owns(fingerprint),
+                shares_waiting=shares_waiting,
             )
         )
         state = self.state
@@ -179,13 +185,14 @@
                 "crashes": self._crash_watch.run,
                 "quarantines": self._quarantines.run,
                 "room": self.state.capacity_queue.run,
-                "shared waiting": self._peers.waiting.run,
                 "tidy": self._tidy,
                 "catch-up": self._peers.catch_up,
                 "readiness": self._serve_readiness,
                 "meters": self._serve_meters,
                 "callers": self._serve_callers,
             }
+            if self._shares_waiting:
+                tasks["shared waiting"] = self._peers.waiting.run
             for name, task in tasks.items():
                 nursery.start_soon(run_supervised, name, task, self.recorder)
             self.recorder.record(
