--- a/magnoliacove/limits/capacity.py
+++ b/magnoliacove/limits/capacity.py
@@ -7,25 +7,21 @@
 """
 
 from collections import Counter
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
 import itertools
 import math
-import random
 
 import trio
 
 from magnoliacove import errors
 from magnoliacove.limits.order import OrderPolicy
-from magnoliacove.limits.order import WaitingOrder
+from magnoliacove.limits.retry_times import RetryTimes
+from magnoliacove.limits.waiters import ServiceLine
+from magnoliacove.limits.waiters import Waiter
+from magnoliacove.limits.waiters import make_prospect
 from magnoliacove.limits.waiting import RoomSharing
 from magnoliacove.limits.waiting import WaitingSummary
-from magnoliacove.limits.waits import FlowMeter
-from magnoliacove.limits.waits import Prospect
 from magnoliacove.limits.waits import Refusal
-from magnoliacove.limits.waits import RoomFlow
 from magnoliacove.limits.waits import find_refusal
 from magnoliacove.routing.paths import Path
 
@@ -42,65 +38,10 @@
 _FILL_INTERVAL = 0.025
 # Seconds between two checks for waiting requests that cannot be served.
 _SHED_INTERVAL = 0.1
-# Bounds of `Retry-After` in seconds.  Capacity is short while the layers of a
-# failed engine are placed again, which takes about two seconds.  Callers retry
-# once; a caller that retries sooner is refused again and then gives up.
-_MIN_RETRY_AFTER = 2.0
-_MAX_RETRY_AFTER = 6.5
-# The longest time to the first retry.  Later ones are spread up to the maximum
-# instead of returning together at it.
-_MAX_FIRST_RETRY = 4.0
-# Seconds of refusals whose retries are spread over the time in which there is
-# room for them.
-_RETRY_WINDOW = 2.0
 # Gauges by urgency are kept for 0 to this one; the rest counts with it.
 _MAX_URGENCY = 9
 
 
-@dataclass(eq=False)
-class Waiter:
-    """A request that waits for a path.
-
-    :param find_path: tries to find and reserve a path.
-    :param priority: 0 is the most urgent; -1 is an answer that has begun.
-    :param fresh_until: when the request's latency objective ends.
-    :param arrived: when it began to wait, by trio's clock.
-    :param leaves_at: when it is refused at the latest.
-    :param tokens: tokens of its prompt and answer, 0 when unknown.
-    :param may_refuse: whether it may be refused before that.
-    :param decided: set when a path is reserved or the request is refused.
-    """
-
-    find_path: Callable[[], Path | None]
-    priority: int
-    fresh_until: float
-    number: int
-    service: str = ""
-    account: str = ""
-    tokens: float = 0.0
-    arrived: float = field(default_factory=trio.current_time)
-    leaves_at: float = math.inf
-    may_refuse: bool = False
-    decided: trio.Event = field(default_factory=trio.Event)
-    path: Path | None = None
-    refusal: Refusal | None = None
-
-
-@dataclass(eq=False)
-class _Line:
-    """What waits for one service.
-
-    :param rotation: where the next pass continues behind the first ones.
-    """
-
-    order: WaitingOrder = field(default_factory=WaitingOrder)
-    meter: FlowMeter = field(
-        default_factory=lambda: FlowMeter(trio.current_time)
-    )
-    waiters: list[Waiter] = field(default_factory=list)
-    rotation: int = 0
-
-
 class CapacityQueue:
     """A queue of requests until an engine path has capacity for them.
 
@@ -123,10 +64,9 @@
         self.sharing = sharing
         self._max_waiting = max_waiting
         self._read_policy = read_policy
-        self._lines: dict[str, _Line] = {}
+        self._lines: dict[str, ServiceLine] = {}
         self._numbers = itertools.count()
-        # Times of the latest refusals.
-        self._refusals: deque[float] = deque()
+        self._retry_times = RetryTimes(trio.current_time)
         # Those that ever waited, so that their gauges return to 0.
         self._urgencies: set[int] = set()
         self._shed_at = 0.0
@@ -304,10 +244,10 @@
         if self.waiting:
             self._changed.set()
 
-    def _get_line(self, service: str) -> _Line:
-        return self._lines.setdefault(service, _Line())
+    def _get_line(self, service: str) -> ServiceLine:
+        return self._lines.setdefault(service, ServiceLine())
 
-    def _note_arrival(self, waiter: Waiter) -> _Line:
+    def _note_arrival(self, waiter: Waiter) -> ServiceLine:
         line = self._get_line(waiter.service)
         line.meter.note_arrival(self._read_urgency(waiter))
         return line
@@ -317,7 +257,7 @@
         by_urgency = self._read_policy(waiter.service).by_urgency
         return waiter.priority if by_urgency else min(waiter.priority, 0)
 
-    def _enqueue(self, line: _Line, waiter: Waiter) -> None:
+    def _enqueue(self, line: ServiceLine, waiter: Waiter) -> None:
         line.order.note_waiting(waiter, line.waiters)
         line.waiters.append(waiter)
         if waiter.priority >= 0:
@@ -327,7 +267,7 @@
 
     # Granting capacity.
 
-    def _grant_waiting(self, line: _Line) -> None:
+    def _grant_waiting(self, line: ServiceLine) -> None:
         """Try the first requests, and some of the others in turn.
 
         Without the latter, a few streams that no path can serve would keep
@@ -348,7 +288,9 @@
             if self._may_try(waiter, too_many):
                 too_many = self._try(line, waiter, too_many)
 
-    def _take_turn(self, line: _Line, rest: list[Waiter]) -> list[Waiter]:
+    def _take_turn(
+        self, line: ServiceLine, rest: list[Waiter]
+    ) -> list[Waiter]:
         """Return the requests behind the first ones to try in this pass."""
         if rest and self._read_policy(rest[0].service).by_urgency:
             level = rest[0].priority
@@ -367,7 +309,9 @@
             return False
         return self._may_use(waiter)
 
-    def _try(self, line: _Line, waiter: Waiter, too_many: float) -> float:
+    def _try(
+        self, line: ServiceLine, waiter: Waiter, too_many: float
+    ) -> float:
         """Grant a request a path if there is one.
 
         :returns: the fewest tokens for which there is no path.
@@ -396,14 +340,14 @@
         return self.sharing.may_use(waiter.service, waiter.priority, waited)
 
     def _note_granted(
-        self, line: _Line, waiter: Waiter, *, waited: bool
+        self, line: ServiceLine, waiter: Waiter, *, waited: bool
     ) -> None:
         line.order.note_granted(waiter, line.waiters)
         line.meter.note_granted(self._read_urgency(waiter), waited=waited)
         if self.sharing is not None:
             self.sharing.note_used(waiter.service, waiter.priority)
 
-    def _list_in_order(self, line: _Line) -> list[Waiter]:
+    def _list_in_order(self, line: ServiceLine) -> list[Waiter]:
         """Return the waiting requests of one service, the next one first."""
         if not line.waiters:
             return []
@@ -429,7 +373,7 @@
         for line in self._lines.values():
             self._shed(line)
 
-    def _shed(self, line: _Line, arriving: Waiter | None = None) -> None:
+    def _shed(self, line: ServiceLine, arriving: Waiter | None = None) -> None:
         """Refuse the waiting requests that cannot be served.
 
         Keeping one until its caller leaves would only cost the caller the
@@ -446,7 +390,7 @@
         ahead, seen = 0, set[int]()
         for waiter in self._list_in_order(line):
             urgency = self._read_urgency(waiter)
-            prospect = _make_prospect(
+            prospect = make_prospect(
                 waiter,
                 urgency,
                 ahead,
@@ -470,7 +414,7 @@
 
     def _refuse(
         self,
-        line: _Line,
+        line: ServiceLine,
         waiter: Waiter,
         delay: float = 0.0,
     ) -> errors.RequestError:
@@ -480,52 +424,14 @@
             it is not known.
         """
         self.refused += 1
-        now = trio.current_time()
-        self._refusals.append(now)
-        while self._refusals[0] < now - _RETRY_WINDOW:
-            self._refusals.popleft()
         flow = line.meter.read()
         refusal = waiter.refusal or flow.refuse(
             self._read_urgency(waiter), len(line.waiters)
         )
-        first, last = self._estimate_return(flow, refusal, delay)
         return errors.RequestError(
             "no_room",
             "no path of engines has room for the request: "
             + refusal.describe(),
             status=503,
-            retry_after=random.uniform(first, last),
+            retry_after=self._retry_times.draw(flow, refusal, delay),
         )
-
-    def _estimate_return(
-        self, flow: RoomFlow, refusal: Refusal, delay: float
-    ) -> tuple[float, float]:
-        """Return the seconds between which refused callers find room."""
-        expected = delay or max(refusal.wait, _MIN_RETRY_AFTER)
-        if not delay and flow.is_overloaded(refusal.priority):
-            # There is no room while the overload lasts.  A late answer is as
-            # late after four seconds as after two, and a caller that is
-            # refused again gives up.
-            expected = _MAX_FIRST_RETRY
-        # All that were refused lately return, and need as many grants.
-        spread = max(expected, len(self._refusals) / flow.grant_rate)
-        first = min(expected, _MAX_FIRST_RETRY)
-        return first, min(first + spread, _MAX_RETRY_AFTER)
-
-
-def _make_prospect(
-    waiter: Waiter, urgency: int, ahead: int, is_first: bool, margin: float
-) -> Prospect:
-    """Return what is known of a waiting request.
-
-    :param margin: seconds that it must be able to spare.
-    """
-    now = trio.current_time()
-    return Prospect(
-        urgency,
-        ahead,
-        is_first,
-        patience=waiter.leaves_at - now,
-        objective=waiter.fresh_until - waiter.arrived,
-        objective_left=waiter.fresh_until - now - margin,
-    )
