Find a hung engine of a full service though streams keep starting there

Callers of streams at a hung engine waited until they left, and more were sent there. Cause: while a service is full, an engine that brought data lately is not checked, and the time of the last data was also set when a run was sent or a path changed. So each new stream made its engine look alive.

Found by reading. The test starts a stream each 0.1 s at an engine that answers nothing: it failed before (never suspected within 3 s) and passes. The check also scans the streams once per engine and interval, not for each silent stream.

--- a/magnoliacove/gateway/delivery.py
+++ b/magnoliacove/gateway/delivery.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 
 import trio
 
@@ -65,6 +66,8 @@
         self.first_at = 0.0
         self.sent_at = 0.0
         self.received_at = 0.0
+        # When the engines of the current path last brought data.
+        self.data_at = -math.inf
         self.longest_gap = 0.0
         self._exchange = exchange
         self._on_write = on_write
@@ -82,6 +85,11 @@
         """Prepare for a new run before its request is sent."""
         self._run_began_at = None
         self.received_at = trio.current_time()
+        self.forget_data()
+
+    def forget_data(self) -> None:
+        """Forget when data came, as other engines bring it from now on."""
+        self.data_at = -math.inf
 
     def begin_run(self, answer: Answer) -> None:
         """Start reading a new run after the head of its answer."""
@@ -105,7 +113,7 @@
             are missing.
         """
         now = trio.current_time()
-        self.received_at = self._run_received_at = now
+        self.received_at = self.data_at = self._run_received_at = now
         if self._run_began_at is None:
             self._run_began_at = now
         try:
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -51,6 +51,13 @@
     def began(self) -> bool:
         """Whether the caller was sent an event of this answer."""
 
+    @property
+    def data_at(self) -> float:
+        """When the engines of the current path last brought data.
+
+        :returns: by trio's clock, minus infinity when they have not yet.
+        """
+
     def read_wait(self, now: float) -> float:
         """Return the seconds since the caller was last sent an event.
 
@@ -164,13 +171,13 @@
                 continue
             if now - self._checked_at.get(name, -1.0) < _RECHECK_INTERVAL:
                 continue
-            if self._state.saturation.is_full(
-                target.service
-            ) and self._shows_life(name, now - _RECHECK_INTERVAL):
-                # It is busy with others.  All silent streams of all gateways
-                # would have its report requested, thousands of times.
-                continue
             self._checked_at[name] = now
+            since = now - _RECHECK_INTERVAL
+            full = self._state.saturation.is_full(target.service)
+            if full and self._shows_life(name, since):
+                # It is busy.  A report for each silent stream of each gateway
+                # would add to its load.
+                continue
             nursery.start_soon(self._check_engine, target, nursery)
 
     def _shows_life(self, target: str, since: float) -> bool:
@@ -178,11 +185,10 @@
 
         :param since: by trio's clock.
         """
-        now = trio.current_time()
         return any(
-            stream.path is not None
+            stream.data_at > since
+            and stream.path is not None
             and target in stream.path.targets
-            and 0.0 < stream.read_silence(now) < now - since
             for stream in self.streams
         )
 
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -175,6 +175,11 @@
         """Whether the caller was sent an event of this answer."""
         return self._delivery.began
 
+    @property
+    def data_at(self) -> float:
+        """When the engines of the current path last brought data."""
+        return self._delivery.data_at
+
     def read_silence(self, now: float) -> float:
         """Return the seconds since the engine last sent data.
 
@@ -203,6 +208,7 @@
         self._path_reservation.replace_path(path, reservation)
         # The new stages read all tokens so far before the next event.
         self._delivery.received_at = trio.current_time()
+        self._delivery.forget_data()
 
     def note_unusable_engines(self, targets: Iterable[str]) -> None:
         """Record that engines of the current path are unusable."""
--- a/tests/gateway/test_engine_checks.py
+++ b/tests/gateway/test_engine_checks.py
@@ -175,6 +175,29 @@
         assert not harness.state.health.is_usable("i-1")
 
 
+async def test_new_streams_do_not_make_a_hung_engine_look_alive():
+    """Streams kept starting at an engine that hung in a full service.  Each
+    looked as if the engine had just sent data, so nobody checked it.
+    """
+    async with stubs.open_harness() as harness:
+        state = harness.state
+        await harness.add("i-1", stubs.stay_silent, layers=(0, 80))
+        await stubs.fill_service(state)
+        async with trio.open_nursery() as nursery:
+
+            async def ask_again_and_again():
+                while True:
+                    state.saturation.note_waiting("llm", 1)
+                    nursery.start_soon(stubs.ask_stream, harness)
+                    await trio.sleep(0.1)
+
+            nursery.start_soon(ask_again_and_again)
+            with trio.fail_after(3.0):
+                while state.health.is_usable("i-1"):
+                    await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize(("used", "asked"), [(90, 0), (50, 1)])
 async def test_no_health_check_where_memory_explains_a_refusal(used, asked):
     """Hundreds of refusals a second each led to a health check."""
