Let one observation of a data centre stand for a second at most

Cause: nothing is observed while layers load, and the first observation after it counted for all of that time; a moment without room then moved an engine. Found by reading; the test failed before.

--- a/magnoliacove/placement/pressure.py
+++ b/magnoliacove/placement/pressure.py
@@ -19,6 +19,9 @@
 
 # Time constant of the mean over the observations, in seconds.
 _MEAN_SECONDS = 5.0
+# Maximum seconds that one observation stands for.  None is made while layers
+# load, and a peak at the end of that time is no shortage.
+_MAX_STEP = 1.0
 # Fraction of the time without room from which on a data centre is full.
 _FULL_FRACTION = 0.6
 # Maximum number of moves in a data centre within some seconds.  Each one
@@ -86,7 +89,8 @@
         """
         seen = self._observations.setdefault(data_centre, _Observations(now))
         is_full = 1.0 if room.tokens < needed else 0.0
-        weight = math.exp((seen.noted_at - now) / _MEAN_SECONDS)
+        elapsed = min(now - seen.noted_at, _MAX_STEP)
+        weight = math.exp(-elapsed / _MEAN_SECONDS)
         seen.full = weight * seen.full + (1.0 - weight) * is_full
         seen.noted_at = now
 
--- a/tests/placement/test_pressure.py
+++ b/tests/placement/test_pressure.py
@@ -79,3 +79,13 @@
     assert (room.layer, room.tokens) == (30, pytest.approx(500))
     # A layer that no engine has loaded has no room.
     assert measure_room(engines[1:], _SHAPE) == LayerRoom(0, 0.0)
+
+
+def test_a_peak_after_a_long_load_moves_no_engine():
+    """Nothing is observed while layers load.  The first observation after it
+    stood for all of that time, and a moment without room moved an engine.
+    """
+    watch = PressureWatch()
+    watch.note_room("a", LayerRoom(7, 9 * _NEEDED), _NEEDED, 0.0)
+    watch.note_room("a", LayerRoom(7, 0.0), _NEEDED, 60.0)
+    assert not watch.may_move("a", 60.0)
