Keep the waiting requests of services apart

Cause: a queue filled by one service refused all requests for another, and the refusals of one spread the retries of the other. Each service keeps some places and counts its own refusals. The flow of requests is read once in a pass.

Found by reading; the test of the places failed before.

--- a/magnoliacove/limits/capacity.py
+++ b/magnoliacove/limits/capacity.py
@@ -15,13 +15,13 @@
 
 from magnoliacove import errors
 from magnoliacove.limits.order import OrderPolicy
-from magnoliacove.limits.retry_times import RetryTimes
 from magnoliacove.limits.waiters import ServiceLine
 from magnoliacove.limits.waiters import Waiter
 from magnoliacove.limits.waiters import make_prospect
 from magnoliacove.limits.waiting import RoomSharing
 from magnoliacove.limits.waiting import WaitingSummary
 from magnoliacove.limits.waits import Refusal
+from magnoliacove.limits.waits import RoomFlow
 from magnoliacove.limits.waits import find_refusal
 from magnoliacove.routing.paths import Path
 
@@ -38,9 +38,14 @@
 _FILL_INTERVAL = 0.025
 # Seconds between two checks for waiting requests that cannot be served.
 _SHED_INTERVAL = 0.1
+# Places of each service, however many requests wait for others: an overload
+# of one service refuses no requests of the rest.
+_MIN_PLACES = 16
 # Gauges by urgency are kept for 0 to this one; the rest counts with it.
 _MAX_URGENCY = 9
 
+_NO_PATH_IN_TIME = "no path is expected before its caller leaves"
+
 
 class CapacityQueue:
     """A queue of requests until an engine path has capacity for them.
@@ -66,7 +71,6 @@
         self._read_policy = read_policy
         self._lines: dict[str, ServiceLine] = {}
         self._numbers = itertools.count()
-        self._retry_times = RetryTimes(trio.current_time)
         # Those that ever waited, so that their gauges return to 0.
         self._urgencies: set[int] = set()
         self._shed_at = 0.0
@@ -77,6 +81,11 @@
         """The number of waiting requests."""
         return sum(len(line.waiters) for line in self._lines.values())
 
+    def count_waiting(self, service: str) -> int:
+        """Return the number of requests that wait for one service."""
+        line = self._lines.get(service)
+        return len(line.waiters) if line else 0
+
     def count_by_urgency(self) -> dict[int, int]:
         """Return the number of waiting requests of each urgency.
 
@@ -273,10 +282,13 @@
         Without the latter, a few streams that no path can serve would keep
         all later requests from paths that are free.
         """
+        if not line.waiters:
+            return
         # The fewest tokens for which this pass has found no path.
         too_many = math.inf
         tries, rest = 0, list[Waiter]()
-        for waiter in self._list_in_order(line):
+        flow = line.meter.read()
+        for waiter in self._list_in_order(line, flow):
             if not self._may_try(waiter, too_many):
                 continue
             if tries == _TRIED_FIRST:
@@ -347,11 +359,13 @@
         if self.sharing is not None:
             self.sharing.note_used(waiter.service, waiter.priority)
 
-    def _list_in_order(self, line: ServiceLine) -> list[Waiter]:
+    def _list_in_order(
+        self, line: ServiceLine, flow: RoomFlow
+    ) -> list[Waiter]:
         """Return the waiting requests of one service, the next one first."""
         if not line.waiters:
             return []
-        flow, now = line.meter.read(), trio.current_time()
+        now = trio.current_time()
 
         def is_fresh(waiter: Waiter) -> bool:
             if waiter.priority < 0:
@@ -384,11 +398,12 @@
         """
         flow = line.meter.read()
         elsewhere = self.waiting - len(line.waiters)
-        places = self._max_waiting - elsewhere
+        least = min(_MIN_PLACES, self._max_waiting)
+        places = max(self._max_waiting - elsewhere, least)
         if not flow.has_evidence and len(line.waiters) <= places:
             return
         ahead, seen = 0, set[int]()
-        for waiter in self._list_in_order(line):
+        for waiter in self._list_in_order(line, flow):
             urgency = self._read_urgency(waiter)
             prospect = make_prospect(
                 waiter,
@@ -431,7 +446,7 @@
         return errors.RequestError(
             "no_room",
             "no path of engines has room for the request: "
-            + refusal.describe(),
+            + (_NO_PATH_IN_TIME if delay else refusal.describe()),
             status=503,
-            retry_after=self._retry_times.draw(flow, refusal, delay),
+            retry_after=line.retry_times.draw(flow, refusal, delay),
         )
--- a/magnoliacove/limits/waiters.py
+++ b/magnoliacove/limits/waiters.py
@@ -8,6 +8,7 @@
 import trio
 
 from magnoliacove.limits.order import WaitingOrder
+from magnoliacove.limits.retry_times import RetryTimes
 from magnoliacove.limits.waits import FlowMeter
 from magnoliacove.limits.waits import Prospect
 from magnoliacove.limits.waits import Refusal
@@ -57,6 +58,9 @@
         default_factory=lambda: FlowMeter(trio.current_time)
     )
     waiters: list[Waiter] = field(default_factory=list)
+    retry_times: RetryTimes = field(
+        default_factory=lambda: RetryTimes(trio.current_time)
+    )
     rotation: int = 0
 
 
--- a/tests/limits/test_overload.py
+++ b/tests/limits/test_overload.py
@@ -293,3 +293,25 @@
         assert queue.count_by_urgency() == {0: 1, 2: 2}
         assert queue.refused_early == {2: 1}
         nursery.cancel_scope.cancel()
+
+
+async def test_an_overload_of_one_service_leaves_places_to_others():
+    """The requests of one service filled the queue, and those of another were
+    refused though its engines were about to have capacity.
+    """
+    queue = CapacityQueue(max_waiting=20)
+    for _ in range(20):
+        queue.add(lambda: None, priority=1, fresh_until=9.0, service="busy")
+    path = Path((), 0.1, 0)
+    found = [None, path]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(queue.run)
+        granted = await queue.wait_path(
+            lambda: found.pop(0) if found else path,
+            priority=1,
+            fresh_until=trio.current_time() + 0.5,
+            timeout=1.0,
+            service="quiet",
+        )
+        nursery.cancel_scope.cancel()
+    assert granted is path
