Tell a used share of capacity from a full link

Cause: a request that waits since its gateway leaves a path to others was told that the link between data centres is full, also with one data centre. Operators would add bandwidth. The count of waiting requests in service-full is that of the service. Found by reading; the earlier cases of the test keep what they expect.

--- a/magnoliacove/gateway/path_reservations.py
+++ b/magnoliacove/gateway/path_reservations.py
@@ -369,7 +369,7 @@
     def _note_waiting(self) -> None:
         state, service = self._state, self._routed.service.name
         if not state.get_gap_estimator(service).in_gap:
-            waiting = state.capacity_queue.waiting
+            waiting = state.capacity_queue.count_waiting(service)
             state.saturation.note_waiting(service, waiting)
         if self._waiting_recorded:
             return
@@ -382,6 +382,7 @@
             self._list_first_engines(),
             tokens,
             layers,
+            may_cross=state.candidates.may_cross(self.shape),
         )
         self._state.recorder.record(
             "request-waiting",
--- a/magnoliacove/routing/bottlenecks.py
+++ b/magnoliacove/routing/bottlenecks.py
@@ -29,6 +29,7 @@
 
     FIRST_ENGINE = "no engine may be first"
     LINK = "the link between data centres is full"
+    SHARE = "this gateway's share of the free capacity is used"
     PAUSED = "engines paused after a refusal"
     PIECES = "free memory in pieces"
     MEMORY = "too little free memory"
@@ -96,6 +97,8 @@
     first_engines: Collection[str] | None,
     tokens: float,
     layers: int,
+    *,
+    may_cross: bool,
 ) -> list[Obstacle]:
     """Return the reasons why a request has no path.
 
@@ -104,22 +107,23 @@
     :param options: the engines that may be used.
     :param paused: engines that may not be used after a refusal.
     :param first_engines: the engines that may be first, None for all.
+    :param may_cross: whether a path may use the link between data centres.
     """
     usable = list_permitted(options, first_engines)
     obstacles = []
+    if _has_inner_path(usable, tokens, layers):
+        # A gateway leaves it to the others while the service is full.
+        return [Obstacle.SHARE]
     if measure_path_capacity(usable, layers)[1] >= tokens:
-        obstacles.append(Obstacle.LINK)
+        obstacles.append(Obstacle.SHARE if may_cross else Obstacle.LINK)
     resumed = [*usable, *list_permitted(paused, first_engines)]
-    if paused and any(
-        measure_path_capacity(group, layers)[1] >= tokens
-        for group in _group_by_data_centre(resumed).values()
-    ):
+    if paused and _has_inner_path(resumed, tokens, layers):
         obstacles.append(Obstacle.PAUSED)
     if obstacles:
         return obstacles
     if not any(option.layers.first == 0 for option in usable):
         return [Obstacle.FIRST_ENGINE]
-    free = measure_capacity(options, layers)[1] >= tokens
+    free = measure_capacity(usable, layers)[1] >= tokens
     return [Obstacle.PIECES if free else Obstacle.MEMORY]
 
 
@@ -139,6 +143,16 @@
     return bottlenecks
 
 
+def _has_inner_path(
+    options: Sequence[StageOption], tokens: float, layers: int
+) -> bool:
+    """Return whether a request has a path inside some data centre."""
+    return any(
+        measure_path_capacity(group, layers)[1] >= tokens
+        for group in _group_by_data_centre(options).values()
+    )
+
+
 def _group_by_data_centre(
     options: Sequence[StageOption],
 ) -> dict[str, list[StageOption]]:
--- a/tests/routing/test_bottlenecks.py
+++ b/tests/routing/test_bottlenecks.py
@@ -47,13 +47,32 @@
 )
 def test_obstacle_of_a_waiting_request_is_named(options, paused, expected):
     """Operators add engines, or mend the link, by what binds."""
-    found = bottlenecks.find_obstacles(options, paused, None, 900.0, 80)
+    found = bottlenecks.find_obstacles(
+        options, paused, None, 900.0, 80, may_cross=False
+    )
     assert found == expected
 
 
+@pytest.mark.parametrize(
+    ("options", "may_cross"),
+    [([_FIRST, _SPARE], False), ([_FIRST, _REMOTE], True)],
+)
+def test_a_share_that_is_used_up_is_no_full_link(options, may_cross):
+    """A full service leaves paths to other gateways; the link was blamed."""
+    found = bottlenecks.find_obstacles(
+        options, [], None, 900.0, 80, may_cross=may_cross
+    )
+    assert found == [Obstacle.SHARE]
+
+
 def test_first_engines_of_the_route_are_an_obstacle():
     """A request may run on no further engine than those that it ran on."""
     found = bottlenecks.find_obstacles(
-        [_FIRST, _SPARE], [], frozenset(["i-9"]), 900.0, 80
+        [_FIRST, _SPARE],
+        [],
+        frozenset(["i-9"]),
+        900.0,
+        80,
+        may_cross=False,
     )
     assert found == [Obstacle.FIRST_ENGINE]
