Mend what a reading of the joined parts found

Ranks of requests were collected for each route and account, a million pairs at the planned size; the distinct priorities suffice. Refusals noted for targets that are listed nowhere stayed for ever. The check of a nearly full engine stood twice and took an engine without memory for full. An accelerator that holds no layer took away the allowance for overlaps. A link without bytes was divided by.

--- a/magnoliacove/configuration/routes.py
+++ b/magnoliacove/configuration/routes.py
@@ -282,11 +282,16 @@
 
         :returns: sorted, the most urgent first.
         """
-        accounts = set((self._accounts or {}).values())
+        accounts = (self._accounts or {}).values()
+        # Many accounts share a few priorities, which alone matter here.
+        by_priority = {account.priority: account for account in accounts}
         found: dict[str, set[_Urgency]] = {}
         for route in routes:
-            urgencies = {_read_urgency(route, account) for account in accounts}
-            if route.public or not accounts:
+            urgencies = {
+                _read_urgency(route, account)
+                for account in by_priority.values()
+            }
+            if route.public or not by_priority:
                 urgencies.add(_read_urgency(route, None))
             for share in route.shares:
                 found.setdefault(share.service, set()).update(urgencies)
--- a/magnoliacove/directory/engine_status.py
+++ b/magnoliacove/directory/engine_status.py
@@ -150,10 +150,9 @@
 
         :param listed: the names of the targets that exist.
         """
-        for target in set(self._reported) - listed:
-            del self._reported[target]
-            self._corrected.pop(target, None)
-            self._refused.pop(target, None)
+        for values in (self._reported, self._corrected, self._refused):
+            for target in set(values) - listed:
+                del values[target]
 
     def _apply_refusal(
         self, target: str, at: float, status: EngineStatus
--- a/magnoliacove/gateway/engine_checks.py
+++ b/magnoliacove/gateway/engine_checks.py
@@ -15,6 +15,7 @@
 from magnoliacove.gateway.engines import EngineCalls
 from magnoliacove.gateway.engines import was_process_delayed
 from magnoliacove.gateway.state import GatewayState
+from magnoliacove.limits.saturation import is_nearly_full
 from magnoliacove.platform.engines import EngineReport
 
 __all__ = ["EngineChecks"]
@@ -30,8 +31,6 @@
 _MIN_CHECK_INTERVAL = 0.4
 # Seconds until a health check times out.
 _HEALTH_TIMEOUT = 0.35
-# Fraction of an engine's memory from which on a refusal is explained by it.
-_SHORT_OF_MEMORY = 0.8
 # The status of an engine that is another incarnation than expected, or has not
 # loaded the layers that it was to run.
 _MISDIRECTED = 421
@@ -175,7 +174,7 @@
             self._correct_status(target, report)
             return
         full = self._state.saturation.is_full(target.service)
-        if full and report.used >= _SHORT_OF_MEMORY * report.total:
+        if full and is_nearly_full(report.used, report.total):
             # It has no room and need not be leaving.  Each health check is
             # one more request at an engine that has too many.
             return
--- a/magnoliacove/gateway/path_runs.py
+++ b/magnoliacove/gateway/path_runs.py
@@ -17,14 +17,13 @@
 from magnoliacove.gateway.path_reservations import PathReservation
 from magnoliacove.gateway.requests import RoutedRequest
 from magnoliacove.gateway.state import GatewayState
+from magnoliacove.limits.saturation import is_nearly_full
 from magnoliacove.platform import headers
 from magnoliacove.routing.paths import Path
 
 __all__ = ["PathRun"]
 
 _UNAVAILABLE = 503
-# Fraction of an engine's memory from which on it lacks room when it refuses.
-_NEARLY_FULL = 0.8
 
 
 class PathRun:
@@ -164,7 +163,7 @@
         load = state.loads.read(target.name).token_layers
         used = max(load, state.engine_statuses.read(target).used)
         capacity = self._path_reservation.read_capacity(target)
-        if not 0.0 < _NEARLY_FULL * capacity <= used:
+        if not is_nearly_full(used, capacity):
             return False
         state.saturation.note_refusal(service)
         return state.saturation.is_full(service)
--- a/magnoliacove/limits/links.py
+++ b/magnoliacove/limits/links.py
@@ -61,6 +61,8 @@
 
         :param hops: hops between data centres of all requests under way.
         """
+        if not self.prompt_seconds:
+            return math.inf
         answers = hops * self.usual_answer * self.token_seconds
         share = _USED_SHARE - answers / _ANSWER_SECONDS
         return max(0.0, share) / self.prompt_seconds
--- a/magnoliacove/limits/saturation.py
+++ b/magnoliacove/limits/saturation.py
@@ -13,7 +13,7 @@
 
 from magnoliacove.timeline import Recorder
 
-__all__ = ["Saturation"]
+__all__ = ["Saturation", "is_nearly_full"]
 
 # Seconds for which requests find no path until their service counts as full.
 # A single request that waits for the end of another one is no overload.
@@ -23,6 +23,19 @@
 _MAX_CALM = 1.0
 
 
+# Fraction of an engine's memory in use from which on the lack of memory
+# explains that it refuses a request.
+_NEARLY_FULL = 0.8
+
+
+def is_nearly_full(used: float, capacity: float) -> bool:
+    """Return whether an engine refuses for lack of memory.
+
+    :param used: its memory in use, in the unit of its capacity.
+    """
+    return 0.0 < _NEARLY_FULL * capacity <= used
+
+
 @dataclass
 class _Shortage:
     """The signs that one service has too little capacity.
--- a/magnoliacove/placement/capacity.py
+++ b/magnoliacove/placement/capacity.py
@@ -112,7 +112,8 @@
         sizes = [count_layers(shape, kind, streams) for kind in kinds]
         # Ranges of whole engines do not tile the model exactly; the overlap
         # is at most one of the smaller ranges.
-        if sum(sizes) < _REPLICAS * shape.layers + min(sizes, default=0):
+        held = [size for size in sizes if size]
+        if sum(held) < _REPLICAS * shape.layers + min(held, default=0):
             continue
         if estimate_rate(kinds, shape, streams) >= rate:
             return streams
