--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -7,6 +7,7 @@
 import pytest
 
 from magnoliacove import logs
+from magnoliacove.timeline import Recorder
 
 
 @pytest.fixture
@@ -75,6 +76,24 @@
     assert len(kept) <= 30
 
 
+@pytest.mark.parametrize(
+    "kind", ["service-full", "service-not-full", "capacity-short", "room-left"]
+)
+def test_lines_that_tell_of_an_overload_are_kept(pipe, kind):
+    """An overload writes most lines, and those that tell of it were among the
+    first to be dropped.
+    """
+    reader, descriptor = pipe
+    writer = logs.LineWriter(
+        descriptor, budget=0, burst=0, read_time=lambda: 0.0
+    )
+    handler = logs.LineHandler(writer, "INFO")
+    with handler.applicationbound():
+        Recorder("gateway").record(kind, why="")
+    writer.flush()
+    assert [line["kind"] for line in _read_all(reader)] == [kind]
+
+
 def test_lines_are_never_split(pipe):
     """A pipe that fills up during a burst could accept part of a line.
     Each write is atomic, so the reader receives only complete lines.
