Drop what the search over pieces and a withheld retry did for nothing

A search over pieces gets the engines of one data centre, so its costs of a hop between data centres were always 0. A stream that owes a retry asked for the budget twice in one step and gathered the facts of its log line on each try, which adds up the counts of all gateways, though the line is written once. Found by reading; decisions are the same.

--- a/magnoliacove/gateway/stream_log.py
+++ b/magnoliacove/gateway/stream_log.py
@@ -1,5 +1,6 @@
 """Log events of one stream: its paths, their failures and its answer."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -55,11 +56,14 @@
             number=number,
         )
 
-    def record_withheld_retry(self, facts: RerunFacts) -> None:
+    def record_withheld_retry(
+        self, read_facts: Callable[[], RerunFacts]
+    ) -> None:
         """Record once that a refused stream waits until a retry is left."""
         if self._retry_withheld:
             return
         self._retry_withheld = True
+        facts = read_facts()
         self._recorder.record(
             "request-waiting",
             request=self._request,
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -301,11 +301,12 @@
         budget = self._state.retry_budget
         owes = self._owes_retry
         if owes and budget.read_remaining(self.service) <= 0.0:
-            self._log.record_withheld_retry(self._read_rerun_facts())
+            self._log.record_withheld_retry(self._read_rerun_facts)
             return None
         path = self._path_reservation.reserve(begun=self.began)
         if path is not None and owes:
-            self._owes_retry = not budget.try_spend(self.service)
+            budget.try_spend(self.service)
+            self._owes_retry = False
         return path
 
     def _check_quarantine(self) -> None:
--- a/magnoliacove/routing/pieces.py
+++ b/magnoliacove/routing/pieces.py
@@ -59,6 +59,8 @@
     A stage may end where the layers of an engine begin or end, and where the
     capacity of an engine does.  The fastest partial path is kept for each
     layer and last engine, so the result need not be the fastest path.
+
+    :param options: engines of one data centre.
     """
     last = costs.shape.layers
     if measure_capacity(options, last)[1] < costs.tokens:
@@ -75,7 +77,7 @@
             if layers.first <= at < layers.end:
                 most = min(layers.end, at + engine.fitting)
                 ends = [cut for cut in cuts[number + 1 :] if cut <= most]
-                _extend(partials, engine, at, ends, costs)
+                _extend(partials, engine, at, ends)
     complete = partials[last].values() if last in partials else ()
     best = min(complete, key=lambda partial: partial.seconds, default=None)
     return make_path(best.stages, best.seconds) if best else None
@@ -126,17 +128,15 @@
     engine: _Engine,
     at: int,
     ends: Sequence[int],
-    costs: PathCosts,
 ) -> None:
     """Extend the best partial path up to a layer by a stage on an engine."""
     option = engine.option
-    before = _choose_before(partials[at].values(), option, costs)
+    before = _choose_before(partials[at].values(), option.target)
     if before is None:
         return
-    base = before.seconds + _crossing_seconds(before, option, costs)
     used = before.used | {option.target}
     for end in ends:
-        seconds = base + engine.hop + engine.per_layer * (end - at)
+        seconds = before.seconds + engine.hop + engine.per_layer * (end - at)
         present = partials[end].get(option.target)
         if present is not None and present.seconds <= seconds:
             continue
@@ -149,25 +149,15 @@
 
 
 def _choose_before(
-    partials: Collection[_Partial], option: StageOption, costs: PathCosts
+    partials: Collection[_Partial], target: str
 ) -> _Partial | None:
     """Return the partial path to extend by an engine, None without one."""
     return min(
         (
             partial
             for partial in partials
-            if option.target not in partial.used
-            and len(partial.stages) < _MAX_STAGES
+            if target not in partial.used and len(partial.stages) < _MAX_STAGES
         ),
-        key=lambda p: p.seconds + _crossing_seconds(p, option, costs),
+        key=lambda partial: partial.seconds,
         default=None,
     )
-
-
-def _crossing_seconds(
-    partial: _Partial, option: StageOption, costs: PathCosts
-) -> float:
-    if not partial.stages:
-        return 0.0
-    crosses = partial.stages[-1].data_centre != option.data_centre
-    return costs.crossing if crosses else 0.0
