Keep one tolerance for sums of a placement, and crashes apart from what waits

The tolerance for rounding stood in balance.py and in relief.py. measure.peering filled the queue before it measured the heartbeats of crashes, so that these included what waits; the queue is emptied first. The row of CAPACITY.md on crashes is older than the queue's part and was not measured again.

--- a/magnoliacove/placement/balance.py
+++ b/magnoliacove/placement/balance.py
@@ -16,6 +16,7 @@
 from magnoliacove.placement.capacity import count_layers
 from magnoliacove.placement.plan import EngineState
 from magnoliacove.placement.plan import PlacedLayers
+from magnoliacove.placement.ratings import ROUNDING
 from magnoliacove.placement.ratings import OtherEngines
 from magnoliacove.placement.ratings import Rating
 from magnoliacove.placement.ratings import compute_totals
@@ -28,8 +29,6 @@
 # seconds that loading the layers takes.
 _MIN_GAIN = 0.08
 _MIN_REPLICATED_GAIN = 6
-# Tolerance for floating-point sums that are added up in a different order.
-_ROUNDING = 1e-6
 
 
 def find_improvement(
@@ -64,7 +63,7 @@
 def _is_better(
     rating: Rating, best: Rating, current: Rating, required: float
 ) -> bool:
-    if rating.slowness > current.slowness + _ROUNDING:
+    if rating.slowness > current.slowness + ROUNDING:
         # A layer would lose its fastest engine, which slows down every
         # stream; a shortage of capacity affects only a few.
         return False
--- a/magnoliacove/placement/ratings.py
+++ b/magnoliacove/placement/ratings.py
@@ -16,6 +16,7 @@
 from magnoliacove.placement.plan import EngineState
 
 __all__ = [
+    "ROUNDING",
     "LayerTotals",
     "OtherEngines",
     "Rating",
@@ -25,6 +26,8 @@
     "sum_prefixes",
 ]
 
+# Tolerance for floating-point sums that are added up in a different order.
+ROUNDING = 1e-6
 # Step factor of a layer that no engine has loaded.
 _UNLOADED_FACTOR = 1e9
 
--- a/magnoliacove/placement/relief.py
+++ b/magnoliacove/placement/relief.py
@@ -15,6 +15,7 @@
 from magnoliacove.placement.capacity import count_layers
 from magnoliacove.placement.plan import EngineState
 from magnoliacove.placement.plan import PlacedLayers
+from magnoliacove.placement.ratings import ROUNDING
 from magnoliacove.placement.ratings import LayerTotals
 from magnoliacove.placement.ratings import OtherEngines
 from magnoliacove.placement.ratings import compute_totals
@@ -27,8 +28,6 @@
 _WANTED_FACTOR = 1.6
 # Minimum gain of a move, as a fraction of all missing capacity.
 _MIN_GAIN = 0.2
-# Tolerance for floating-point sums that are added up in a different order.
-_ROUNDING = 1e-6
 
 
 def find_relief(
@@ -73,7 +72,7 @@
     keeps an engine as fast as its fastest.  If the fast first engine of most
     paths moved, they would begin at a slow one.
     """
-    return min(others.capacities) >= min(totals.capacities) - _ROUNDING and (
+    return min(others.capacities) >= min(totals.capacities) - ROUNDING and (
         others.factors == totals.factors
     )
 
--- a/measure/peering.py
+++ b/measure/peering.py
@@ -27,6 +27,7 @@
 from magnoliacove.gateway import Gateway
 from magnoliacove.limits import LoadBook
 from magnoliacove.limits import TargetLoad
+from magnoliacove.limits.capacity import Waiter
 from magnoliacove.limits.crashes import CrashHistory
 from magnoliacove.limits.runs import CrashedRun
 from magnoliacove.limits.waiting import WaitingSummary
@@ -191,8 +192,11 @@
         peering._make_heartbeat(1, ()), waiting=rows, grant_rates={"llm": 6.0}
     )
     waiting_size = len(told.encode())
-    _fill_queue(gateway)
+    waiters = _fill_queue(gateway)
     waiting_make = _time([lambda: peering._make_heartbeat(1, ()).encode()])
+    # The heartbeats below are to differ by the crashes alone.
+    for waiter in waiters:
+        gateway.state.capacity_queue.withdraw(waiter)
     _add_crashes(gateway)
     reports = [
         dataclasses.replace(
@@ -252,14 +256,17 @@
     )
 
 
-def _fill_queue(gateway: Gateway) -> None:
-    for number in range(_WAITING):
+def _fill_queue(gateway: Gateway) -> list[Waiter]:
+    """Let as many requests wait at a gateway as its queue takes."""
+    return [
         gateway.state.capacity_queue.add(
             lambda: None,
             priority=number % _URGENCIES,
             fresh_until=0.0,
             service="llm",
         )
+        for number in range(_WAITING)
+    ]
 
 
 def _add_crashes(gateway: Gateway) -> None:
