Log what a gateway's retry budget was computed from

An on-call engineer could not tell why a fleet retried more than its budget: no line says how many retries a gateway allowed, what it had counted itself and what it knew of the others. 'retries-used' says so, once a second for each service while retries are asked for. Failures of the first second of a process are in it too, as the first retry writes the first line.

The budget that gateways share moves to a module of its own and takes the whole report of a peer, of which it now keeps the time; what it decides is as before.

--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -189,7 +189,7 @@
         state.loads.take_others(
             heartbeat.name, heartbeat.loads, heartbeat.crossings
         )
-        state.retry_budget.take_others(heartbeat.name, heartbeat.services)
+        state.retry_budget.take(heartbeat)
         state.unreported.take_others(
             heartbeat.name, heartbeat.recent, heartbeat.counted_for
         )
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -94,7 +94,10 @@
                 data_centre=settings.data_centre,
                 meters=Meters(self._read_gauges, self._is_ready),
                 retry_budget=limits.SharedRetryBudget(
-                    bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+                    bounds.retry_ratio,
+                    bounds.retry_slack,
+                    bounds.retry_window,
+                    log=limits.RetryLog(recorder),
                 ),
                 rng=random.Random(),
                 grace=max(0.0, grace),
--- a/magnoliacove/gateway/state.py
+++ b/magnoliacove/gateway/state.py
@@ -20,9 +20,9 @@
 from magnoliacove.limits.load import LoadBook
 from magnoliacove.limits.permits import Permits
 from magnoliacove.limits.quarantine import QuarantineBook
-from magnoliacove.limits.retries import SharedRetryBudget
 from magnoliacove.limits.room_shares import RoomShares
 from magnoliacove.limits.saturation import Saturation
+from magnoliacove.limits.shared_retries import SharedRetryBudget
 from magnoliacove.limits.shared_waiting import SharedWaiting
 from magnoliacove.limits.unreported import UnreportedRequests
 from magnoliacove.metrics import Meters
--- a/magnoliacove/limits/__init__.py
+++ b/magnoliacove/limits/__init__.py
@@ -7,7 +7,8 @@
 from magnoliacove.limits.load import LoadBook
 from magnoliacove.limits.load import TargetLoad
 from magnoliacove.limits.retries import RetryBudget
-from magnoliacove.limits.retries import SharedRetryBudget
+from magnoliacove.limits.retry_log import RetryLog
+from magnoliacove.limits.shared_retries import SharedRetryBudget
 from magnoliacove.limits.unreported import UnreportedRequests
 
 __all__ = [
@@ -16,6 +17,7 @@
     "LoadBook",
     "RateLimit",
     "RetryBudget",
+    "RetryLog",
     "SharedRetryBudget",
     "TargetLoad",
     "UnreportedRequests",
--- a/magnoliacove/logs.py
+++ b/magnoliacove/logs.py
@@ -64,6 +64,7 @@
         "capacity-short",
         "service-full",
         "service-not-full",
+        "retries-used",
         "room-left",
         "room-used-again",
         "started",
