Test that a fleet keeps its retry budget whatever its gateways hear

The bound is theirs: 0.2 for each request and 248, in any ten seconds, with the requests of the window or of an earlier one.

--- a/tests/limits/test_shared_retries.py
+++ b/tests/limits/test_shared_retries.py
@@ -1,16 +1,176 @@
 """The retry budget that all gateways share."""
 
+from bisect import bisect_left
 from dataclasses import dataclass
+from dataclasses import field
+import itertools
+import random
 
 from magnoliacove.limits import RetryLog
 from magnoliacove.limits import SharedRetryBudget
 from magnoliacove.timeline import Recorder
 
+_RATIO, _SLACK, _WINDOW = 0.2, 248, 10.0
+# The service gets 200 requests a second; from second 12 to 30 engines refuse
+# 400 attempts a second, each of which asks for a retry.
+_REQUESTS, _REFUSALS = 200, 400
+_FAILING, _END, _STEP = 12.0, 30.0, 0.02
+# Seconds between two heartbeats of a gateway, for each of the others.
+_INTERVAL_PER_PEER = 0.012
+
 
 @dataclass(frozen=True)
 class _Report:
     name: str
     services: dict[str, tuple[int, int]]
+    incarnation: int = 1
+    leaving: bool = False
+
+
+@dataclass
+class _Gateway:
+    """A gateway that counts, and tells the others in heartbeats.
+
+    :param heard_at: when each other gateway was last heard.
+    """
+
+    name: str
+    incarnation: int
+    budget: SharedRetryBudget
+    next_at: float
+    heard_at: dict[str, float] = field(default_factory=dict)
+
+    def report(self):
+        counts = self.budget.list_counts()
+        return _Report(self.name, counts, self.incarnation)
+
+    def take(self, report, now):
+        self.heard_at[report.name] = now
+        self.budget.take(report)
+
+    def forget_silent(self, limit):
+        silent = [name for name, at in self.heard_at.items() if at < limit]
+        for name in silent:
+            del self.heard_at[name]
+        if silent:
+            self.budget.forget_peers(silent)
+
+
+class _Fleet:
+    """Gateways in virtual time, of which each gets requests and refusals.
+
+    :param hears: whether a gateway hears another one, by their numbers, from
+        just before engines fail.
+    :param killed: fraction of the gateways that is killed each second.
+    :param restarted_at: when all are killed and start again.
+    :param at_once: whether the refusals of a second come at one moment.
+    :param failing: number of gateways that get refusals, all by default.
+    """
+
+    def __init__(
+        self,
+        count,
+        *,
+        hears=lambda a, b: True,
+        killed=0.0,
+        restarted_at=_END,
+        at_once=False,
+        failing=0,
+    ):
+        self.now = 0.0
+        self.requests, self.retries = [], []
+        self._hears, self._killed = hears, killed
+        self._restarted_at = restarted_at
+        self._at_once, self._failing = at_once, failing or count
+        self._rng = random.Random(count)
+        self._incarnations = itertools.count(1)
+        self._interval = max(0.15, _INTERVAL_PER_PEER * (count - 1))
+        self._gateways = [self._start(number) for number in range(count)]
+
+    def _start(self, number):
+        budget = SharedRetryBudget(_RATIO, _SLACK, _WINDOW, lambda: self.now)
+        delay = self._rng.uniform(0.0, self._interval)
+        return _Gateway(
+            f"g-{number}", next(self._incarnations), budget, self.now + delay
+        )
+
+    def play(self):
+        while self.now < _END:
+            self.now += _STEP
+            self._send_heartbeats()
+            for _ in range(round(_REQUESTS * _STEP)):
+                self._rng.choice(self._gateways).budget.note_request("llm")
+                self.requests.append(self.now)
+            if self.now >= _FAILING:
+                self._fail()
+
+    def _send_heartbeats(self):
+        for number, sender in enumerate(self._gateways):
+            if self.now < sender.next_at:
+                continue
+            sender.next_at += self._interval
+            sender.forget_silent(self.now - max(1.2, 6 * self._interval))
+            report = sender.report()
+            for other, receiver in enumerate(self._gateways):
+                cut = self.now >= _FAILING - 1.0
+                if other != number and (not cut or self._hears(other, number)):
+                    receiver.take(report, self.now)
+
+    def _fail(self):
+        step = round((self.now - _FAILING) / _STEP)
+        first_of_second = step % round(1 / _STEP) == 0
+        refusals = round(_REFUSALS * _STEP)
+        if self._at_once:
+            refusals = _REFUSALS if first_of_second else 0
+        for _ in range(refusals):
+            number = self._rng.randrange(self._failing)
+            if self._gateways[number].budget.try_spend("llm"):
+                self.retries.append(self.now)
+        if first_of_second:
+            self._restart()
+
+    def _restart(self):
+        count = len(self._gateways)
+        killed = round(self._killed * count)
+        if self.now >= self._restarted_at:
+            self._restarted_at, killed = _END, count
+        for number in self._rng.sample(range(count), killed):
+            self._gateways[number] = self._start(number)
+
+    def measure_excess(self):
+        """Return the retries of the worst window over what is allowed."""
+        starts = [step * 0.1 for step in range(round(_END / 0.1))]
+        return max(
+            _count(self.retries, start)
+            / (_RATIO * self._count_requests(start) + _SLACK)
+            for start in starts
+        )
+
+    def _count_requests(self, start):
+        """Return the requests that the users count for a window."""
+        earlier = (start, start - _WINDOW / 2, start - _WINDOW)
+        return max(_count(self.requests, moment) for moment in earlier)
+
+
+def _count(times, start):
+    return bisect_left(times, start + _WINDOW) - bisect_left(times, start)
+
+
+def _is_same_half(a, b):
+    return a % 2 == b % 2
+
+
+_CASES = {
+    "all hear each other": {},
+    "refusals come at once": {"at_once": True},
+    "half does not hear the other half": {"hears": _is_same_half},
+    "half is not heard by the other half": {
+        "hears": lambda a, b: a % 2 >= b % 2
+    },
+    "none hears any": {"hears": lambda a, b: False},
+    "a third is killed each second": {"killed": 1 / 3},
+    "all start again at once": {"restarted_at": 20.0},
+}
 
 
 def test_retries_of_all_gateways_share_one_bound():
@@ -56,3 +216,17 @@
     assert second.detail["peer_requests"] == 50
     assert second.detail["peer_retries"] == 3
     assert second.detail["oldest_report"] == 1.0
+
+
+def test_retries_stay_below_the_bound_whatever_gateways_hear():
+    """Guards against a fleet that retries more than its budget allows.
+
+    Engines refuse more than the budget can repeat.  Gateways learn late, or
+    not at all, what the others have spent, and each spends the same rest.
+    """
+    excess = {}
+    for case, count in itertools.product(_CASES, [8, 32, 68]):
+        fleet = _Fleet(count, **_CASES[case])
+        fleet.play()
+        excess[f"{case}, {count} gateways"] = fleet.measure_excess()
+    assert {name: part for name, part in excess.items() if part > 1.0} == {}
