--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -340,6 +340,7 @@
             state.permits.discard_unlisted(listed)
             self._stalls.discard_unlisted(listed)
             self._crash_watch.discard_old()
+            state.retry_budget.write_log()
             await state.pool.close_expired(listed)
 
     def _read_gauges(self) -> dict[str, float]:
--- a/magnoliacove/limits/retry_log.py
+++ b/magnoliacove/limits/retry_log.py
@@ -57,7 +57,18 @@
             use.spent += 1
         else:
             use.denied += 1
-        now = self._read_time()
+        self._write_if_due(service, describe)
+
+    def write_due(self, describe: Callable[[str], dict[str, Any]]) -> None:
+        """Write what was counted a second ago or earlier."""
+        for service, use in list(self._uses.items()):
+            if use.spent or use.denied:
+                self._write_if_due(service, describe)
+
+    def _write_if_due(
+        self, service: str, describe: Callable[[str], dict[str, Any]]
+    ) -> None:
+        use, now = self._uses[service], self._read_time()
         if use.logged_at is not None and now - use.logged_at < _INTERVAL:
             return
         self._uses[service] = _Use(logged_at=now)
--- a/magnoliacove/limits/shared_retries.py
+++ b/magnoliacove/limits/shared_retries.py
@@ -99,6 +99,11 @@
         bound = _USABLE_FRACTION * (self._ratio * requests + self._slack)
         return bound - retries
 
+    def write_log(self) -> None:
+        """Log the retries that no line tells of yet."""
+        if self._log is not None:
+            self._log.write_due(self._describe)
+
     def list_counts(self) -> dict[str, tuple[int, int]]:
         """Return each service's requests and retries in the window."""
         names = self._requests.list_names() | self._retries.list_names()
--- a/tests/limits/test_shared_retries.py
+++ b/tests/limits/test_shared_retries.py
@@ -218,6 +218,25 @@
     assert second.detail["oldest_report"] == 1.0
 
 
+def test_the_last_retries_before_a_calm_are_logged_too():
+    """Guards against lines that lack most retries of a short failure.
+
+    All retries fall into the second after the first line, and none follows
+    that would write the next line.
+    """
+    now, recorder = 100.0, Recorder("g-1")
+    budget = SharedRetryBudget(
+        0.0, 100, 10.0, lambda: now, RetryLog(recorder, lambda: now)
+    )
+    for _ in range(20):
+        budget.try_spend("llm")
+    now += 1.0
+    for _ in range(3):
+        budget.write_log()
+    spent = [event.detail["spent"] for event in recorder.list_events()]
+    assert spent == [1, 19]
+
+
 def test_retries_stay_below_the_bound_whatever_gateways_hear():
     """Guards against a fleet that retries more than its budget allows.
 
