Divide the retry budget among the gateways

Users saw 945 repeats in ten seconds for 2,020 requests, 652 allowed. Callers notice it as engines that are full getting up to five arrivals of the same request.

Cause: each gateway compared the whole fleet's budget with its own retries and those that it had heard of. What it had not heard it could not count: retries since the others' last heartbeats, those of gateways that it does not hear or has forgotten, and its own of before its start. The class is a limit on a sum that each member spends against what it last heard.

Ruled out: arrivals that nobody pays for. A path or call after the first is taken after try_spend, or after read_remaining in the same moment; an attempt that is not charged failed to connect. And too many requests in the bound: they are counted once, as they arrive.

Change: a gateway's share is the fraction of its own requests and an equal part of the slack, among all gateways heard in two hours. Half of it is private, half is pooled among those that hear each other; in a round of heartbeats each takes its part of half of the pool. Retries of gateways that ended or are not heard stay counted for a window. 85 in 100 are divided; a process that may have run before has the other 15, growing over its first window, as it does not know what it spent. So the bound needs no news at all, and news only gives more.

--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -98,6 +98,10 @@
                     bounds.retry_slack,
                     bounds.retry_window,
                     log=limits.RetryLog(recorder),
+                    restarted=not settings.first_start,
+                    expects_peers=any(
+                        seed.host != settings.host for seed in settings.seeds
+                    ),
                 ),
                 rng=random.Random(),
                 grace=max(0.0, grace),
