Count other gateways before they are heard, in the first second

Callers get 503 as all gateways start again at once: each has several requests waiting, has heard no other gateway, and sends them along the one path that is fastest while engines are idle. Each refusal used to take a retry; with few retries after a start it is the caller's answer. The class is that of the retry budget: what is shared counts as one's own where no news has come.

A gateway that starts counted others only once they were heard, 0.2 to 0.9 s later. It now counts one for two engines until then, for a second at most, and places their requests first as it does those of others that it has heard to start. More than there are cost somewhat slower paths.

The new test needs the new parameter; without the count it has 4 where it asks for 104.

--- a/magnoliacove/gateway/assembly.py
+++ b/magnoliacove/gateway/assembly.py
@@ -44,6 +44,7 @@
         quarantined request with a fingerprint.
     :param shares_waiting: whether requests leave capacity to those that wait
         at other gateways.
+    :param expects_peers: whether there are other gateways.
     """
 
     recorder: Recorder
@@ -55,6 +56,7 @@
     start_soon: Callable[..., object] = trio.lowlevel.spawn_system_task
     owns: Callable[[str], bool] = lambda _: True
     shares_waiting: bool = False
+    expects_peers: bool = False
 
 
 def make_state(inputs: StateInputs) -> GatewayState:
@@ -62,7 +64,8 @@
     recorder = inputs.recorder
     targets = TargetList(recorder, grace=inputs.grace)
     health, engine_statuses = Health(recorder), EngineStatuses()
-    loads, unreported = LoadBook(), UnreportedRequests()
+    loads = LoadBook()
+    unreported = UnreportedRequests(expects_peers=inputs.expects_peers)
     backpressure = BackpressureBook(recorder)
     grants = GrantBook(recorder.process)
     permits = Permits(backpressure, grants)
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -88,6 +88,9 @@
         self.recorder = recorder
         bounds = settings.bounds
         grace = min(_EXPIRY_GRACE, bounds.drain - _REMOVAL_DELAY)
+        expects_peers = any(
+            seed.host != settings.host for seed in settings.seeds
+        )
         self.state = make_state(
             StateInputs(
                 recorder=recorder,
@@ -99,14 +102,13 @@
                     bounds.retry_window,
                     log=limits.RetryLog(recorder),
                     restarted=not settings.first_start,
-                    expects_peers=any(
-                        seed.host != settings.host for seed in settings.seeds
-                    ),
+                    expects_peers=expects_peers,
                 ),
                 rng=random.Random(),
                 grace=max(0.0, grace),
                 owns=lambda fingerprint: self._peers.owns(fingerprint),
                 shares_waiting=shares_waiting,
+                expects_peers=expects_peers,
             )
         )
         state = self.state
--- a/magnoliacove/limits/shared_retries.py
+++ b/magnoliacove/limits/shared_retries.py
@@ -32,10 +32,10 @@
 
 # Fraction of a share that a gateway may use.
 _USABLE_FRACTION = 0.85
-# The same in its first window after a start, reached at the end of the window:
-# it does not know what it spent before.  All gateways may have spent all of
-# their shares and start again at once, so both together are the whole budget.
-_FIRST_USABLE_FRACTION = 0.15
+# The same at the end of its first window after a start.  It does not know what
+# it spent before: if all gateways start again when their shares are spent,
+# both fractions together are the whole budget.
+_FIRST_USABLE_FRACTION = 1.0 - _USABLE_FRACTION
 # Fraction of each share that is pooled.
 _POOLED_FRACTION = 0.5
 # Fraction of what the pool has left that all gateways together may take in one
@@ -70,7 +70,7 @@
 class _Usage:
     """What one gateway has counted for a service in the window.
 
-    :param running: seconds since the gateway started, as far as known.
+    :param running: seconds since the gateway started, or was first heard.
     """
 
     requests: int
@@ -256,7 +256,11 @@
     # Shares and the pool.
 
     def _measure_pool(self, service: str) -> float:
-        """Return what the gateways that hear each other have not taken."""
+        """Return what the gateways that hear each other have not taken.
+
+        A gateway that is not heard any more has taken what its share does not
+        explain.  It contributes nothing, as it may use the rest of its share.
+        """
         now = self._read_time()
         left = self._contribute(self._read_own(service))
         for report in self._heard.values():
@@ -268,11 +272,9 @@
 
     def _contribute(self, usage: _Usage) -> float:
         """Return a gateway's part of the pool, less what it has taken."""
-        share, private = (
-            self._compute_share(usage),
-            self._compute_private(usage),
-        )
-        return share - private - max(0.0, usage.retries - private)
+        private = self._compute_private(usage)
+        taken = max(0.0, usage.retries - private)
+        return self._compute_share(usage) - private - taken
 
     def _compute_private(self, usage: _Usage) -> float:
         return (1.0 - _POOLED_FRACTION) * self._compute_share(usage)
--- a/magnoliacove/limits/unreported.py
+++ b/magnoliacove/limits/unreported.py
@@ -30,6 +30,12 @@
 # Factor on the unreported requests that gives the range of positions: the
 # requests already sent, and as many that will be sent with the same state.
 _POSITIONS_FACTOR = 2.0
+# Seconds after a start until the heartbeats of all others have arrived.
+_START_SECONDS = 1.0
+# Gateways for each engine that are assumed until then.  Fleets have between
+# one for seven engines and one for two; with too many the first requests take
+# somewhat slower paths, with too few all of them take the same path.
+_GATEWAYS_PER_ENGINE = 0.5
 # Requests per second; a lower sum is a rounding error of the differences.
 _MIN_RATE = 1e-3
 
@@ -60,15 +66,21 @@
     as many as this one.  When all gateways start together, callers wait for
     them, and each gateway gets several requests as soon as it can serve.  If
     each assumed the others to be idle, all would send their requests along
-    the same path.
+    the same path.  For that reason a gateway that has just started also counts
+    others that it has not heard from yet.
 
     :param read_time: returns seconds.
+    :param expects_peers: whether there are other gateways.
     """
 
     def __init__(
-        self, read_time: Callable[[], float] = trio.current_time
+        self,
+        read_time: Callable[[], float] = trio.current_time,
+        *,
+        expects_peers: bool = False,
     ) -> None:
         self._read_time = read_time
+        self._expects_peers = expects_peers
         self._gateways: dict[str, _RateReport] = {}
         self._starting: set[str] = set()
         self._sums: dict[str, _Sum] = {}
@@ -139,7 +151,11 @@
             self._subtract(gateway)
 
     def sample_ahead(
-        self, service: str, rng: random.Random, displaced: int = 0
+        self,
+        service: str,
+        rng: random.Random,
+        displaced: int = 0,
+        engines: int = 0,
     ) -> RequestsAhead:
         """Return how many unreported requests are assumed to go first.
 
@@ -148,6 +164,7 @@
         together come out as if they were made one after the other.
 
         :param displaced: requests that their gateways reroute now.
+        :param engines: number of the service's engines.
         """
         total = self._sums.get(service, _Sum())
         unreported, seconds = 0.0, 0.0
@@ -155,13 +172,19 @@
             unreported = self._read_time() * total.rate - total.rate_by_time
             seconds = unreported / total.rate
         own = self._own.count(service)
-        expected = (
-            _POSITIONS_FACTOR * max(0.0, unreported)
-            + len(self._starting) * own
-        )
+        starting = len(self._starting) + self._count_unheard(engines)
+        expected = _POSITIONS_FACTOR * max(0.0, unreported) + starting * own
         expected += displaced
         return RequestsAhead(int(rng.uniform(0.0, expected + 1.0)), seconds)
 
+    def _count_unheard(self, engines: int) -> int:
+        """Return how many gateways are assumed that were not heard yet."""
+        running = self._read_time() - self._started
+        if not self._expects_peers or running >= _START_SECONDS:
+            return 0
+        assumed = round(engines * _GATEWAYS_PER_ENGINE)
+        return max(0, assumed - len(self._gateways))
+
     def _subtract(self, gateway: str) -> None:
         self._starting.discard(gateway)
         previous = self._gateways.pop(gateway, None)
--- a/magnoliacove/routing/candidates.py
+++ b/magnoliacove/routing/candidates.py
@@ -193,12 +193,15 @@
         to the last heartbeats: their gateways reroute them now, as this
         process reroutes its own.
         """
+        engines = self._targets.list_service(service)
         displaced = sum(
-            self._loads.read_others(target.name).requests
-            for target in self._targets.list_service(service)
-            if self._health.is_failed(target.name)
+            self._loads.read_others(engine.name).requests
+            for engine in engines
+            if self._health.is_failed(engine.name)
+        )
+        return self._unreported.sample_ahead(
+            service, self._rng, displaced, len(engines)
         )
-        return self._unreported.sample_ahead(service, self._rng, displaced)
 
     def sample_displaced(
         self, failed_engines: Collection[str]
--- a/tests/limits/test_unreported.py
+++ b/tests/limits/test_unreported.py
@@ -16,10 +16,11 @@
         return self.now
 
 
-def _sample(unreported, displaced=0):
+def _sample(unreported, displaced=0, engines=0):
     rng = random.Random(1)
     samples = [
-        unreported.sample_ahead("llm", rng, displaced) for _ in range(400)
+        unreported.sample_ahead("llm", rng, displaced, engines)
+        for _ in range(1000)
     ]
     return [ahead.requests for ahead in samples]
 
@@ -78,6 +79,24 @@
     assert max(_sample(unreported)) == 0
 
 
+def test_a_gateway_that_starts_counts_others_that_it_has_not_heard():
+    """Guards against gateways that start again at once and all send their
+    first requests to the same engine.
+
+    It refuses most of them.  A second later all others have been heard.
+    """
+    clock = _Clock()
+    unreported = UnreportedRequests(clock, expects_peers=True)
+    for _ in range(4):
+        unreported.note_request("llm")
+    assert max(_sample(unreported, engines=52)) == 104
+    for number in range(25):
+        unreported.take_others(f"e-{number}", {"llm": 0}, 2.0)
+    assert max(_sample(unreported, engines=52)) == 4
+    clock.now += 1.0
+    assert max(_sample(unreported, engines=52)) == 0
+
+
 def test_own_requests_are_counted_over_a_window():
     clock = _Clock()
     unreported = UnreportedRequests(clock)
