Stay on a path whose retry is gone once another one is reserved

Found while the retry budget was read for arrivals that nobody pays for. A stream asks whether a retry is left, searches another path and then spends the retry. The clock goes on during the search; where requests leave the budget's window meanwhile, the retry is denied, and the stream left all the same, or took its path.

Both places now release the path and stay or wait. The new test, for a stream that runs, failed before; the same in the queue has no test of its own.

--- a/magnoliacove/gateway/departures.py
+++ b/magnoliacove/gateway/departures.py
@@ -162,14 +162,19 @@
 
         The caller has just asked whether the stream may change.
 
-        :returns: the other path, or None when none has capacity.
+        :returns: the other path, or None when the stream stays.
         """
         path = self._path_reservation.reserve_next(avoided, excluded)
         if path is None:
             self._note_stay(reason, Obstacle.CAPACITY)
             return None
         budget = self._state.retry_budget
-        self._retry_spent = budget.try_spend(self._routed.service.name)
+        if not budget.try_spend(self._routed.service.name):
+            # The budget shrinks as requests leave its window.
+            self._path_reservation.release_next()
+            self._note_stay(reason, Obstacle.BUDGET)
+            return None
+        self._retry_spent = True
         self.stop_waiting()
         self._leave(reason)
         return path
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -304,9 +304,13 @@
             self._log.record_withheld_retry(self._read_rerun_facts)
             return None
         path = self._path_reservation.reserve(begun=self.began)
-        if path is not None and owes:
-            budget.try_spend(self.service)
-            self._owes_retry = False
+        if path is None or not owes:
+            return path
+        if not budget.try_spend(self.service):
+            # The budget shrinks as requests leave its window.
+            self._path_reservation.release_path()
+            return None
+        self._owes_retry = False
         return path
 
     def _check_quarantine(self) -> None:
--- a/tests/gateway/test_departure_sequences.py
+++ b/tests/gateway/test_departure_sequences.py
@@ -54,7 +54,10 @@
             SimpleNamespace(
                 deadline=100.0, service=SimpleNamespace(name="llm")
             ),
-            SimpleNamespace(reserve_next=self._reserve_next),
+            SimpleNamespace(
+                reserve_next=self._reserve_next,
+                release_next=self._release_next,
+            ),
             self.delivery,
             self._read_facts,
             self._end_run,
@@ -66,6 +69,9 @@
         self.reserved = self.path_free
         return "path" if self.path_free else None
 
+    def _release_next(self):
+        self.reserved = False
+
     def _read_facts(self):
         return RerunFacts(
             self.begun,
@@ -129,3 +135,20 @@
         assert not stream.queue.waiting
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def test_a_stream_stays_when_its_retry_is_gone_once_it_has_a_path(
+    autojump_clock,
+):
+    """Guards against a repeat that nobody pays for.
+
+    Requests leave the budget's window while the search for another path runs,
+    and with them the last retry.
+    """
+    stream = _Stream(begun=True, repeatable=True, retries=1)
+    stream.path_free = True
+    stream.budget.try_spend = lambda service: False
+    await stream.observe("lost")
+    assert not stream.left
+    assert not stream.reserved
+    assert not stream.departure.take_retry()
