--- a/tests/limits/test_shared_retries.py
+++ b/tests/limits/test_shared_retries.py
@@ -278,8 +278,8 @@
 def test_retries_of_a_gateway_that_ended_stay_counted():
     """Guards against a second use of what an ended gateway took.
 
-    The gateway has taken the whole pool.  Another one hears of that, then no
-    more of the gateway, then of the process that runs in its place.
+    The gateway has taken the whole pool.  Another one hears of that, then of
+    the process that runs in its place, then no more of either.
     """
     now = 0.0
     budget = SharedRetryBudget(0.0, 100, 10.0, lambda: now)
