Test that gateways which start inside a partition keep one retry budget

Red, and listed. In virtual time, with the divided budget, all gateways start again while two to twelve sides do not hear each other: 1.12 to 1.44 of the bound at two sides, 1.44 to 2.04 at three, 1.74 to 2.62 at four, 3.4 to 6.7 at twelve (24 and 68 gateways, 50 to 200 requests a second).

--- a/tests/limits/test_shared_retries.py
+++ b/tests/limits/test_shared_retries.py
@@ -263,6 +263,25 @@
     assert {name: part for name, part in excess.items() if part > 1.0} == {}
 
 
+def test_gateways_that_start_inside_a_partition_share_one_bound():
+    """Guards against a whole budget on each side of a partition.
+
+    All gateways end while their data centres do not reach each other, and
+    start again.  Each divides the budget among those that it hears, though
+    the others spend it too.
+    """
+    excess = {}
+    for sides, count in itertools.product([2, 3, 4, 12], [24, 68]):
+        fleet = _Fleet(
+            count,
+            hears=lambda a, b, sides=sides: a % sides == b % sides,
+            restarted_at=14.0,
+        )
+        fleet.play()
+        excess[f"{sides} sides, {count} gateways"] = fleet.measure_excess()
+    assert {name: part for name, part in excess.items() if part > 1.0} == {}
+
+
 def test_one_gateway_with_failures_uses_what_the_others_leave():
     """Guards against streams that end though the fleet has retries left.
 
