Divide the retry budget among the gateways that the store knows

What callers would see: with links cut between data centres and all gateways started again there, engines get up to 6.7 times the retries that the budget allows. Cause: a gateway divides the slack among those that it has heard since its start, which inside a partition is one side. The lease of the placement leader now contains the number, and each gateway reads it at its start; no call to the store is added.

Ruled out: that few requests before a large slack break the bound by themselves (0.24 to 0.98 in virtual time).

--- a/magnoliacove/directory/__init__.py
+++ b/magnoliacove/directory/__init__.py
@@ -13,6 +13,7 @@
     from magnoliacove.directory.instances import PlatformState
     from magnoliacove.directory.instances import write_entry
     from magnoliacove.directory.leases import Lease
+    from magnoliacove.directory.leases import Membership
     from magnoliacove.directory.leases import read_lease
     from magnoliacove.directory.store import StoreReader
     from magnoliacove.directory.store import announce
@@ -28,6 +29,7 @@
             "PlatformState": "instances",
             "write_entry": "instances",
             "Lease": "leases",
+            "Membership": "leases",
             "read_lease": "leases",
             "Backoff": "backoff",
             "StoreReader": "store",
@@ -42,6 +44,7 @@
     "Feed",
     "Instance",
     "Lease",
+    "Membership",
     "PlatformState",
     "StoreReader",
     "View",
--- a/magnoliacove/directory/leases.py
+++ b/magnoliacove/directory/leases.py
@@ -12,6 +12,7 @@
 era shows that the record comes from a snapshot.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 import json
 
@@ -23,7 +24,7 @@
 from magnoliacove.platform.eras import split_revision
 from magnoliacove.timeline import Recorder
 
-__all__ = ["Lease", "read_lease"]
+__all__ = ["Lease", "Membership", "read_lease"]
 
 # Seconds before the expiry of the lease at which the holder stops using it, so
 # that a timer that fires late does not lead to two holders.
@@ -32,6 +33,21 @@
 _FENCES_PER_ERA = 1 << 32
 
 
+@dataclass(frozen=True)
+class Membership:
+    """How many processes compete for a lease, which the lease also stores.
+
+    A process that starts learns it from the lease, before it hears from the
+    others, and also where it reaches only some of them.
+
+    :param count: returns the number that this process knows, itself included.
+    :param expect: called with the number that the lease contains, 0 for none.
+    """
+
+    count: Callable[[], int] = lambda: 0
+    expect: Callable[[int], None] = lambda _: None
+
+
 @dataclass(frozen=True)
 class _Observed:
     """The last seen version of a lease, and when it was first seen."""
@@ -57,6 +73,7 @@
         owner: str,
         *,
         duration: float = defaults.LEASE_DURATION,
+        membership: Membership | None = None,
     ) -> None:
         self.name = name
         self.fence = 0
@@ -64,6 +81,7 @@
         self._recorder = recorder
         self._owner = owner
         self._duration = duration
+        self._membership = membership or Membership()
         self._version = 0
         self._renewals = 0
         self._valid_until = 0.0
@@ -97,6 +115,7 @@
         now = trio.current_time()
         version = record.version if record else 0
         holder, fence = read_lease(record)
+        self._membership.expect(_read_members(record))
         # The version of a missing lease includes the era, so that its absence
         # in two eras counts as two observations.
         seen = version or self._api.era.join(0)
@@ -129,7 +148,7 @@
         """Release the lease, so that others can acquire it immediately."""
         if not self.held:
             return
-        value = _write_lease("", self.fence, 0)
+        value = self._write_value("", self.fence, 0)
         self.fence = 0
         try:
             await self._api.put(f"leases/{self.name}", value, self._version)
@@ -146,7 +165,7 @@
         # The store ignores a write that changes nothing.  Without the count,
         # observers would see no renewal.
         self._renewals += 1
-        value = _write_lease(self._owner, fence, self._renewals)
+        value = self._write_value(self._owner, fence, self._renewals)
         previous_version, self._version = self._version, 0
         try:
             written = await self._api.put(
@@ -167,6 +186,15 @@
             self._recorder.record("lease-taken", target=self.name, fence=fence)
         return True
 
+    def _write_value(self, holder: str, fence: int, renewals: int) -> bytes:
+        values = {
+            "holder": holder,
+            "fence": fence,
+            "renewals": renewals,
+            "members": self._membership.count(),
+        }
+        return json.dumps(values).encode()
+
     def _note_lost(self, why: str) -> None:
         if self.fence:
             self._recorder.record("lease-lost", target=self.name, why=why)
@@ -186,6 +214,10 @@
     return values["holder"], values["fence"]
 
 
-def _write_lease(holder: str, fence: int, renewals: int) -> bytes:
-    values = {"holder": holder, "fence": fence, "renewals": renewals}
-    return json.dumps(values).encode()
+def _read_members(record: platform.Record | None) -> int:
+    """Return the number of processes that a lease's object contains.
+
+    A lease that an older build wrote contains none.
+    """
+    values = json.loads(record.value) if record is not None else {}
+    return int(values.get("members", 0))
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -13,6 +13,7 @@
 from magnoliacove.configuration.routes import CallerLimits
 from magnoliacove.configuration.routes import ModelShape
 from magnoliacove.directory import Lease
+from magnoliacove.directory import Membership
 from magnoliacove.gateway.assembly import StateInputs
 from magnoliacove.gateway.assembly import make_state
 from magnoliacove.gateway.callers import CallerConnection
@@ -146,6 +147,10 @@
             leadership.LEASE,
             owner,
             duration=leadership.LEASE_SECONDS,
+            membership=Membership(
+                state.retry_budget.count_gateways,
+                state.retry_budget.expect_gateways,
+            ),
         )
         self._leadership = leadership.Leadership(
             leadership.LeadershipInputs(
--- a/magnoliacove/limits/shared_retries.py
+++ b/magnoliacove/limits/shared_retries.py
@@ -118,7 +118,8 @@
     :param restarted: whether this gateway may have run just before, and spent
         retries that it does not know of.
     :param expects_peers: whether there are other gateways.  Until one is heard
-        from, it is not known among how many the slack is divided.
+        from, or the store tells, it is not known among how many the slack is
+        divided.
     """
 
     def __init__(
@@ -150,6 +151,9 @@
         self._former: dict[tuple[str, int], _Report] = {}
         # By name, when each gateway that has a share was last heard from.
         self._sharers: dict[str, float] = {}
+        # Number of gateways that the store knows, and when it was read.
+        self._stored_count = 0
+        self._stored_count_at = -math.inf
         self._round = _Round()
 
     def note_request(self, service: str) -> None:
@@ -213,6 +217,28 @@
             if report.leaving:
                 del self._sharers[name]
 
+    # Among how many gateways the slack is divided.
+
+    def expect_gateways(self, count: int) -> None:
+        """Divide the slack among at least this many gateways.
+
+        Those that start inside a partition hear only a part of the fleet,
+        and the others spend their part of the slack too.
+
+        :param count: as the store knows it, 0 for unknown.
+        """
+        if count > 0:
+            self._stored_count = count
+            self._stored_count_at = self._read_time()
+
+    def count_gateways(self) -> int:
+        """Return the number of gateways with a share, 0 for unknown."""
+        stored_for = self._read_time() - self._stored_count_at
+        stored = self._stored_count if stored_for <= _MAX_ABSENCE else 0
+        if self._expects_peers and not self._sharers:
+            return stored
+        return max(stored, 1 + len(self._sharers))
+
     # What this gateway may spend.
 
     def _read_parts(self, service: str) -> tuple[float, float]:
@@ -287,9 +313,8 @@
 
     def _divide_slack(self) -> float:
         """Return one gateway's part of the slack, in retries."""
-        if self._expects_peers and not self._sharers:
-            return 0.0
-        return self._slack / (1 + len(self._sharers))
+        count = self.count_gateways()
+        return self._slack / count if count else 0.0
 
     def _read_own(self, service: str) -> _Usage:
         running = self._read_time() - self._since
@@ -312,7 +337,7 @@
             "share": round(self._compute_share(usage), 1),
             "pool": round(self._measure_pool(service), 1),
             "left": self.read_remaining(service),
-            "gateways": 1 + len(self._sharers),
+            "gateways": self.count_gateways(),
             "peers": len(reports),
             "peer_requests": sum(r.read(service)[0] for r in reports),
             "peer_retries": sum(r.read(service)[1] for r in reports),
--- a/tests/directory/test_leases.py
+++ b/tests/directory/test_leases.py
@@ -202,3 +202,35 @@
                     fences.append(lease.fence)
         nursery.cancel_scope.cancel()
     assert len(fences) > 3
+
+
+async def test_a_lease_tells_a_starting_process_how_many_there_are(
+    autojump_clock,
+):
+    """Guards against a limit that each side of a partition has whole.
+
+    A process that starts inside a partition hears only its side, but reads
+    the number of all from the lease, also after its holder released it.
+    """
+    store, read = object_api.ObjectStore(), []
+    holder = directory.Lease(
+        store,
+        timeline.Recorder("a/1"),
+        "placement",
+        "a/1",
+        membership=directory.Membership(lambda: 24),
+    )
+    starting = directory.Lease(
+        store,
+        timeline.Recorder("b/1"),
+        "placement",
+        "b/1",
+        membership=directory.Membership(expect=read.append),
+    )
+    await starting.try_acquire()
+    await starting.release()
+    await holder.try_acquire()
+    await starting.try_acquire()
+    await holder.release()
+    await starting.try_acquire()
+    assert read == [0, 24, 24]
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -21,7 +21,7 @@
     return port
 
 
-async def _start(nursery, tmp_path, script, listener=None):
+async def _start(nursery, tmp_path, script, listener=None, store=None):
     """Start a gateway and one target of a plain service."""
     ports = [await _free_port() for _ in range(3)]
     path = samples.write_settings(
@@ -36,7 +36,7 @@
     )
     stub = stubs.StubTarget(script)
     await nursery.start(stub.listen)
-    store = object_api.ObjectStore()
+    store = store or object_api.ObjectStore()
     route = {
         **samples.ROUTE,
         "kind": "idempotent",
@@ -78,6 +78,21 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_a_gateway_that_starts_reads_how_many_share_the_budget(
+    nursery, tmp_path
+):
+    """Guards against a whole retry budget for each side of a partition."""
+    store = object_api.ObjectStore()
+    lease = {"holder": "g-9/1", "fence": 3, "renewals": 8, "members": 24}
+    await store.put("leases/placement", json.dumps(lease).encode())
+    answer = stubs.answer_with(stubs.make_answer(b"ok"))
+    gateway, _ = await _start(nursery, tmp_path, answer, store=store)
+    with trio.fail_after(5.0):
+        while gateway.state.retry_budget.count_gateways() != 24:
+            await trio.sleep(0.02)
+    nursery.cancel_scope.cancel()
+
+
 async def test_a_draining_gateway_accepts_nothing_it_cannot_finish(
     nursery, tmp_path, monkeypatch
 ):
--- a/tests/limits/test_shared_retries.py
+++ b/tests/limits/test_shared_retries.py
@@ -65,6 +65,8 @@
     :param restarted_at: when all are killed and start again.
     :param at_once: whether the refusals of a second come at one moment.
     :param failing: number of gateways that get refusals, all by default.
+    :param stored_count: the number of gateways that one which starts reads
+        from the store.
     """
 
     def __init__(
@@ -76,12 +78,14 @@
         restarted_at=_END,
         at_once=False,
         failing=0,
+        stored_count=0,
     ):
         self.now = 0.0
         self.requests, self.retries = [], []
         self._hears, self._killed = hears, killed
         self._restarted_at = restarted_at
         self._at_once, self._failing = at_once, failing or count
+        self._stored_count = stored_count
         self._rng = random.Random(count)
         self._incarnations = itertools.count(1)
         self._interval = max(0.15, _INTERVAL_PER_PEER * (count - 1))
@@ -96,6 +100,8 @@
             restarted=self.now > 0.0,
             expects_peers=True,
         )
+        if self.now > 0.0:
+            budget.expect_gateways(self._stored_count)
         delay = self._rng.uniform(0.0, self._interval)
         return _Gateway(
             f"g-{number}", next(self._incarnations), budget, self.now + delay
@@ -276,12 +282,29 @@
             count,
             hears=lambda a, b, sides=sides: a % sides == b % sides,
             restarted_at=14.0,
+            stored_count=count,
         )
         fleet.play()
         excess[f"{sides} sides, {count} gateways"] = fleet.measure_excess()
     assert {name: part for name, part in excess.items() if part > 1.0} == {}
 
 
+def test_a_fleet_that_shrank_gets_the_whole_slack_again():
+    """Guards against a share that stays small after gateways were removed."""
+    now = 0.0
+    budget = SharedRetryBudget(
+        0.0, 100, 10.0, lambda: now, restarted=True, expects_peers=True
+    )
+    assert budget.count_gateways() == 0
+    budget.expect_gateways(50)
+    assert budget.count_gateways() == 50
+    budget.take(_Report("g-2", {}))
+    assert budget.count_gateways() == 50
+    now = 7201.0
+    budget.take(_Report("g-2", {}))
+    assert budget.count_gateways() == 2
+
+
 def test_one_gateway_with_failures_uses_what_the_others_leave():
     """Guards against streams that end though the fleet has retries left.
 
