Log which parts of their prompts requests share

In the incident of crashing prompts no two requests had the same fingerprint often, and no line told what they have in common. request-arrived now names the parts of the prompt but the last, which is the request's own; the header is read in platform/ only.

--- a/magnoliacove/gateway/relay.py
+++ b/magnoliacove/gateway/relay.py
@@ -16,6 +16,7 @@
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.requests import RoutedRequest
 from magnoliacove.gateway.requests import make_fingerprint
+from magnoliacove.gateway.requests import make_part_fingerprints
 from magnoliacove.gateway.requests import make_quarantined
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.gateway.state import GatewayState
@@ -156,6 +157,7 @@
             deadline=request.arrived + time_limit,
             version=table.version,
             fingerprint=make_fingerprint(request, name),
+            parts=make_part_fingerprints(caller_headers.shared_parts),
         )
 
     def _authenticate(
@@ -189,6 +191,7 @@
             "request-arrived",
             request=routed.caller_headers.request,
             fingerprint=routed.fingerprint,
+            parts=routed.parts,
             account=routed.account,
             service=routed.service.name,
             route=routed.route.name,
--- a/magnoliacove/gateway/requests.py
+++ b/magnoliacove/gateway/requests.py
@@ -1,5 +1,6 @@
 """A routed request, its fingerprint and the errors that answer it."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 import hashlib
 import random
@@ -13,6 +14,7 @@
 __all__ = [
     "RoutedRequest",
     "make_fingerprint",
+    "make_part_fingerprints",
     "make_may_have_run",
     "make_quarantined",
     "make_targets_limited",
@@ -52,6 +54,8 @@
     :param version: the version of the configuration that applies.
     :param fingerprint: identifies the content of the request, the same for
         all attempts.
+    :param parts: fingerprints of the parts of its prompt that other requests
+        may share.
     """
 
     request: Request
@@ -63,6 +67,7 @@
     deadline: float
     version: int
     fingerprint: str
+    parts: tuple[str, ...] = ()
 
 
 def make_fingerprint(request: Request, account: str) -> str:
@@ -74,18 +79,31 @@
     :returns: 16 hexadecimal digits, a hash of the host, the method, the path
         with its query, the client account and the body.
     """
-    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
-    parts = (
-        request.host.encode(),
-        request.method,
-        request.target,
-        account.encode(),
-        request.body,
+    return _make_digest(
+        (
+            request.host.encode(),
+            request.method,
+            request.target,
+            account.encode(),
+            request.body,
+        )
     )
-    for part in parts:
+
+
+def make_part_fingerprints(ids: Iterable[str]) -> tuple[str, ...]:
+    """Return identifiers of parts of a prompt, of 16 hexadecimal digits.
+
+    :param ids: the parts, as the caller names them.
+    """
+    return tuple(_make_digest((b"part", part.encode())) for part in ids)
+
+
+def _make_digest(values: Iterable[bytes]) -> str:
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    for value in values:
         # The length prefix keeps different requests from giving the same
         # concatenation.
-        digest.update(b"%d:" % len(part) + part)
+        digest.update(b"%d:" % len(value) + value)
     return digest.hexdigest()
 
 
--- a/magnoliacove/platform/headers.py
+++ b/magnoliacove/platform/headers.py
@@ -30,6 +30,7 @@
 _EXPECTED_VERSION = b"x-expect-version"
 _PATH = b"x-hops"
 _TOKENS = b"x-token-usage"
+_PARTS = b"x-prefix-hash"
 _LENGTH_HINT = b"x-length-hint"
 _AUTHORIZATION = b"authorization"
 _STAMP = b"x-response-stamp"
@@ -38,6 +39,9 @@
 _FAULTY = b"at-server"
 _RETRY_AFTER = b"retry-after"
 _KEY_SCHEME = b"token"
+# Maximum number of a prompt's parts that are read; the others are only
+# forwarded.
+_MAX_PARTS = 32
 # Engines accept priorities from 0, the most urgent, to this one.
 _LOWEST_PRIORITY = 9
 
@@ -86,6 +90,8 @@
         unknown.
     :param expected_tokens: the caller's estimate of the answer's length in
         tokens, 0 if unknown.
+    :param shared_parts: ids of the parts of the prompt that other requests
+        may share, in order.  The last part is the request's own.
     """
 
     request: str
@@ -95,6 +101,7 @@
     prompt_tokens: int
     max_answer_tokens: int
     expected_tokens: int
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -136,6 +143,7 @@
         prompt_tokens=_read_count(prompt) or 0,
         max_answer_tokens=_read_count(max_answer) or 0,
         expected_tokens=_read_count(values.get(_LENGTH_HINT, b"")) or 0,
+        shared_parts=_read_shared_parts(values.get(_PARTS, b"")),
     )
 
 
@@ -230,6 +238,13 @@
     return (part.strip() for part in value.split(b","))
 
 
+def _read_shared_parts(value: bytes) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt but the last one."""
+    entries = [entry for entry in _split(value) if entry][:_MAX_PARTS]
+    ids = [entry.partition(b":")[0].lower() for entry in entries[:-1]]
+    return tuple(part.decode("latin-1") for part in dict.fromkeys(ids))
+
+
 def _read_count(value: bytes) -> int | None:
     text = value.strip()
     return int(text) if text.isdigit() else None
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -501,6 +501,28 @@
     assert all(0.0 < e.detail["ran_for"] < 0.5 for e in lost[:1])
 
 
+async def test_log_events_identify_prompts_that_share_a_part():
+    """Guards against engines that end one after the other under requests that
+    have nothing in common in the log.
+    """
+    prompts = {"r1": "a:40,b:9,c:1", "r2": "d:40,b:9,e:1", "r3": "f:1"}
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", _stream(), layers=(0, 80))
+        for request, parts in prompts.items():
+            await stubs.ask_stream(
+                harness, x_request_id=request, x_prefix_hash=parts
+            )
+    events = harness.recorder.list_events()
+    first, second, third = (
+        event.detail["parts"]
+        for event in events
+        if event.kind == "request-arrived"
+    )
+    assert (len(first), len(second), third) == (2, 2, ())
+    assert first[0] != second[0]
+    assert first[1] == second[1]
+
+
 async def test_an_unreachable_engine_does_not_count_as_a_run():
     """Two engines end together, and their entries stay listed for seconds.  A
     stream loses the first one and cannot reach the second.  Its route allows
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -41,6 +41,22 @@
     assert headers.read_caller([(b"authorization", b"Basic k1")]).key == ""
 
 
+def test_the_parts_of_a_prompt_are_decoded_without_the_last():
+    """The last part is the request's own, and no two requests share it."""
+    assert headers.read_caller(_CALLER).shared_parts == ("a",)
+    for value, parts in {
+        b"": (),
+        b"a:3": (),
+        b"A:3, b:2,a:3,c:9": ("a", "b"),
+        b"a,b": ("a",),
+        b",".join(b"%x:1" % n for n in range(99)): tuple(
+            f"{n:x}" for n in range(31)
+        ),
+    }.items():
+        sent = [(b"x-prefix-hash", value)]
+        assert headers.read_caller(sent).shared_parts == parts
+
+
 def test_a_target_receives_neither_the_key_nor_a_forged_header():
     """A caller that sends an account and a path must not impersonate
     another account or choose engines: the target receives the account that
