--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -27,7 +27,13 @@
 from soak.targets import Ledger
 from soak.targets import Target
 
-__all__ = ["CrashSoak", "EngineCrash", "EngineFault", "Reply"]
+__all__ = [
+    "CrashSoak",
+    "CrashingEngine",
+    "EngineCrash",
+    "EngineFault",
+    "Reply",
+]
 
 _ENGINES = 9
 _GATEWAYS = 4
@@ -145,8 +151,12 @@
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         await trio.aclose_forcefully(stream)
 
+    def _is_crashed_by(self, headers: dict[str, str], path: str) -> bool:
+        """Return whether a request crashes this engine."""
+        return path == CRASHING
+
     async def _write_stream(self, answer, headers, path) -> None:
-        if path != CRASHING:
+        if not self._is_crashed_by(headers, path):
             await super()._write_stream(answer, headers, path)
             return
         request = headers["x-request-id"]
@@ -181,16 +191,15 @@
         self._callers_rng = random.Random(seed)
         self._numbers = itertools.count()
         self._targets = {
-            f"llm-{n}": CrashingEngine(
-                f"llm-{n}",
-                self._ledger,
-                self._record_crash,
-                self._announce,
-                engine_fault,
-            )
+            f"llm-{n}": self._make_engine(f"llm-{n}", engine_fault)
             for n in range(_ENGINES)
         }
 
+    def _make_engine(self, name: str, fault: EngineFault) -> CrashingEngine:
+        return CrashingEngine(
+            name, self._ledger, self._record_crash, self._announce, fault
+        )
+
     def list_late_runs(self, after: float) -> list[float]:
         """Return the times of crashes after a period from the third crash.
 
@@ -281,12 +290,13 @@
                 )
 
     async def _send_request(
-        self, gateway: GatewayProcess, path: str
+        self, gateway: GatewayProcess, path: str, parts: str = ""
     ) -> tuple[int, bool]:
         request = f"stream-{next(self._numbers)}"
         body = path.encode()
         head = (
             f"POST {path} HTTP/1.1\r\nhost: soak\r\nx-request-id: {request}"
+            f"\r\nx-prefix-hash: {parts}"
             "\r\nx-deadline-ms: 6000\r\nconnection: close\r\n"
             f"content-length: {len(body)}\r\n\r\n"
         )
