Quarantine the part of prompts that crashes engines

Cause: gateways know a request by its whole content, and here no two are alike, so each was new; and each was sent on to a second engine. Class: a query of death, whose identity is only a part of the request.

Ruled out: single requests as causes (215 fingerprints at 16 ends, three were quarantined and the row went on), orders of ours (none within a second before an end).

Now the ends are put down to parts of prompts as well. The cause is in a young run at every end; a run that lasts a second after its first event, or is answered, clears its parts of earlier ends. Four ends under three requests make the cause, more where others could be it. Its quarantine is that of a request, in heartbeats, the store, trials. A suspected part is not sent on. The parts of CrashWatch that decide moved to attribution.py.

--- a/magnoliacove/gateway/assembly.py
+++ b/magnoliacove/gateway/assembly.py
@@ -19,6 +19,7 @@
 from magnoliacove.limits import UnreportedRequests
 from magnoliacove.limits.backpressure import BackpressureBook
 from magnoliacove.limits.crashes import CrashHistory
+from magnoliacove.limits.crashing_parts import PartHistory
 from magnoliacove.limits.grants import GrantBook
 from magnoliacove.limits.order import OrderPolicy
 from magnoliacove.limits.permits import Permits
@@ -108,6 +109,7 @@
         room_shares=RoomShares(inputs.rng),
         rng=inputs.rng,
         crash_history=CrashHistory(),
+        part_history=PartHistory(),
         backpressure=backpressure,
         grants=grants,
         permits=permits,
--- a/magnoliacove/gateway/calls.py
+++ b/magnoliacove/gateway/calls.py
@@ -158,7 +158,7 @@
         runs = len(self._ran) + len(self._working)
         if not self._routed.route.repeatable or runs >= max_runs:
             return False
-        return self._state.may_repeat(self._routed.fingerprint)
+        return self._state.may_repeat(self._routed)
 
     def _may_retry(self, result: _Result) -> bool:
         """Return whether the request may be tried again after a result."""
--- a/magnoliacove/gateway/crashes.py
+++ b/magnoliacove/gateway/crashes.py
@@ -1,4 +1,4 @@
-"""Detection of requests that crash the targets that run them.
+"""Observation of targets that end while they run requests.
 
 A run can break off because its connection was lost or because its target
 ended, so the target is probed first.  A process that ended refuses
@@ -12,17 +12,17 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
-import random
 import zlib
 
 import trio
 
 from magnoliacove.directory.listed import ListedTarget
+from magnoliacove.gateway.attribution import CrashAttribution
 from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.engines import EngineCalls
 from magnoliacove.gateway.requests import RoutedRequest
 from magnoliacove.gateway.state import GatewayState
-from magnoliacove.limits.quarantine import Quarantine
+from magnoliacove.limits.runs import BrokenRun
 from magnoliacove.limits.runs import CrashedRun
 
 __all__ = ["CrashWatch"]
@@ -33,15 +33,6 @@
 _PROBE_DELAYS = (0.0, 0.5, 1.2, 2.0, 2.7, 3.4, 4.2, 5.0, 7.0, 10.0, 15.0, 20.0)
 # Seconds until one probe times out.
 _PROBE_TIMEOUT = 0.4
-# Seconds without a further crash report before crashes are attributed to
-# requests.  By then the other gateways have reported what ran there too.
-_QUIET_PERIOD = 0.25
-# Maximum seconds for which further reports delay that decision.
-_MAX_SETTLE_TIME = 0.75
-# Range of the extra delay, in seconds, of a gateway that observed none of the
-# recent crashes.  A gateway that did has announced its decision by then, so
-# that not each of 330 gateways writes the same quarantine to the store.
-_NON_OBSERVER_DELAY = (0.5, 1.0)
 # Seconds for which a probe is kept for runs that break off a little later, and
 # for which the result that a target is alive stays valid.
 _PROBE_RETENTION = 30.0
@@ -63,7 +54,7 @@
 
     started_at: float
     silent: bool = False
-    runs: dict[tuple[str, int], CrashedRun] = field(default_factory=dict)
+    runs: dict[tuple[str, int], BrokenRun] = field(default_factory=dict)
     ended: bool | None = None
     answered: trio.Event = field(default_factory=trio.Event)
 
@@ -79,10 +70,10 @@
 
 
 class CrashWatch:
-    """Quarantines requests that crash targets, for one gateway.
+    """Observes whether targets end under requests, for one gateway.
 
+    :param attribution: attributes the crashes that are observed.
     :param announce: called to send a heartbeat to the peers at once.
-    :param save: called with each quarantine that must outlast this process.
     :param reload: called when the store may hold quarantines that are not
         known here.
     """
@@ -91,30 +82,24 @@
         self,
         state: GatewayState,
         calls: EngineCalls,
+        attribution: CrashAttribution,
         announce: Callable[[], None] = lambda: None,
-        save: Callable[[Quarantine], None] = lambda _: None,
         reload: Callable[[], None] = lambda: None,
     ) -> None:
         self._state = state
         self._calls = calls
+        self.attribution = attribution
         self._announce = announce
-        self._save = save
         self._reload = reload
         self._probes: dict[str, _Probe] = {}
-        # Fingerprints of the requests in quarantine, as of the last check.
-        self._quarantined: set[str] = set()
-        self._changed = trio.Event()
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
-        """Attribute crashes to requests until cancelled."""
+        """Probe targets until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             try:
-                while True:
-                    await self._changed.wait()
-                    await self._wait_until_settled()
-                    self._update_quarantines()
+                await trio.sleep_forever()
             finally:
                 self._nursery = None
 
@@ -127,12 +112,7 @@
 
         :param seconds: duration of the run since its first bytes.
         """
-        run = CrashedRun(
-            routed.fingerprint,
-            zlib.crc32(routed.caller_headers.request.encode()),
-            target.name,
-            seconds,
-        )
+        broken = _describe_run(target, routed, seconds)
         now = trio.current_time()
         probe = self._probes.get(target.name)
         if probe is None or not probe.is_valid(now):
@@ -140,13 +120,16 @@
             if self._nursery is not None:
                 self._nursery.start_soon(self._run_probe, target, probe)
         if probe.ended is None:
-            probe.runs.setdefault((run.fingerprint, run.attempt), run)
+            whole = broken.whole
+            probe.runs.setdefault((whole.fingerprint, whole.attempt), broken)
             if probe.silent:
-                self._record_silent([run])
+                self._record_silent([broken])
             return
-        self._record_result(probe.ended, run)
+        self.attribution.record_result(probe.ended, broken)
 
-    async def wait_until_checked(self, target: str, fingerprint: str) -> None:
+    async def wait_until_checked(
+        self, target: str, routed: RoutedRequest
+    ) -> None:
         """Wait briefly for the result of a target's probe.
 
         Only a request that was running at an earlier crash waits.  Without
@@ -154,22 +137,16 @@
         first one is known.
         """
         probe = self._probes.get(target)
-        if probe is None or not self._state.crash_history.has_recent_crash(
-            fingerprint
-        ):
+        if probe is None or not self._has_recent_crash(routed):
             return
         with trio.move_on_after(_MAX_RESULT_WAIT):
             await probe.answered.wait()
 
-    def note_answered(self, fingerprint: str) -> None:
-        """Record that a request was answered in full, so it is harmless."""
+    def _has_recent_crash(self, routed: RoutedRequest) -> bool:
         state = self._state
-        state.crash_history.note_answered(fingerprint)
-        ended = state.quarantine.end(fingerprint, "it was answered")
-        if ended is not None:
-            self._settle_expired()
-            self._save(ended)
-            self._announce()
+        return state.crash_history.has_recent_crash(routed.fingerprint) or any(
+            map(state.part_history.has_recent_crash, routed.parts)
+        )
 
     def check_failed_engines(
         self, names: Iterable[str], routed: RoutedRequest, seconds: float
@@ -188,24 +165,8 @@
             if target is not None and not found_alive:
                 self.check_broken_run(target, routed, seconds)
 
-    # Reports of peers.
-
-    def record_reported_crash(self, run: CrashedRun, age: float) -> None:
-        """Record a crash that a peer observed."""
-        crashes = self._state.crash_history
-        if not crashes.note_crash(run, age=age, own=False):
-            return
-        self._changed.set()
-        if crashes.has_answered(run.fingerprint):
-            # The peers are about to decide, and the next regular heartbeat,
-            # due only in seconds, would report too late that the request is
-            # harmless.
-            self._announce()
-
     def discard_old(self) -> None:
-        """Discard crashes and probes that are too old to count."""
-        self._state.crash_history.forget_old()
-        self._settle_expired()
+        """Discard probes that are too old to count."""
         limit = trio.current_time() - _PROBE_RETENTION
         for name, probe in list(self._probes.items()):
             if probe.started_at < limit:
@@ -225,10 +186,10 @@
                 self._record_silent(probe.runs.values())
         probe.ended = bool(ended)
         probe.answered.set()
-        runs = sorted(probe.runs.values(), key=lambda run: run.seconds)
+        runs = sorted(probe.runs.values(), key=lambda run: run.whole.seconds)
         probe.runs.clear()
         for run in runs:
-            self._record_result(probe.ended, run)
+            self.attribution.record_result(probe.ended, run)
         if not ended:
             return
         state = self._state
@@ -238,7 +199,7 @@
             why="it ended while requests ran there",
             runs=len(runs),
             fingerprints={
-                run.fingerprint: round(run.seconds, 3)
+                run.whole.fingerprint: round(run.whole.seconds, 3)
                 for run in runs[:_MAX_LOGGED_FINGERPRINTS]
             },
         )
@@ -284,72 +245,30 @@
         report = await self._calls.read_report(target, fresh=True)
         return report.incarnation not in (0, target.incarnation)
 
-    def _record_silent(self, runs: Iterable[CrashedRun]) -> None:
+    def _record_silent(self, runs: Iterable[BrokenRun]) -> None:
         """Record that the target of some runs does not answer."""
+        state = self._state
         for run in runs:
-            self._state.crash_history.unresponsive.note(run)
+            state.crash_history.unresponsive.note(run.whole)
+            for part in run.parts:
+                state.part_history.unresponsive.note(part)
         self._announce()
 
-    def _record_result(self, ended: bool, run: CrashedRun) -> None:
-        crashes = self._state.crash_history
-        crashes.unresponsive.drop(run)
-        if not ended:
-            crashes.note_run(run.fingerprint, run.seconds)
-            return
-        if crashes.note_crash(run):
-            self._changed.set()
-
-    # Attributing crashes to requests.
-
-    async def _wait_until_settled(self) -> None:
-        """Wait until no further crashes are reported."""
-        limit = trio.current_time() + _MAX_SETTLE_TIME
-        while self._changed.is_set() and trio.current_time() < limit:
-            self._changed = trio.Event()
-            with trio.move_on_after(_QUIET_PERIOD):
-                await self._changed.wait()
-        if not self._state.crash_history.list_own():
-            await trio.sleep(random.uniform(*_NON_OBSERVER_DELAY))
-
-    def _update_quarantines(self) -> None:
-        state = self._state
-        self._settle_expired()
-        quarantines = state.quarantine.list_all()
-        causes = state.crash_history.find_causes(
-            active.fingerprint for active in quarantines
-        )
-        begun = [
-            state.quarantine.begin(
-                fingerprint,
-                crashes,
-                f"{crashes} targets ended while they ran it",
-            )
-            for fingerprint, crashes in causes.items()
-        ]
-        why = "another target ended while it ran the request"
-        for active in quarantines:
-            last = state.crash_history.read_last_crash(active.fingerprint)
-            if state.quarantine.crashed_again(active.fingerprint, last):
-                begun.append(
-                    state.quarantine.begin(
-                        active.fingerprint, active.crashes + 1, why
-                    )
-                )
-        for quarantine in begun:
-            self._quarantined.add(quarantine.fingerprint)
-            self._save(quarantine)
-        if begun:
-            self._announce()
-
-    def _settle_expired(self) -> None:
-        """Discard the crashes of requests whose quarantine is over.
-
-        Otherwise the next report of any crash would begin it again.
-        """
-        in_quarantine = {
-            quarantine.fingerprint
-            for quarantine in self._state.quarantine.list_all()
-        }
-        for fingerprint in self._quarantined - in_quarantine:
-            self._state.crash_history.clear_crashes(fingerprint)
-        self._quarantined = in_quarantine
+
+def _describe_run(
+    target: ListedTarget, routed: RoutedRequest, seconds: float
+) -> BrokenRun:
+    """Return a run that broke off, as it is reported to the peers.
+
+    A part is the cause only if several requests show it, whoever sends them
+    and however often, so its runs name the request by its content.
+    """
+    attempt = zlib.crc32(routed.caller_headers.request.encode())
+    request = zlib.crc32(routed.fingerprint.encode())
+    return BrokenRun(
+        CrashedRun(routed.fingerprint, attempt, target.name, seconds),
+        tuple(
+            CrashedRun(part, request, target.name, seconds)
+            for part in routed.parts
+        ),
+    )
--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -8,11 +8,13 @@
 from magnoliacove import wire
 from magnoliacove.directory.engine_status import EngineStatus
 from magnoliacove.directory.listed import split_incarnation
-from magnoliacove.gateway.crashes import CrashWatch
+from magnoliacove.gateway.attribution import CrashAttribution
 from magnoliacove.gateway.limit_sharing import LimitSharing
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.store import StoreFollower
 from magnoliacove.gateway.waiting_exchange import WaitingExchange
+from magnoliacove.limits.crashes import CrashHistory
+from magnoliacove.limits.crashing_parts import PartHistory
 from magnoliacove.limits.quarantine import Quarantine
 from magnoliacove.peers import Heartbeat
 from magnoliacove.peers import Heartbeats
@@ -57,10 +59,10 @@
         settings: NodeSettings,
         incarnation: int,
         is_acting: Callable[[], bool],
-        crash_watch: CrashWatch,
+        attribution: CrashAttribution,
     ) -> None:
         self._state = state
-        self._crash_watch = crash_watch
+        self._attribution = attribution
         self._store = store
         self._incarnation = incarnation
         self._is_acting = is_acting
@@ -144,7 +146,9 @@
             acting=self._is_acting(),
             newest_change=state.targets.newest_change,
             store_era=self._store.era.number,
-            crashes=self._list_crashes(),
+            crashes=_list_crashes(state.crash_history),
+            part_crashes=_list_crashes(state.part_history),
+            sound_parts=tuple(state.part_history.list_sound()),
             answered=state.crash_history.list_answered(),
             limits=tuple(state.backpressure.list_own()),
             grants=grants,
@@ -158,16 +162,6 @@
             ),
         )
 
-    def _list_crashes(self) -> tuple[ReportedCrash, ...]:
-        crashes = self._state.crash_history
-        return (
-            *(ReportedCrash(run, age) for run, age in crashes.list_own()),
-            *(
-                ReportedCrash(run, age, silent=True)
-                for run, age in crashes.unresponsive.list_own()
-            ),
-        )
-
     def _list_engine_statuses(self) -> list[tuple[str, float, EngineStatus]]:
         """Return the engine statuses to report in a heartbeat.
 
@@ -227,7 +221,13 @@
             if crash.silent:
                 state.crash_history.unresponsive.note(crash.run, own=False)
             else:
-                self._crash_watch.record_reported_crash(crash.run, crash.age)
+                self._attribution.record_reported_crash(crash.run, crash.age)
+        for crash in heartbeat.part_crashes:
+            if crash.silent:
+                state.part_history.unresponsive.note(crash.run, own=False)
+            else:
+                self._attribution.record_reported_part(crash.run, crash.age)
+        self._attribution.record_reported_sound(heartbeat.sound_parts)
         for reported in heartbeat.quarantines:
             quarantine = Quarantine(
                 reported.fingerprint,
@@ -354,3 +354,16 @@
             self._state.targets.replace(
                 snapshot.targets, snapshot.revision, after_outage=False
             )
+
+
+def _list_crashes(
+    history: CrashHistory | PartHistory,
+) -> tuple[ReportedCrash, ...]:
+    """Return the crashes that a heartbeat reports."""
+    return (
+        *(ReportedCrash(run, age) for run, age in history.list_own()),
+        *(
+            ReportedCrash(run, age, silent=True)
+            for run, age in history.unresponsive.list_own()
+        ),
+    )
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -16,6 +16,7 @@
 from magnoliacove.directory import Membership
 from magnoliacove.gateway.assembly import StateInputs
 from magnoliacove.gateway.assembly import make_state
+from magnoliacove.gateway.attribution import CrashAttribution
 from magnoliacove.gateway.callers import CallerConnection
 from magnoliacove.gateway.callers import Exchange
 from magnoliacove.gateway.crashes import CrashWatch
@@ -115,11 +116,16 @@
         state = self.state
         self._calls = EngineCalls(state.pool)
         self._quarantines = QuarantineRecords(api, state.quarantine, recorder)
+        self._attribution = CrashAttribution(
+            state,
+            lambda: self._peers.heartbeats.send_soon(),
+            self._quarantines.save,
+        )
         self._crash_watch = CrashWatch(
             state,
             self._calls,
+            self._attribution,
             lambda: self._peers.heartbeats.send_soon(),
-            self._quarantines.save,
             self._quarantines.request_read,
         )
         self._store = StoreFollower(
@@ -134,7 +140,7 @@
             settings,
             self._incarnation,
             lambda: self._leadership.acting,
-            self._crash_watch,
+            self._attribution,
         )
         self._stalls = StallWatch(
             self.state, self._calls, self._peers.heartbeats.send_soon
@@ -197,6 +203,7 @@
                 "placement": self._placement.run,
                 "stalls": self._stalls.run,
                 "crashes": self._crash_watch.run,
+                "attribution": self._attribution.run,
                 "quarantines": self._quarantines.run,
                 "room": self.state.capacity_queue.run,
                 "tidy": self._tidy,
@@ -351,6 +358,7 @@
             state.permits.discard_unlisted(listed)
             self._stalls.discard_unlisted(listed)
             self._crash_watch.discard_old()
+            self._attribution.discard_old()
             state.retry_budget.write_log()
             await state.pool.close_expired(listed)
 
--- a/magnoliacove/gateway/relay.py
+++ b/magnoliacove/gateway/relay.py
@@ -200,11 +200,7 @@
             gap_objective=routed.route.gap_objective,
             resumes=routed.caller_headers.last_event,
         )
-        wait = state.quarantine.admit(routed.fingerprint)
-        if not wait and state.crash_history.is_deferred(routed.fingerprint):
-            wait = _SUSPECTED_RETRY
-        if wait > 0.0:
-            raise make_quarantined(wait)
+        self._check_quarantine(routed)
         if routed.service.model is not None and routed.route.streaming:
             stream = StreamCall(
                 state, self._stalls, self._crash_watch, exchange, routed
@@ -212,7 +208,26 @@
             await stream.run()
         else:
             await PlainCall(state, self._crash_watch, exchange, routed).run()
-        self._crash_watch.note_answered(routed.fingerprint)
+        attribution = self._crash_watch.attribution
+        attribution.note_answered(routed.fingerprint)
+        attribution.note_lasting(
+            routed.parts, trio.current_time() - routed.request.arrived
+        )
+
+    def _check_quarantine(self, routed: RoutedRequest) -> None:
+        """Refuse a request that may crash targets, or a part of its prompt.
+
+        :raises magnoliacove.errors.RequestError: when the request is blocked.
+        """
+        state = self._state
+        for fingerprint in (routed.fingerprint, *routed.parts):
+            wait = state.quarantine.admit(fingerprint)
+            if wait > 0.0:
+                raise make_quarantined(wait)
+        if state.crash_history.is_deferred(routed.fingerprint) or any(
+            map(state.part_history.is_deferred, routed.parts)
+        ):
+            raise make_quarantined(_SUSPECTED_RETRY)
 
     async def _answer_fault(
         self,
--- a/magnoliacove/gateway/requests.py
+++ b/magnoliacove/gateway/requests.py
@@ -114,7 +114,7 @@
     """
     return errors.RequestError(
         "quarantined",
-        "targets ended while they ran this request; it did not run now",
+        "targets ended while they ran such a request; it did not run now",
         status=503,
         retry_after=wait,
     )
--- a/magnoliacove/gateway/rerouting.py
+++ b/magnoliacove/gateway/rerouting.py
@@ -45,6 +45,7 @@
     request: str
     service: str
     fingerprint: str
+    parts: tuple[str, ...]
     departure: PathDeparture
 
     @property
@@ -128,7 +129,7 @@
             return True
         if path.stages[0].target in unusable:
             return False
-        if not self._state.may_repeat(stream.fingerprint):
+        if not self._state.may_repeat(stream):
             # The request may crash the engine that it is rerouted to, too.
             return False
         prompt, answer = stream.read_tokens()
--- a/magnoliacove/gateway/state.py
+++ b/magnoliacove/gateway/state.py
@@ -15,12 +15,15 @@
 from magnoliacove.limits.backpressure import BackpressureBook
 from magnoliacove.limits.capacity import CapacityQueue
 from magnoliacove.limits.crashes import CrashHistory
+from magnoliacove.limits.crashing_parts import PartHistory
 from magnoliacove.limits.gaps import GapEstimator
 from magnoliacove.limits.grants import GrantBook
 from magnoliacove.limits.load import LoadBook
 from magnoliacove.limits.permits import Permits
+from magnoliacove.limits.quarantine import Quarantine
 from magnoliacove.limits.quarantine import QuarantineBook
 from magnoliacove.limits.room_shares import RoomShares
+from magnoliacove.limits.runs import RunSubject
 from magnoliacove.limits.saturation import Saturation
 from magnoliacove.limits.shared_retries import SharedRetryBudget
 from magnoliacove.limits.shared_waiting import SharedWaiting
@@ -65,6 +68,7 @@
     room_shares: RoomShares
     rng: random.Random
     crash_history: CrashHistory
+    part_history: PartHistory
     backpressure: BackpressureBook
     grants: GrantBook
     permits: Permits
@@ -82,15 +86,25 @@
         """Return the estimator of the gaps in a model's layers."""
         return self._gaps.setdefault(service, GapEstimator())
 
-    def may_repeat(self, fingerprint: str) -> bool:
+    def list_quarantines(self, subject: RunSubject) -> list[Quarantine]:
+        """Return the quarantines of a request and of parts of its prompt."""
+        found = map(
+            self.quarantine.find, (subject.fingerprint, *subject.parts)
+        )
+        return [quarantine for quarantine in found if quarantine is not None]
+
+    def may_repeat(self, subject: RunSubject) -> bool:
         """Return whether a request that broke off may run once more.
 
-        A request that is quarantined or suspected of crashing targets may
-        not.  Its caller may retry later, when more is known.
+        A request may not if it is quarantined or suspected of crashing
+        targets, or a part of its prompt.  Its caller may retry later, when
+        more is known.
         """
-        if self.quarantine.find(fingerprint) is not None:
+        if self.list_quarantines(subject):
+            return False
+        if self.crash_history.is_suspected(subject.fingerprint):
             return False
-        return not self.crash_history.is_suspected(fingerprint)
+        return not any(map(self.part_history.is_suspected, subject.parts))
 
     def apply_routes(self, table: RouteTable, source: str) -> bool:
         """Apply a configuration if it is newer than the one in force.
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -29,6 +29,7 @@
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.stream_log import Cut
 from magnoliacove.gateway.stream_log import StreamLog
+from magnoliacove.limits.crashing_parts import PROVEN_AFTER
 from magnoliacove.limits.load import Reservation
 from magnoliacove.limits.reruns import RerunFacts
 from magnoliacove.limits.reruns import compute_pause
@@ -63,6 +64,7 @@
         self.request = routed.caller_headers.request
         self.service = routed.service.name
         self.fingerprint = routed.fingerprint
+        self.parts = routed.parts
         self._state = state
         self._stalls = stalls
         self._crash_watch = crash_watch
@@ -87,6 +89,8 @@
         )
         self._scope: trio.CancelScope | None = None
         self._first_event_noted = False
+        # Whether the present run was noted as a lasting one.
+        self._lasting_noted = False
         self._runs = 0
         self._refusals = 0
         # Whether the next path costs a retry that is not spent yet.
@@ -147,7 +151,7 @@
         return RerunFacts(
             begun=self.began,
             repeatable=routed.route.repeatable,
-            quarantined=not state.may_repeat(self.fingerprint),
+            quarantined=not state.may_repeat(self),
             retries_left=state.retry_budget.read_remaining(self.service),
             refusals=self._refusals,
             seconds_left=routed.deadline - trio.current_time(),
@@ -218,6 +222,10 @@
     def _note_write(self) -> None:
         # The path works, so the stream need not change to another one.
         self.departure.stop_waiting()
+        age = self._delivery.read_run_age()
+        if age >= PROVEN_AFTER and not self._lasting_noted:
+            self._lasting_noted = True
+            self._crash_watch.attribution.note_lasting(self.parts, age)
         if not self._first_event_noted:
             self._first_event_noted = True
             seconds = self._delivery.received_at - self._path_started_at
@@ -244,7 +252,7 @@
             finally:
                 self._path_reservation.release_path()
             name = first.name if first else ""
-            await self._crash_watch.wait_until_checked(name, self.fingerprint)
+            await self._crash_watch.wait_until_checked(name, self._routed)
             if not self._may_retry(failure):
                 await self._give_up(failure)
                 return
@@ -318,13 +326,14 @@
 
         :raises magnoliacove.errors.RequestError: when the request is blocked.
         """
-        active = self._state.quarantine.find(self.fingerprint)
-        if active is None:
+        active = self._state.list_quarantines(self)
+        if not active:
             return
         if self._runs:
-            message = "targets ended while they ran this request"
+            message = "targets ended while they ran such a request"
             raise make_may_have_run("quarantined", message, 502)
-        wait = active.until - trio.current_time()
+        until = max(quarantine.until for quarantine in active)
+        wait = until - trio.current_time()
         if wait > 0.0:
             raise make_quarantined(wait)
 
@@ -349,7 +358,7 @@
         if self.departure.take_retry():
             # Decided and paid for before the path was left.  Only a crash that
             # became known since then stops the stream.
-            return self._state.may_repeat(self.fingerprint)
+            return self._state.may_repeat(self)
         facts = self._read_rerun_facts()
         if find_obstacle(facts, ran=failure.ran) is not None:
             return False
@@ -394,6 +403,7 @@
         self.departure.begin()
         self._cut = _STOPPED
         self._delivery.prepare_run()
+        self._lasting_noted = False
         self._path_started_at = self._delivery.received_at
         run = PathRun(
             self._state,
--- a/magnoliacove/limits/crashes.py
+++ b/magnoliacove/limits/crashes.py
@@ -166,9 +166,7 @@
         known_causes = set(known)
         explained: set[str] = set()
         for fingerprint in known_causes:
-            request = self._requests.get(fingerprint)
-            if request is not None:
-                explained |= set(request.crashes)
+            explained |= self.list_crashes(fingerprint)
         unexplained = {
             fingerprint: request.list_targets()
             for fingerprint, request in self._requests.items()
@@ -184,7 +182,7 @@
                 break
             best = max(causes, key=lambda f: self._rank(f, unexplained[f]))
             found[best] = len(unexplained.pop(best))
-            explained |= set(self._requests[best].crashes)
+            explained |= self.list_crashes(best)
         return found
 
     def is_suspected(self, fingerprint: str) -> bool:
@@ -238,6 +236,11 @@
         """Return whether this gateway recently answered a request."""
         return self._read_answered(fingerprint) > 0
 
+    def list_crashes(self, fingerprint: str) -> set[str]:
+        """Return the targets that ended while they ran a request."""
+        request = self._requests.get(fingerprint)
+        return set(request.crashes) if request is not None else set()
+
     def read_last_crash(self, fingerprint: str) -> float:
         """Return the time of a request's last crash, 0 for none."""
         request = self._requests.get(fingerprint)
--- a/magnoliacove/limits/runs.py
+++ b/magnoliacove/limits/runs.py
@@ -1,16 +1,33 @@
 """Runs of requests that failed because their targets ended."""
 
 from dataclasses import dataclass
+from typing import Protocol
 
-__all__ = ["CrashedRun"]
+__all__ = ["BrokenRun", "CrashedRun", "RunSubject"]
+
+
+class RunSubject(Protocol):
+    """What may crash a target as it runs: a request or a part of its prompt.
+
+    Each is identified by 16 hexadecimal digits.
+    """
+
+    @property
+    def fingerprint(self) -> str:
+        """Identifies the content of the whole request."""
+
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Identify the parts of its prompt that other requests may share."""
 
 
 @dataclass(frozen=True)
 class CrashedRun:
     """A run that failed because its target ended.
 
-    :param fingerprint: identifies the content of the request.
-    :param attempt: identifies the caller's attempt.
+    :param fingerprint: identifies the content of the request, or a part of
+        its prompt.
+    :param attempt: identifies the caller's attempt; for a part, the request.
     :param target: the target's incarnation that ended.
     :param seconds: duration of the run since its first bytes.
     """
@@ -19,3 +36,11 @@
     attempt: int
     target: str
     seconds: float
+
+
+@dataclass(frozen=True)
+class BrokenRun:
+    """A run that broke off, of a request and of each part of its prompt."""
+
+    whole: CrashedRun
+    parts: tuple[CrashedRun, ...] = ()
--- a/magnoliacove/peers/datagram.py
+++ b/magnoliacove/peers/datagram.py
@@ -13,6 +13,7 @@
 from magnoliacove.directory.engine_status import EngineStatus
 from magnoliacove.directory.listed import LayerRange
 from magnoliacove.limits.backpressure import ReportedLimit
+from magnoliacove.limits.crashing_parts import SoundPart
 from magnoliacove.limits.grants import Grant
 from magnoliacove.limits.load import TargetLoad
 from magnoliacove.limits.runs import CrashedRun
@@ -120,6 +121,9 @@
     :param crashes: targets that recently ended while they ran its requests.
     :param answered: by fingerprint, how often the gateway answered requests
         that ran at crashes.
+    :param part_crashes: targets that recently ended while they ran prompts
+        with a part.
+    :param sound_parts: parts with crashes that runs of the gateway cleared.
     :param quarantines: a sample of the quarantines that the gateway has.
     :param limits: limits that the gateway received from targets.
     :param grants: grants of the limits that the gateway coordinates, for all
@@ -149,6 +153,8 @@
     counted_for: float = 0.0
     crashes: tuple[ReportedCrash, ...] = ()
     answered: Mapping[str, int] = field(default_factory=dict)
+    part_crashes: tuple[ReportedCrash, ...] = ()
+    sound_parts: tuple[SoundPart, ...] = ()
     quarantines: tuple[ReportedQuarantine, ...] = ()
     store_era: int = 0
     limits: tuple[ReportedLimit, ...] = ()
@@ -208,6 +214,9 @@
             limits=_write_limits(self.limits),
             grants=_write_grants(self.grants),
         )
+        if self.part_crashes or self.sound_parts:
+            message.partCrashes = [*map(_write_crash, self.part_crashes)]
+            message.soundParts = [*map(_write_sound_part, self.sound_parts)]
         if self.waiting:
             message.waiting = _write_waiting(self.waiting, self.grant_rates)
         return zlib.compress(message.to_bytes(), _COMPRESSION_LEVEL)
@@ -268,6 +277,8 @@
                     grants=_read_grants(read.grants),
                     waiting=_read_waiting(read.waiting),
                     grant_rates=_read_grant_rates(read.waiting),
+                    part_crashes=tuple(map(_read_crash, read.partCrashes)),
+                    sound_parts=tuple(map(_read_sound_part, read.soundParts)),
                 )
         except (capnp.KjException, ValueError, zlib.error) as exc:
             raise errors.ProtocolError(
@@ -301,6 +312,17 @@
     return ReportedCrash(run, item.age / 1000, item.silent)
 
 
+def _write_sound_part(item: SoundPart) -> dict[str, int]:
+    return {
+        "fingerprint": int(item.fingerprint, 16),
+        "age": int(item.age * 1000),
+    }
+
+
+def _read_sound_part(item: Any) -> SoundPart:
+    return SoundPart(_read_fingerprint(item), item.age / 1000)
+
+
 def _write_quarantine(item: ReportedQuarantine) -> dict[str, Any]:
     return {
         "fingerprint": int(item.fingerprint, 16),
--- a/magnoliacove/peers/heartbeat.capnp
+++ b/magnoliacove/peers/heartbeat.capnp
@@ -29,6 +29,9 @@
   grants @23 :Grants;
   # Null while nothing waits.
   waiting @24 :Waiting;
+  # Null while there were no crashes lately; the attempt of each is the request.
+  partCrashes @25 :List(Crash);
+  soundParts @26 :List(SoundPart);
 }
 
 # A target that ended while a request ran there.  With `silent`, the target
@@ -47,6 +50,12 @@
   count @1 :UInt32;
 }
 
+# The age is that of the run that cleared the part.
+struct SoundPart {
+  fingerprint @0 :UInt64;
+  age @1 :UInt32;
+}
+
 # `seconds` is 0 for a quarantine that was ended early.
 struct Quarantine {
   fingerprint @0 :UInt64;
--- a/measure/scripted_gateway.py
+++ b/measure/scripted_gateway.py
@@ -17,6 +17,7 @@
 from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.assembly import StateInputs
 from magnoliacove.gateway.assembly import make_state
+from magnoliacove.gateway.attribution import CrashAttribution
 from magnoliacove.gateway.callers import CallerConnection
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.engines import EngineCalls
@@ -73,12 +74,14 @@
         self.state.apply_routes(table, "the case")
         calls = EngineCalls(self.state.pool)
         self._stalls = StallWatch(self.state, calls)
-        self._crash_watch = CrashWatch(self.state, calls)
+        self._attribution = CrashAttribution(self.state)
+        self._crash_watch = CrashWatch(self.state, calls, self._attribution)
         self._relay = Relay(self.state, self._stalls, self._crash_watch)
         self.state.targets.listen(self.state.capacity_queue.fill)
         nursery.start_soon(self.state.capacity_queue.run)
         nursery.start_soon(self._stalls.run)
         nursery.start_soon(self._crash_watch.run)
+        nursery.start_soon(self._attribution.run)
 
     async def add(
         self,
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -13,6 +13,7 @@
 from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.assembly import StateInputs
 from magnoliacove.gateway.assembly import make_state
+from magnoliacove.gateway.attribution import CrashAttribution
 from magnoliacove.gateway.callers import CallerConnection
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.engines import EngineCalls
@@ -188,12 +189,14 @@
         self.state.routes = make_table()
         self.calls = EngineCalls(self.state.pool)
         self.stalls = StallWatch(self.state, self.calls)
-        self.crash_watch = CrashWatch(self.state, self.calls)
+        self.attribution = CrashAttribution(self.state)
+        self.crash_watch = CrashWatch(self.state, self.calls, self.attribution)
         self.relay = Relay(self.state, self.stalls, self.crash_watch)
         self.state.targets.listen(self.state.capacity_queue.fill)
         nursery.start_soon(self.state.capacity_queue.run)
         nursery.start_soon(self.stalls.run)
         nursery.start_soon(self.crash_watch.run)
+        nursery.start_soon(self.attribution.run)
 
     async def add(self, name, script, *, layers=None, service="", **changes):
         """Start a stub target and list it."""
--- /dev/null
+++ b/tests/gateway/test_attribution.py
@@ -0,0 +1,99 @@
+"""Parts of prompts that crash targets: reports, refusals, quarantines."""
+
+import json
+
+import trio
+
+from magnoliacove.gateway.requests import make_part_fingerprints
+from magnoliacove.limits.crashing_parts import SoundPart
+from magnoliacove.limits.runs import CrashedRun
+from tests.gateway import stubs
+
+_WHOLE = stubs.STREAM + stubs.chunk(stubs.make_events(1, 3)) + stubs.END
+_BAD, _GOOD = make_part_fingerprints(["bad", "good"])
+
+
+async def _ask(harness, number, prompt):
+    return await stubs.ask_stream(
+        harness,
+        f"/stream/{number}",
+        x_request_id=f"r{number}",
+        x_prefix_hash=prompt,
+    )
+
+
+async def _report_crashes(harness, part=_BAD):
+    """Report what peers observed: each end under another request."""
+    for number in range(4):
+        run = CrashedRun(part, number, f"i-{number}", 0.0)
+        harness.attribution.record_reported_part(run, 4.0 - number)
+    await trio.sleep(1.6)
+
+
+async def test_prompts_with_a_part_that_crashes_engines_are_refused():
+    """Guards against requests that are sent to engines since none of them was
+    seen before, though all share a part that crashes engines.
+    """
+    async with stubs.open_harness() as harness:
+        await harness.add("i-9", stubs.answer_with(_WHOLE), layers=(0, 80))
+        await _report_crashes(harness)
+        answer = await _ask(harness, 1, "good:40,bad:9,1:2")
+        head, _, body = answer.partition(b"\r\n\r\n")
+        assert head.split(b" ")[1] == b"503"
+        assert b"retry-after: 5" in head.lower()
+        assert json.loads(body)["error"] == "quarantined"
+        # The last part is the request's own, whatever it is called.
+        assert (await _ask(harness, 2, "good:40,bad:9")).endswith(stubs.END)
+        assert (await _ask(harness, 3, "good:40,3:2")).endswith(stubs.END)
+
+
+async def test_a_run_that_lasts_ends_the_quarantine_of_a_part():
+    """Guards against a customer that is refused for a minute since a part of
+    its prompts was taken for the cause, while its streams run on.
+    """
+    events = stubs.make_events(1, 3)
+
+    async def stream_slowly(received, stream):
+        await stream.send_all(stubs.STREAM)
+        for event in (events, stubs.make_events(4, 4)):
+            await stream.send_all(stubs.chunk(event))
+            await trio.sleep(1.3)
+        await stream.send_all(stubs.END)
+
+    async with stubs.open_harness() as harness:
+        await harness.add("i-9", stream_slowly, layers=(0, 80))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_ask, harness, 1, "bad:9,1:2")
+            await trio.sleep(0.3)
+            harness.state.quarantine.begin(_BAD, 4, "the test")
+            await trio.sleep(1.4)
+            assert harness.state.quarantine.find(_BAD) is None
+            nursery.cancel_scope.cancel()
+
+
+async def test_parts_that_peers_cleared_are_not_quarantined():
+    async with stubs.open_harness() as harness:
+        await harness.add("i-9", stubs.answer_with(_WHOLE), layers=(0, 80))
+        harness.attribution.record_reported_sound([SoundPart(_GOOD, 0.5)])
+        await _report_crashes(harness, _GOOD)
+        assert harness.state.quarantine.list_all() == []
+        assert (await _ask(harness, 1, "good:9,1:2")).endswith(stubs.END)
+
+
+async def test_prompts_with_a_suspected_part_run_once():
+    """Guards against requests that each crash two engines, as they are sent
+    on to a second one, though others with the same part have before.
+    """
+    for part, runs in {"bad": 1, "good": 2}.items():
+        async with stubs.open_harness() as harness:
+            cut = stubs.answer_with(stubs.STREAM)
+            engines = [
+                await harness.add(f"i-{n}", cut, layers=(0, 80))
+                for n in (8, 9)
+            ]
+            for number in range(2):
+                run = CrashedRun(_BAD, number, f"i-{number}", 0.0)
+                harness.attribution.record_reported_part(run, 0.1)
+            await _ask(harness, 1, f"{part}:9,1:2")
+            sent = [len(engine.callers_requests) for engine in engines]
+            assert sum(sent) == runs
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -151,6 +151,7 @@
         for number in range(3):
             routed = types.SimpleNamespace(
                 fingerprint=f"{number:016x}",
+                parts=(),
                 caller_headers=types.SimpleNamespace(request=f"r{number}"),
             )
             harness.crash_watch.check_failed_engines(["i-1"], routed, 0.1)
@@ -243,13 +244,13 @@
     async with stubs.open_harness() as harness:
         for number in range(3):
             run = CrashedRun("00000000000000ab", number, f"i-{number}", 0.1)
-            harness.crash_watch.record_reported_crash(run, 0.0)
+            harness.attribution.record_reported_crash(run, 0.0)
         await trio.sleep(1.6)
         book = harness.state.quarantine
         assert book.find("00000000000000ab") is not None
         book._quarantines.clear()
         other = CrashedRun("00000000000000ac", 9, "i-9", 0.1)
-        harness.crash_watch.record_reported_crash(other, 0.0)
+        harness.attribution.record_reported_crash(other, 0.0)
         await trio.sleep(1.6)
         assert book.find("00000000000000ab") is None
 
@@ -270,9 +271,9 @@
         harness.state.crash_history._answered.clear()
         for number in range(3):
             run = CrashedRun(fingerprints[0], number, f"i-{number}", 0.1)
-            harness.crash_watch.record_reported_crash(run, 0.0)
+            harness.attribution.record_reported_crash(run, 0.0)
         await trio.sleep(1.6)
         answer = await _ask(harness, "/stream/bad", 2)
         assert answer.split(b" ")[1] == b"503"
-        harness.crash_watch.note_answered(fingerprints[0])
+        harness.attribution.note_answered(fingerprints[0])
         assert (await _ask(harness, "/stream/bad", 3)).endswith(stubs.END)
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -48,7 +48,7 @@
         settings.read_settings(path),
         1,
         lambda: False,
-        harness.crash_watch,
+        harness.attribution,
     )
 
 
--- a/tests/peers/test_datagram.py
+++ b/tests/peers/test_datagram.py
@@ -8,6 +8,8 @@
 
 from magnoliacove import errors
 from magnoliacove import peers
+from magnoliacove.limits.crashing_parts import SoundPart
+from magnoliacove.limits.runs import CrashedRun
 from magnoliacove.peers import datagram
 from tests.peers.samples import make_heartbeat
 
@@ -42,11 +44,14 @@
 
 @pytest.fixture(scope="module", name="previous_schema")
 def _load_previous_schema(tmp_path_factory):
-    """Return the schema of the release that did not know what waits."""
+    """Return the schema of a release that did not know what waits, nor parts
+    of prompts.
+    """
     path = pathlib.Path(datagram.__file__).with_name("heartbeat.capnp")
     lines = path.read_text().splitlines(keepends=True)
-    kept = [line for line in lines if "waiting @" not in line]
-    assert len(kept) == len(lines) - 1
+    newer = ("waiting @", "partCrashes @", "soundParts @")
+    kept = [line for line in lines if not any(n in line for n in newer)]
+    assert len(kept) == len(lines) - len(newer)
     previous = tmp_path_factory.mktemp("schema") / "previous.capnp"
     # Two loaded schemas must not have the same id.
     previous.write_text("".join(kept).replace("@0xb1f4", "@0xb1f5", 1))
@@ -86,3 +91,34 @@
         previous = idle.encode()
     assert len(idle.encode()) <= len(previous) + 4
     assert len(make_heartbeat().encode()) <= len(previous) + 200
+
+
+_RUN = CrashedRun("00c3b2a190817263", 7, "i-2", 0.125)
+_SILENT_RUN = CrashedRun("f0c3b2a190817263", 9, "i-3", 0.0)
+_PART_CRASHES = (
+    peers.ReportedCrash(_RUN, 1.5),
+    peers.ReportedCrash(
+        CrashedRun("f0c3b2a190817263", 9, "i-3", 0.0), 0.5, True
+    ),
+)
+_SOUND_PARTS = (SoundPart("ffeeddccbbaa9988", 1.25),)
+
+
+def test_crashes_under_parts_of_prompts_are_reported():
+    sent = make_heartbeat(part_crashes=_PART_CRASHES, sound_parts=_SOUND_PARTS)
+    received = peers.Heartbeat.decode(sent.encode())
+    assert received == sent
+    assert received.part_crashes[1].silent
+
+
+def test_the_previous_release_reads_a_heartbeat_with_parts_of_prompts(
+    previous_schema,
+):
+    """Guards against gateways of two releases that take each other for
+    unreachable once engines crash.
+    """
+    sent = make_heartbeat(part_crashes=_PART_CRASHES, sound_parts=_SOUND_PARTS)
+    data = zlib.decompress(sent.encode())
+    with previous_schema.Heartbeat.from_bytes(data) as read:
+        assert read.name == "g-1"
+        assert len(read.crashes) == len(sent.crashes)
