Bound what a gateway reports of parts, and let a bad request speak for its part

A request in quarantine explained its crashes to all parts, its own ones too, so a part whose requests callers repeat needed four more. Now only to parts that it does not have (test with the others).

--- a/magnoliacove/gateway/attribution.py
+++ b/magnoliacove/gateway/attribution.py
@@ -16,6 +16,7 @@
 from magnoliacove.limits.quarantine import Quarantine
 from magnoliacove.limits.runs import BrokenRun
 from magnoliacove.limits.runs import CrashedRun
+from magnoliacove.limits.runs import number_request
 
 __all__ = ["CrashAttribution"]
 
@@ -177,15 +178,13 @@
     def _quarantine_part(
         self, quarantines: Sequence[Quarantine]
     ) -> list[Quarantine]:
-        """Quarantine the part of prompts that crashes targets, if there is.
-
-        Crashes under a single request in quarantine are explained by it.
-        """
+        """Quarantine the part of prompts that crashes targets, if any."""
         state = self._state
         known = [active.fingerprint for active in quarantines]
-        explained: set[str] = set()
-        for fingerprint in known:
-            explained |= state.crash_history.list_crashes(fingerprint)
+        explained = {
+            number_request(request): state.crash_history.list_crashes(request)
+            for request in known
+        }
         cause = state.part_history.find_cause(known, explained)
         if cause is None:
             return []
--- a/magnoliacove/gateway/crashes.py
+++ b/magnoliacove/gateway/crashes.py
@@ -24,6 +24,7 @@
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.limits.runs import BrokenRun
 from magnoliacove.limits.runs import CrashedRun
+from magnoliacove.limits.runs import number_request
 
 __all__ = ["CrashWatch"]
 
@@ -258,13 +259,9 @@
 def _describe_run(
     target: ListedTarget, routed: RoutedRequest, seconds: float
 ) -> BrokenRun:
-    """Return a run that broke off, as it is reported to the peers.
-
-    A part is the cause only if several requests show it, whoever sends them
-    and however often, so its runs name the request by its content.
-    """
+    """Return a run that broke off, as it is reported to the peers."""
     attempt = zlib.crc32(routed.caller_headers.request.encode())
-    request = zlib.crc32(routed.fingerprint.encode())
+    request = number_request(routed.fingerprint)
     return BrokenRun(
         CrashedRun(routed.fingerprint, attempt, target.name, seconds),
         tuple(
--- a/magnoliacove/limits/crashing_parts.py
+++ b/magnoliacove/limits/crashing_parts.py
@@ -8,6 +8,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -53,6 +54,8 @@
 _MAX_PARTS = 2048
 _MAX_CRASHES = 16
 _MAX_PROOFS = 4096
+# Maximum number of this gateway's crashes that are reported by turns.
+_MAX_OWN = 512
 # Seconds for which heartbeats report a crash, repeatedly since one may be
 # lost, and for which a part that was cleared here is not reported as suspect.
 _REPORTED_FOR = 10.0
@@ -124,6 +127,17 @@
             self.requests.popitem(last=False)
         return is_new
 
+    def list_explained(
+        self, explained: Mapping[int, Collection[str]]
+    ) -> set[str]:
+        """Return the targets that crashed under requests without the part."""
+        return {
+            target
+            for request, targets in explained.items()
+            if request not in self.requests
+            for target in targets
+        }
+
     def drop_until(self, moment: float) -> int:
         """Discard what came before a moment; return the crashes discarded."""
         held = len(self.crashes)
@@ -153,7 +167,10 @@
         self._read_time = read_time
         self._parts: OrderedDict[str, _Part] = OrderedDict()
         self._proofs: OrderedDict[str, _Proof] = OrderedDict()
-        self._own: list[tuple[CrashedRun, float]] = []
+        # By part and target, this gateway's recent crashes, and their times.
+        self._own: OrderedDict[tuple[str, str], tuple[CrashedRun, float]] = (
+            OrderedDict()
+        )
 
     def note_crash(
         self, run: CrashedRun, *, age: float = 0.0, own: bool = True
@@ -178,7 +195,9 @@
         if len(self._parts) > _MAX_PARTS:
             self._parts.popitem(last=False)
         if own:
-            self._own.append((run, at))
+            self._own[run.fingerprint, run.target] = run, at
+            if len(self._own) > _MAX_OWN:
+                self._own.popitem(last=False)
         return part.note(run, at)
 
     def note_sound(
@@ -209,7 +228,7 @@
         self._parts.pop(fingerprint, None)
 
     def find_cause(
-        self, known: Iterable[str], explained: Iterable[str]
+        self, known: Iterable[str], explained: Mapping[int, Collection[str]]
     ) -> FoundPart | None:
         """Return the part that crashes most targets, None when there is none.
 
@@ -217,16 +236,19 @@
         at the first one's crashes, which it explains.
 
         :param known: causes that were found before.
-        :param explained: targets that crashed for another reason.
+        :param explained: by request in quarantine, the targets that crashed
+            under it.  That speaks against its own parts all the same.
         """
         known_causes = set(known)
-        known_crashes = [self.list_crashes(cause) for cause in known_causes]
-        others = set(explained)
+        known_crashes = list(
+            filter(None, map(self.list_crashes, known_causes))
+        )
         unexplained = {
             fingerprint: self._list_unexplained(fingerprint, known_crashes)
-            - others
+            - part.list_explained(explained)
             for fingerprint, part in self._parts.items()
-            if fingerprint not in known_causes and part.crashes
+            if fingerprint not in known_causes
+            and len(part.crashes) >= _MIN_CRASHES - 1
         }
         causes = [
             f for f, ends in unexplained.items() if self._is_cause(f, ends)
@@ -293,17 +315,21 @@
         each is reported in some heartbeat.
         """
         now = self._read_time()
-        self._own = [
-            (run, at) for run, at in self._own if now - at < _REPORTED_FOR
-        ]
+        while self._own:
+            oldest = next(iter(self._own))
+            if now - self._own[oldest][1] < _REPORTED_FOR:
+                break
+            del self._own[oldest]
         suspects = [
             (run, at)
-            for run, at in self._own
-            if run.target in self.list_crashes(run.fingerprint)
-            and not self.is_proven_here(run.fingerprint)
+            for run, at in self._own.values()
+            if self._counts(run) and not self.is_proven_here(run.fingerprint)
         ]
         random.shuffle(suspects)
-        suspects.sort(key=lambda item: -self._count_crashes(item[0]))
+        suspects.sort(
+            key=lambda item: len(self._parts[item[0].fingerprint].crashes),
+            reverse=True,
+        )
         return [(run, now - at) for run, at in suspects[:_MAX_REPORTED]]
 
     def list_sound(self) -> list[SoundPart]:
@@ -398,8 +424,10 @@
             and not self._is_proven(fingerprint)
         )
 
-    def _count_crashes(self, run: CrashedRun) -> int:
-        return len(self.list_crashes(run.fingerprint))
+    def _counts(self, run: CrashedRun) -> bool:
+        """Return whether a crash still counts against its part."""
+        part = self._parts.get(run.fingerprint)
+        return part is not None and run.target in part.crashes
 
     def _is_proven(self, fingerprint: str) -> bool:
         noted_at = self._read_proof(fingerprint).noted_at
--- a/magnoliacove/limits/runs.py
+++ b/magnoliacove/limits/runs.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass
 from typing import Protocol
+import zlib
 
-__all__ = ["BrokenRun", "CrashedRun", "RunSubject"]
+__all__ = ["BrokenRun", "CrashedRun", "RunSubject", "number_request"]
 
 
 class RunSubject(Protocol):
@@ -44,3 +45,12 @@
 
     whole: CrashedRun
     parts: tuple[CrashedRun, ...] = ()
+
+
+def number_request(fingerprint: str) -> int:
+    """Return the number by which a part's runs name a request.
+
+    It follows from the content.  A part is the cause only if several requests
+    show it, however often each is sent.
+    """
+    return zlib.crc32(fingerprint.encode())
--- a/tests/limits/test_crashing_parts.py
+++ b/tests/limits/test_crashing_parts.py
@@ -196,7 +196,7 @@
         self._unsettled_at = 0.0
         known = tuple(self.found)
         for history in self._histories:
-            cause = history.find_cause(known, ())
+            cause = history.find_cause(known, {})
             if cause is not None:
                 self.found.setdefault(cause.fingerprint, self.now)
                 self._reported_at = self._unsettled_at = self.now
@@ -263,7 +263,7 @@
     for number in range(9):
         clock.now += 1.0
         _crash(history, "part", 7, f"i-{number}")
-    assert history.find_cause((), ()) is None
+    assert history.find_cause((), {}) is None
 
 
 def test_one_power_failure_does_not_make_a_part_the_cause():
@@ -274,7 +274,7 @@
     for number in range(6):
         clock.now += 0.05
         _crash(history, "part", number, f"i-{number}")
-    assert history.find_cause((), ()) is None
+    assert history.find_cause((), {}) is None
 
 
 def test_a_run_that_lasts_clears_a_part_of_earlier_crashes_only():
@@ -291,10 +291,10 @@
     assert not history.is_suspected("part")
     clock.now += 4.0
     for number in range(3, 15):
-        assert history.find_cause((), ()) is None
+        assert history.find_cause((), {}) is None
         clock.now += 1.0
         _crash(history, "part", number, f"i-{number}")
-    assert history.find_cause((), ()) == FoundPart("part", 12)
+    assert history.find_cause((), {}) == FoundPart("part", 12)
 
 
 def test_a_crash_under_an_older_run_clears_its_parts():
@@ -302,7 +302,7 @@
     for number in range(9):
         clock.now += 1.0
         _crash(history, "part", number, f"i-{number}", seconds=1.5)
-    assert history.find_cause((), ()) is None
+    assert history.find_cause((), {}) is None
     assert not history.has_recent_crash("part")
 
 
@@ -312,16 +312,16 @@
     """
     clock, history = _make()
     for number in range(6):
-        assert history.find_cause((), ()) is None
+        assert history.find_cause((), {}) is None
         clock.now += 1.0
         for part in ("one", "other"):
             _crash(history, part, number, f"i-{number}")
-    chosen = history.find_cause((), ()).fingerprint
+    chosen = history.find_cause((), {}).fingerprint
     (left,) = {"one", "other"} - {chosen}
-    assert history.find_cause((chosen,), ()) is None
+    assert history.find_cause((chosen,), {}) is None
     clock.now += 1.0
     _crash(history, left, 9, "i-9")
-    assert history.find_cause((chosen,), ()) == FoundPart(left, 7)
+    assert history.find_cause((chosen,), {}) == FoundPart(left, 7)
 
 
 def test_crashes_under_a_request_in_quarantine_do_not_count():
@@ -329,8 +329,10 @@
     for number in range(5):
         clock.now += 1.0
         _crash(history, "part", number, f"i-{number}")
-    assert history.find_cause((), ("i-0", "i-1")) is None
-    assert history.find_cause((), ("i-0",)) == FoundPart("part", 4)
+    assert history.find_cause((), {77: ("i-0", "i-1")}) is None
+    assert history.find_cause((), {77: ("i-0",)}) == FoundPart("part", 4)
+    # A request that has the part ended them because of it.
+    assert history.find_cause((), {3: ("i-0", "i-1")}) == FoundPart("part", 5)
 
 
 def test_a_part_waits_for_a_likelier_one_that_few_requests_have_shown():
@@ -342,11 +344,11 @@
         clock.now += 1.0
         _crash(history, "cause", number // 2, f"i-{number}")
         _crash(history, "other", number, f"i-{number}")
-    assert history.find_cause((), ()) is None
+    assert history.find_cause((), {}) is None
     for number in (8, 9):
         clock.now += 1.0
         _crash(history, "cause", number, f"i-{number}")
-    assert history.find_cause((), ()) == FoundPart("cause", 6)
+    assert history.find_cause((), {}) == FoundPart("cause", 6)
 
 
 def test_unresponsive_targets_defer_a_part():
