Store what may have crashed unresponsive targets, for a start of all gateways

Cause: such an end is known only once its engine is back, and what gateways knew until then, by refusing for 3 s at a time, was in their memory alone. A request, or part, that is refused so is now in a provisional quarantine of 6 s, in the store and all heartbeats. Test: nothing was stored before.

--- a/magnoliacove/gateway/attribution.py
+++ b/magnoliacove/gateway/attribution.py
@@ -89,6 +89,19 @@
             self._note_sound(part, seconds, own=True)
             self._end_quarantine(part, "a run with it lasted")
 
+    def defer(self, fingerprint: str) -> None:
+        """Block what may have crashed targets that answer nothing now.
+
+        Were it only refused, all gateways that are killed at once would
+        forget it, and it would crash as many targets again.
+        """
+        begun = self._state.quarantine.begin_provisional(
+            fingerprint, "its targets ended or answer nothing"
+        )
+        if begun is not None:
+            self._save(begun)
+            self._announce()
+
     # Reports of peers.
 
     def record_reported_crash(self, run: CrashedRun, age: float) -> None:
@@ -147,9 +160,12 @@
         state = self._state
         self._settle_expired()
         quarantines = state.quarantine.list_all()
-        causes = state.crash_history.find_causes(
-            active.fingerprint for active in quarantines
-        )
+        known = [
+            active.fingerprint
+            for active in quarantines
+            if not active.provisional
+        ]
+        causes = state.crash_history.find_causes(known)
         begun = [
             state.quarantine.begin(
                 fingerprint,
@@ -158,15 +174,18 @@
             )
             for fingerprint, crashes in causes.items()
         ]
-        begun += self._quarantine_part(quarantines)
+        begun += self._quarantine_part(known)
         why = "another target ended while it ran the request"
+        found = {quarantine.fingerprint for quarantine in begun}
         for active in quarantines:
-            if state.quarantine.crashed_again(
-                active.fingerprint, self._read_last_crash(active.fingerprint)
-            ):
+            fingerprint = active.fingerprint
+            if fingerprint in found:
+                continue
+            last = self._read_last_crash(fingerprint)
+            if state.quarantine.crashed_again(fingerprint, last):
                 begun.append(
                     state.quarantine.begin(
-                        active.fingerprint, active.crashes + 1, why
+                        fingerprint, active.crashes + 1, why
                     )
                 )
         for quarantine in begun:
@@ -175,12 +194,12 @@
         if begun:
             self._announce()
 
-    def _quarantine_part(
-        self, quarantines: Sequence[Quarantine]
-    ) -> list[Quarantine]:
-        """Quarantine the part of prompts that crashes targets, if any."""
+    def _quarantine_part(self, known: Sequence[str]) -> list[Quarantine]:
+        """Quarantine the part of prompts that crashes targets, if any.
+
+        :param known: fingerprints of the causes that were found before.
+        """
         state = self._state
-        known = [active.fingerprint for active in quarantines]
         explained = {
             number_request(request): state.crash_history.list_crashes(request)
             for request in known
--- a/magnoliacove/gateway/relay.py
+++ b/magnoliacove/gateway/relay.py
@@ -224,9 +224,16 @@
             wait = state.quarantine.admit(fingerprint)
             if wait > 0.0:
                 raise make_quarantined(wait)
-        if state.crash_history.is_deferred(routed.fingerprint) or any(
-            map(state.part_history.is_deferred, routed.parts)
-        ):
+        deferred = [
+            part
+            for part in routed.parts
+            if state.part_history.is_deferred(part)
+        ]
+        if state.crash_history.is_deferred(routed.fingerprint):
+            deferred.append(routed.fingerprint)
+        for fingerprint in deferred:
+            self._crash_watch.attribution.defer(fingerprint)
+        if deferred:
             raise make_quarantined(_SUSPECTED_RETRY)
 
     async def _answer_fault(
--- a/magnoliacove/limits/quarantine.py
+++ b/magnoliacove/limits/quarantine.py
@@ -26,6 +26,9 @@
 _INITIAL_QUARANTINE = 60.0
 MAX_QUARANTINE = 3600.0
 _GROWTH_FACTOR = 4.0
+# Seconds of a provisional quarantine.  Targets that answer nothing are mostly
+# back by then, and tell whether they crashed.
+_PROVISIONAL_QUARANTINE = 6.0
 # Seconds after the beginning of a quarantine during which crashes do not begin
 # the next one: their targets were sent the request before all gateways had
 # received the quarantine.
@@ -71,6 +74,11 @@
         """Whether the request is blocked, except for trials."""
         return self.seconds > 0
 
+    @property
+    def provisional(self) -> bool:
+        """Whether it is not known yet that the request crashes targets."""
+        return self.in_force and self.seconds < _INITIAL_QUARANTINE
+
     @property
     def until(self) -> float:
         """When one gateway may admit a trial request."""
@@ -149,13 +157,24 @@
 
     def begin(self, fingerprint: str, crashes: int, why: str) -> Quarantine:
         """Begin a quarantine, longer than a previous one that is in force."""
-        latest = self._quarantines.get(fingerprint)
         current = self.find(fingerprint)
-        seconds = (
-            min(current.seconds * _GROWTH_FACTOR, MAX_QUARANTINE)
-            if current
-            else _INITIAL_QUARANTINE
-        )
+        seconds = _INITIAL_QUARANTINE
+        if current is not None and not current.provisional:
+            seconds = min(current.seconds * _GROWTH_FACTOR, MAX_QUARANTINE)
+        return self._begin(fingerprint, crashes, seconds, why)
+
+    def begin_provisional(
+        self, fingerprint: str, why: str
+    ) -> Quarantine | None:
+        """Begin a short quarantine; return None when there is one already."""
+        if self.find(fingerprint) is not None:
+            return None
+        return self._begin(fingerprint, 0, _PROVISIONAL_QUARANTINE, why)
+
+    def _begin(
+        self, fingerprint: str, crashes: int, seconds: float, why: str
+    ) -> Quarantine:
+        latest = self._quarantines.get(fingerprint)
         quarantine = Quarantine(
             fingerprint,
             latest.round + 1 if latest else 1,
--- a/tests/gateway/test_attribution.py
+++ b/tests/gateway/test_attribution.py
@@ -97,3 +97,26 @@
             await _ask(harness, 1, f"{part}:9,1:2")
             sent = [len(engine.callers_requests) for engine in engines]
             assert sum(sent) == runs
+
+
+async def test_a_part_whose_targets_answer_nothing_is_blocked_for_all():
+    """Guards against gateways that forget such a part when they are all
+    killed: it is not known yet that its targets ended, so nothing is stored.
+    """
+    async with stubs.open_harness() as harness:
+        state, saved = harness.state, []
+        harness.attribution._save = saved.append
+        await harness.add("i-9", stubs.answer_with(_WHOLE), layers=(0, 80))
+        for number in range(4):
+            run = CrashedRun(_BAD, number, f"i-{number}", 0.0)
+            state.part_history.unresponsive.note(run, own=False)
+        for number in range(3):
+            answer = await _ask(harness, number, f"bad:9,{number}:2")
+            assert answer.split(b" ")[1] == b"503"
+        (quarantine,) = saved
+        assert quarantine.fingerprint == _BAD
+        assert quarantine.provisional
+        # Its targets are back, and had ended.
+        await _report_crashes(harness)
+        assert [q.seconds for q in saved] == [6.0, 60.0]
+        assert not state.quarantine.find(_BAD).provisional
