Let gateways that know a lasting run end a provisional quarantine

Read in the code: gateways told each other of cleared parts only where a crash was known, not where targets answer nothing; one that had no proof of its own blocked a part in use again, and all took that, so no run could clear it. The test of the first fails on the code before (run); that of the second needs the new function and was not run on it.

--- a/magnoliacove/gateway/attribution.py
+++ b/magnoliacove/gateway/attribution.py
@@ -131,6 +131,20 @@
         for part in parts:
             self._note_sound(part.fingerprint, part.age, own=False)
 
+    def record_reported_quarantine(
+        self, quarantine: Quarantine, peer: str
+    ) -> None:
+        """Apply a peer's quarantine, unless it is known to be a mistake.
+
+        A peer that has not heard yet which parts lasting runs have cleared
+        would block them everywhere, and then no run could clear them.
+        """
+        fingerprint = quarantine.fingerprint
+        taken = self._state.quarantine.take(quarantine, peer)
+        proven = self._state.part_history.is_proven(fingerprint)
+        if taken and quarantine.provisional and proven:
+            self._end_quarantine(fingerprint, "a run with it lasted")
+
     def discard_old(self) -> None:
         """Discard crashes that are too old to count."""
         self._state.crash_history.forget_old()
--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -236,7 +236,9 @@
                 reported.seconds,
                 reported.crashes,
             )
-            state.quarantine.take(quarantine, heartbeat.name)
+            self._attribution.record_reported_quarantine(
+                quarantine, heartbeat.name
+            )
 
     def owns(self, fingerprint: str) -> bool:
         """Return whether this gateway retries a request in quarantine.
--- a/magnoliacove/limits/crashing_parts.py
+++ b/magnoliacove/limits/crashing_parts.py
@@ -283,6 +283,11 @@
         """
         return self._has_crashes(fingerprint, 1, 1)
 
+    def is_proven(self, fingerprint: str) -> bool:
+        """Return whether a run of any gateway cleared a part lately."""
+        noted_at = self._read_proof(fingerprint).noted_at
+        return self._read_time() - noted_at < _PROOF_RETENTION
+
     def is_proven_here(self, fingerprint: str) -> bool:
         """Return whether a run of this gateway recently cleared a part."""
         proof = self._read_proof(fingerprint)
@@ -333,25 +338,31 @@
         return [(run, now - at) for run, at in suspects[:_MAX_REPORTED]]
 
     def list_sound(self) -> list[SoundPart]:
-        """Return the parts with recent crashes that this gateway cleared."""
+        """Return the parts with recent crashes that this gateway cleared.
+
+        Unresponsive targets count as crashed.
+        """
         now = self._read_time()
-        found = []
-        for fingerprint in reversed(self._parts):
-            if now - self._parts[fingerprint].last_at > _REPORTED_FOR:
-                continue
-            if self.is_proven_here(fingerprint):
-                began_at = self._read_proof(fingerprint).began_at
-                found.append(SoundPart(fingerprint, now - began_at))
-            if len(found) >= _MAX_REPORTED:
-                break
-        return found
+        crashed = [
+            fingerprint
+            for fingerprint, part in self._parts.items()
+            if now - part.last_at <= _REPORTED_FOR
+        ]
+        crashed += self.unresponsive.list_fingerprints()
+        found = [*filter(self.is_proven_here, dict.fromkeys(crashed))]
+        return [
+            SoundPart(
+                fingerprint, now - self._read_proof(fingerprint).began_at
+            )
+            for fingerprint in found[-_MAX_REPORTED:]
+        ]
 
     # What speaks against a part.
 
     def _is_cause(self, fingerprint: str, crashes: frozenset[str]) -> bool:
         part = self._parts[fingerprint]
         min_crashes, min_requests = _MIN_CRASHES, _MIN_REQUESTS
-        if self._is_proven(fingerprint):
+        if self.is_proven(fingerprint):
             min_crashes = _MIN_CRASHES_AFTER_PROOF
             min_requests = _MIN_REQUESTS_AFTER_PROOF
         if len(crashes) < min_crashes or len(part.requests) < min_requests:
@@ -373,7 +384,7 @@
         if len(crashes) >= _MIN_AMBIGUOUS_CRASHES:
             return False
         return any(
-            len(crashes - other_crashes) <= 1 and not self._is_proven(other)
+            len(crashes - other_crashes) <= 1 and not self.is_proven(other)
             for other, other_crashes in unexplained.items()
             if other != fingerprint
         )
@@ -388,7 +399,7 @@
         one is the cause.
         """
         crashes = self.list_crashes(fingerprint)
-        proven = self._is_proven(fingerprint)
+        proven = self.is_proven(fingerprint)
         return crashes.difference(
             *(
                 explained
@@ -421,7 +432,7 @@
         return (
             len(targets) >= min_crashes
             and len(requests) >= min_requests
-            and not self._is_proven(fingerprint)
+            and not self.is_proven(fingerprint)
         )
 
     def _counts(self, run: CrashedRun) -> bool:
@@ -429,10 +440,6 @@
         part = self._parts.get(run.fingerprint)
         return part is not None and run.target in part.crashes
 
-    def _is_proven(self, fingerprint: str) -> bool:
-        noted_at = self._read_proof(fingerprint).noted_at
-        return self._read_time() - noted_at < _PROOF_RETENTION
-
     def _read_proof(self, fingerprint: str) -> _Proof:
         return self._proofs.get(fingerprint, _NO_PROOF)
 
--- a/magnoliacove/limits/unresponsive.py
+++ b/magnoliacove/limits/unresponsive.py
@@ -79,6 +79,15 @@
             if item.run.fingerprint == fingerprint and now < item.until
         ]
 
+    def list_fingerprints(self) -> list[str]:
+        """Return the fingerprints of the runs that count now."""
+        now = self._read_time()
+        return [
+            item.run.fingerprint
+            for item in self._runs.values()
+            if now < item.until
+        ]
+
     def list_own(self) -> list[tuple[CrashedRun, float]]:
         """Return the runs to report to the peers, and the age of each."""
         now = self._read_time()
--- a/tests/gateway/test_attribution.py
+++ b/tests/gateway/test_attribution.py
@@ -6,6 +6,7 @@
 
 from magnoliacove.gateway.requests import make_part_fingerprints
 from magnoliacove.limits.crashing_parts import SoundPart
+from magnoliacove.limits.quarantine import Quarantine
 from magnoliacove.limits.runs import CrashedRun
 from tests.gateway import stubs
 
@@ -120,3 +121,27 @@
         await _report_crashes(harness)
         assert [q.seconds for q in saved] == [6.0, 60.0]
         assert not state.quarantine.find(_BAD).provisional
+
+
+async def test_a_part_that_lasts_here_is_not_blocked_by_a_peer():
+    """Guards against a part in use that is refused everywhere: a peer that
+    knows no run of it blocked it, and then no run could clear it.
+    """
+    async with stubs.open_harness() as harness:
+        state = harness.state
+        await harness.add("i-9", stubs.answer_with(_WHOLE), layers=(0, 80))
+        await _ask(harness, 1, "good:9,1:2")
+        now = trio.current_time()
+        for fingerprint in (_GOOD, _BAD):
+            reported = Quarantine(fingerprint, 1, now, 6.0, 0)
+            harness.attribution.record_reported_quarantine(reported, "g-2")
+        assert state.quarantine.find(_GOOD) is None
+        assert state.quarantine.find(_BAD) is not None
+        # Also where the peer begins it again.
+        again = Quarantine(_GOOD, 3, now, 6.0, 0)
+        harness.attribution.record_reported_quarantine(again, "g-2")
+        assert state.quarantine.find(_GOOD) is None
+        # Several crashes speak for it, not only silence.
+        certain = Quarantine(_GOOD, 5, now, 60.0, 12)
+        harness.attribution.record_reported_quarantine(certain, "g-2")
+        assert state.quarantine.find(_GOOD) is not None
--- a/tests/limits/test_crashing_parts.py
+++ b/tests/limits/test_crashing_parts.py
@@ -391,3 +391,15 @@
     assert history.list_own() == []
     (sound,) = history.list_sound()
     assert (sound.fingerprint, round(sound.age, 3)) == ("part", 1.2)
+
+
+def test_cleared_parts_of_unresponsive_targets_are_told():
+    """Guards against a part in use that other gateways refuse for as long as
+    its targets answer nothing, though its runs last elsewhere.
+    """
+    clock, history = _make()
+    history.unresponsive.note(CrashedRun("part", 1, "i-1", 0.0))
+    assert history.list_sound() == []
+    clock.now += 1.5
+    history.note_sound("part", 1.2)
+    assert [sound.fingerprint for sound in history.list_sound()] == ["part"]
