Let only answers that succeed clear the parts of a prompt

An engine that fails its requests may answer one whose part crashes others with an error, which counted as a lasting run and began the count anew. What is recorded of one part has a module of its own; reports of the same run, which drift by the network's delay, count as one.

--- a/magnoliacove/gateway/attribution.py
+++ b/magnoliacove/gateway/attribution.py
@@ -12,7 +12,7 @@
 import trio
 
 from magnoliacove.gateway.state import GatewayState
-from magnoliacove.limits.crashing_parts import SoundPart
+from magnoliacove.limits.part_crashes import SoundPart
 from magnoliacove.limits.quarantine import Quarantine
 from magnoliacove.limits.runs import BrokenRun
 from magnoliacove.limits.runs import CrashedRun
--- a/magnoliacove/gateway/calls.py
+++ b/magnoliacove/gateway/calls.py
@@ -39,6 +39,8 @@
 _RETRY_AFTER = 0.5
 # Statuses that callers take to mean that the request did not run.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
+# The lowest status of an answer that reports a failure.
+_FIRST_ERROR_STATUS = 400
 
 
 @dataclass(frozen=True)
@@ -320,5 +322,9 @@
                 trio.current_time() - self._routed.request.arrived, 3
             ),
         )
+        if answer.status < _FIRST_ERROR_STATUS:
+            seconds = trio.current_time() - self._routed.request.arrived
+            attribution = self._crash_watch.attribution
+            attribution.note_lasting(self._routed.parts, seconds)
         copied = headers.copy_answer(answer.headers)
         await self._exchange.answer(answer.status, copied, result.body)
--- a/magnoliacove/gateway/relay.py
+++ b/magnoliacove/gateway/relay.py
@@ -208,11 +208,7 @@
             await stream.run()
         else:
             await PlainCall(state, self._crash_watch, exchange, routed).run()
-        attribution = self._crash_watch.attribution
-        attribution.note_answered(routed.fingerprint)
-        attribution.note_lasting(
-            routed.parts, trio.current_time() - routed.request.arrived
-        )
+        self._crash_watch.attribution.note_answered(routed.fingerprint)
 
     def _check_quarantine(self, routed: RoutedRequest) -> None:
         """Refuse a request that may crash targets, or a part of its prompt.
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -222,15 +222,21 @@
     def _note_write(self) -> None:
         # The path works, so the stream need not change to another one.
         self.departure.stop_waiting()
-        age = self._delivery.read_run_age()
-        if age >= PROVEN_AFTER and not self._lasting_noted:
-            self._lasting_noted = True
-            self._crash_watch.attribution.note_lasting(self.parts, age)
+        if self._delivery.read_run_age() >= PROVEN_AFTER:
+            self._note_lasting()
         if not self._first_event_noted:
             self._first_event_noted = True
             seconds = self._delivery.received_at - self._path_started_at
             self._state.capacity_queue.note_first_event(self.service, seconds)
 
+    def _note_lasting(self) -> None:
+        """Note that the present run shows that its parts are harmless."""
+        if self._lasting_noted:
+            return
+        self._lasting_noted = True
+        age = self._delivery.read_run_age()
+        self._crash_watch.attribution.note_lasting(self.parts, age)
+
     def _end_run(self) -> None:
         if self._scope is not None:
             self._scope.cancel()
@@ -244,6 +250,7 @@
             try:
                 self._check_quarantine()
                 await self._run_on_path()
+                self._note_lasting()
                 self._slowness = self._path_reservation.measure_slowness()
                 return
             except BrokenRunError as exc:
--- a/magnoliacove/limits/crashing_parts.py
+++ b/magnoliacove/limits/crashing_parts.py
@@ -11,17 +11,19 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
-from dataclasses import dataclass
-from dataclasses import field
-import math
 import random
 
 import trio
 
+from magnoliacove.limits.part_crashes import NO_PROOF
+from magnoliacove.limits.part_crashes import FoundPart
+from magnoliacove.limits.part_crashes import PartCrashes
+from magnoliacove.limits.part_crashes import Proof
+from magnoliacove.limits.part_crashes import SoundPart
 from magnoliacove.limits.runs import CrashedRun
 from magnoliacove.limits.unresponsive import UnresponsiveRuns
 
-__all__ = ["PROVEN_AFTER", "FoundPart", "PartHistory", "SoundPart"]
+__all__ = ["PROVEN_AFTER", "PartHistory"]
 
 # Seconds from a run's first event after which a further one shows that the
 # parts of its prompt did not crash the target as it began to answer.
@@ -36,9 +38,9 @@
 # Minimum seconds between the first and the last of these crashes: one power
 # failure ends many targets at once, all engines of a path among them.
 _MIN_SPAN = 0.3
-# The same for a part that was cleared within `_PROOF_RETENTION` seconds.
-# While targets crash in quick succession, hardly any run of a harmless part
-# lasts; seconds later one has.
+# Crashes, requests and seconds since then for a part that was cleared within
+# `_PROOF_RETENTION` seconds.  While targets crash in quick succession, hardly
+# any run of a harmless part lasts; seconds later one has.
 _MIN_CRASHES_AFTER_PROOF = 12
 _MIN_REQUESTS_AFTER_PROOF = 8
 _MIN_SECONDS_AFTER_PROOF = 5.0
@@ -49,11 +51,11 @@
 _SUSPECT_REQUESTS = 2
 # Seconds after its last crash at which a part's history expires.
 _RETENTION = 600.0
-# Maximum numbers of parts with crashes, of crashes and requests of each part,
-# and of parts that were cleared.
+# Maximum numbers of parts with crashes, and of parts that were cleared.
 _MAX_PARTS = 2048
-_MAX_CRASHES = 16
 _MAX_PROOFS = 4096
+# Seconds by which the begin of one run may differ between reports of it.
+_SAME_RUN = 0.1
 # Maximum number of this gateway's crashes that are reported by turns.
 _MAX_OWN = 512
 # Seconds for which heartbeats report a crash, repeatedly since one may be
@@ -63,95 +65,6 @@
 _MAX_REPORTED = 8
 
 
-@dataclass(frozen=True)
-class SoundPart:
-    """A part that a lasting run cleared, for the peers.
-
-    :param age: seconds since that run began.
-    """
-
-    fingerprint: str
-    age: float
-
-
-@dataclass(frozen=True)
-class FoundPart:
-    """A part that crashes targets.
-
-    :param crashes: number of targets that crashed under it.
-    """
-
-    fingerprint: str
-    crashes: int
-
-
-@dataclass(frozen=True)
-class _Proof:
-    """The last run that cleared a part.
-
-    :param began_at: when it began; crashes before do not count any more.
-    :param noted_at: when it was noted here.
-    :param own: whether it ran at this gateway.
-    """
-
-    began_at: float
-    noted_at: float
-    own: bool
-
-
-_NO_PROOF = _Proof(-math.inf, -math.inf, False)
-
-
-@dataclass
-class _Part:
-    """The crashes with one part since it was last cleared.
-
-    :param crashes: by target, when it crashed.
-    :param requests: by request, when a target last crashed under it.
-    """
-
-    crashes: OrderedDict[str, float] = field(default_factory=OrderedDict)
-    requests: OrderedDict[int, float] = field(default_factory=OrderedDict)
-    last_at: float = -math.inf
-
-    def note(self, run: CrashedRun, at: float) -> bool:
-        """Record a crash; return whether its target or request is new."""
-        is_new = run.target not in self.crashes
-        is_new = is_new or run.attempt not in self.requests
-        self.crashes.setdefault(run.target, at)
-        self.requests[run.attempt] = at
-        self.last_at = max(self.last_at, at)
-        while len(self.crashes) > _MAX_CRASHES:
-            self.crashes.popitem(last=False)
-        while len(self.requests) > _MAX_CRASHES:
-            self.requests.popitem(last=False)
-        return is_new
-
-    def list_explained(
-        self, explained: Mapping[int, Collection[str]]
-    ) -> set[str]:
-        """Return the targets that crashed under requests without the part."""
-        return {
-            target
-            for request, targets in explained.items()
-            if request not in self.requests
-            for target in targets
-        }
-
-    def drop_until(self, moment: float) -> int:
-        """Discard what came before a moment; return the crashes discarded."""
-        held = len(self.crashes)
-        self.crashes = OrderedDict(
-            (target, at) for target, at in self.crashes.items() if at > moment
-        )
-        self.requests = OrderedDict(
-            (request, at)
-            for request, at in self.requests.items()
-            if at > moment
-        )
-        return held - len(self.crashes)
-
-
 class PartHistory:
     """Crashes of targets and the parts of prompts there, of all gateways.
 
@@ -165,8 +78,8 @@
     ) -> None:
         self.unresponsive = UnresponsiveRuns(read_time)
         self._read_time = read_time
-        self._parts: OrderedDict[str, _Part] = OrderedDict()
-        self._proofs: OrderedDict[str, _Proof] = OrderedDict()
+        self._parts: OrderedDict[str, PartCrashes] = OrderedDict()
+        self._proofs: OrderedDict[str, Proof] = OrderedDict()
         # By part and target, this gateway's recent crashes, and their times.
         self._own: OrderedDict[tuple[str, str], tuple[CrashedRun, float]] = (
             OrderedDict()
@@ -190,7 +103,7 @@
             return False
         if at <= self._read_proof(run.fingerprint).began_at:
             return False
-        part = self._parts.setdefault(run.fingerprint, _Part())
+        part = self._parts.setdefault(run.fingerprint, PartCrashes())
         self._parts.move_to_end(run.fingerprint)
         if len(self._parts) > _MAX_PARTS:
             self._parts.popitem(last=False)
@@ -211,9 +124,9 @@
         """
         now = self._read_time()
         previous = self._read_proof(fingerprint)
-        if now - age <= previous.began_at:
+        if now - age <= previous.began_at + _SAME_RUN:
             return 0
-        self._put_proof(fingerprint, _Proof(now - age, now, own))
+        self._put_proof(fingerprint, Proof(now - age, now, own))
         part = self._parts.get(fingerprint)
         return part.drop_until(now - age) if part is not None else 0
 
@@ -224,7 +137,7 @@
         """
         now = self._read_time()
         noted_at = self._read_proof(fingerprint).noted_at
-        self._put_proof(fingerprint, _Proof(now, noted_at, False))
+        self._put_proof(fingerprint, Proof(now, noted_at, False))
         self._parts.pop(fingerprint, None)
 
     def find_cause(
@@ -423,7 +336,7 @@
         Unresponsive targets count as crashed.  A part that was cleared within
         the last minute does not qualify.
         """
-        part = self._parts.get(fingerprint, _Part())
+        part = self._parts.get(fingerprint, PartCrashes())
         silent = self.unresponsive.find(fingerprint)
         if not part.crashes and not silent:
             return False
@@ -440,10 +353,10 @@
         part = self._parts.get(run.fingerprint)
         return part is not None and run.target in part.crashes
 
-    def _read_proof(self, fingerprint: str) -> _Proof:
-        return self._proofs.get(fingerprint, _NO_PROOF)
+    def _read_proof(self, fingerprint: str) -> Proof:
+        return self._proofs.get(fingerprint, NO_PROOF)
 
-    def _put_proof(self, fingerprint: str, proof: _Proof) -> None:
+    def _put_proof(self, fingerprint: str, proof: Proof) -> None:
         self._proofs[fingerprint] = proof
         self._proofs.move_to_end(fingerprint)
         if len(self._proofs) > _MAX_PROOFS:
--- a/magnoliacove/peers/datagram.py
+++ b/magnoliacove/peers/datagram.py
@@ -13,9 +13,9 @@
 from magnoliacove.directory.engine_status import EngineStatus
 from magnoliacove.directory.listed import LayerRange
 from magnoliacove.limits.backpressure import ReportedLimit
-from magnoliacove.limits.crashing_parts import SoundPart
 from magnoliacove.limits.grants import Grant
 from magnoliacove.limits.load import TargetLoad
+from magnoliacove.limits.part_crashes import SoundPart
 from magnoliacove.limits.runs import CrashedRun
 from magnoliacove.limits.waiting import WaitingSummary
 
--- a/tests/gateway/test_attribution.py
+++ b/tests/gateway/test_attribution.py
@@ -5,7 +5,7 @@
 import trio
 
 from magnoliacove.gateway.requests import make_part_fingerprints
-from magnoliacove.limits.crashing_parts import SoundPart
+from magnoliacove.limits.part_crashes import SoundPart
 from magnoliacove.limits.quarantine import Quarantine
 from magnoliacove.limits.runs import CrashedRun
 from tests.gateway import stubs
@@ -145,3 +145,21 @@
         certain = Quarantine(_GOOD, 5, now, 60.0, 12)
         harness.attribution.record_reported_quarantine(certain, "g-2")
         assert state.quarantine.find(_GOOD) is not None
+
+
+async def test_an_error_of_an_engine_does_not_clear_the_parts_of_a_prompt():
+    """Guards against a part that crashes engines and counts as harmless since
+    an engine that fails its requests answered one with an error.
+    """
+    failed = stubs.make_answer(b"no", stubs.OK.replace(b"200", b"500"))
+    for answer, left in ((failed, 1), (_WHOLE, 0)):
+        async with stubs.open_harness() as harness:
+            await harness.add("i-9", stubs.answer_with(answer), layers=(0, 80))
+            run = CrashedRun(_BAD, 1, "i-1", 0.0)
+            harness.attribution.record_reported_part(run, 5.0)
+            answered = await stubs.ask_stream(
+                harness, "/once/1", x_prefix_hash="bad:9,1:2"
+            )
+            assert answered.split(b" ")[1] == answer.split(b" ")[1]
+            crashes = harness.state.part_history.list_crashes(_BAD)
+            assert len(crashes) == left
--- a/tests/limits/test_crashing_parts.py
+++ b/tests/limits/test_crashing_parts.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 
 from magnoliacove.limits.crashing_parts import PROVEN_AFTER
-from magnoliacove.limits.crashing_parts import FoundPart
 from magnoliacove.limits.crashing_parts import PartHistory
+from magnoliacove.limits.part_crashes import FoundPart
 from magnoliacove.limits.runs import CrashedRun
 
 
--- a/tests/peers/test_datagram.py
+++ b/tests/peers/test_datagram.py
@@ -8,7 +8,7 @@
 
 from magnoliacove import errors
 from magnoliacove import peers
-from magnoliacove.limits.crashing_parts import SoundPart
+from magnoliacove.limits.part_crashes import SoundPart
 from magnoliacove.limits.runs import CrashedRun
 from magnoliacove.peers import datagram
 from tests.peers.samples import make_heartbeat
