--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -67,13 +67,19 @@
         self._beats: asyncio.Task[None] | None = None
         self._sequence = 0
 
-    async def start(self, host: str, port: int = 0) -> None:
-        """Listen, and register in the store."""
+    async def start(
+        self, host: str, port: int = 0, *, lag: float = 0.0
+    ) -> None:
+        """Listen, and register in the store.
+
+        :param lag: seconds until its entry lies in the store.
+        """
         self._server = await asyncio.start_server(self._serve, host, port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{host}:{port}"
-        self.beat()
-        self._beats = asyncio.create_task(self._run_beats())
+        if not lag:
+            self.beat()
+        self._beats = asyncio.create_task(self._run_beats(lag))
         self._record.note(
             f"server {self.name} of {self.service} starts at {self.address}"
         )
@@ -122,7 +128,9 @@
             BEAT * _SILENT_BEATS, self._store.remove, "servers", self.name
         )
 
-    async def _run_beats(self) -> None:
+    async def _run_beats(self, lag: float) -> None:
+        await asyncio.sleep(lag or BEAT)
+        self.beat()
         while True:
             await asyncio.sleep(BEAT)
             self.beat()
