--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,110 +1,129 @@
-"""An engine's address is used again by an engine of another service."""
+"""Open channels to the store go silent, and a server leaves soon after."""
 
 import asyncio
 
 from standins.cases import Fleet
 from standins.cases import run_case
 from standins.cases import write_config
-from standins.servers import Engine
+from standins.clients import send
+from standins.servers import Server
 
-# The model of each service has as many layers; those of the second are small.
-_LAYERS = 32
-_LARGE, _SMALL = ("large", 440.0), ("small", 900.0)
-_CARDS = {"a100s": 36_000.0, "t4": 14_000.0}
-_REUSE_SECONDS = 2.0
-_WATCH_SECONDS = 12.0
-# The list of servers lags; an engine's entry comes within its first heartbeat.
-_LAG_SECONDS = 0.5
+_DRAIN_SECONDS = 2.0
+# Seconds for which a machine doesn't count as in touch after a reset of its
+# channels, which is what a silent channel counts as.
+_CONTACT_SECONDS = 3.0
+# Seconds that a request takes from its client to the server, and more.
+_MARGIN = 0.1
+_ROUNDS = 5
+_PAUSE = 0.1
+# Seconds from the silence to the ack, and for which the server serves on.
+_ACK_AFTER = 0.5
+_SERVES_ON = 9.0
 
 
-def _make_service(name: str, layer_mb: float) -> dict[str, object]:
-    return {
-        "name": name,
-        "health_path": "/health",
-        "max_connections": 988,
-        "engine": {
-            "slots": 96,
-            "kv_capacity": 50_000,
-            "kv_token_bytes": 1_180_000,
-            "stride": 2,
-            "models": [{"name": f"{name}-m", "load_time_s": 14.0}],
-            "step_ms": 0.85,
-            "per_seq_ms": 0.00764,
-            "context_per_k": 0.01024,
-            "read_per_s": 196_000.0,
-            "chunk": 512,
-            "report_lag_ms": 200.0,
-            "loads_at_once": 6,
-            "usual": {"prompt": 100, "answer": 16},
-            "layers": _LAYERS,
-            "layer_mb": layer_mb,
-            "activation_bytes": 59_000,
-            "pipe_mbps": 11_000.0,
-            "kinds": [
-                {"name": "a100s", "mb": 36_000.0, "pace": 3.1, "read_x": 3.2},
-                {"name": "t4", "mb": 14_000.0, "pace": 15.0, "read_x": 15.0},
-            ],
-        },
-    }
+class _Traffic:
+    """Clients that send to each gateway, each request on a new channel.
 
+    :ivar sent: by the id of a request, when it was sent.
+    :ivar served: how many got a whole answer.
+    """
 
-def _make_engine(fleet: Fleet, model: tuple[str, float], card: str) -> Engine:
-    service, layer_mb = model
-    return Engine(
-        service,
-        "colombo-a",
-        fleet.store,
-        fleet.record,
-        kind=card,
-        memory_mb=_CARDS[card],
-        shape=(_LAYERS, layer_mb),
-    )
+    def __init__(self, fleet: Fleet) -> None:
+        self.sent: dict[str, float] = {}
+        self.served = 0
+        self.stopped = False
+        self._fleet = fleet
+
+    async def run(self) -> None:
+        """Send until stopped."""
+        async with asyncio.TaskGroup() as group:
+            while not self.stopped:
+                for gateway in self._fleet.gateways:
+                    address = (gateway.host, gateway.port)
+                    group.create_task(self._send(address))
+                await asyncio.sleep(_PAUSE)
+
+    async def _send(self, address: tuple[str, int]) -> None:
+        record = self._fleet.record
+        reply = await send(
+            address, "POST", "/write/1", record, headers={}, limit=4.0
+        )
+        self.sent[reply.number] = reply.sent_at
+        self.served += reply.genuine
 
 
 async def _play(fleet: Fleet) -> str:
-    record = fleet.record
+    record, store = fleet.record, fleet.store
     await fleet.start_store()
     host = fleet.hosts.name(50)
-    engines = [_make_engine(fleet, _LARGE, "a100s") for _ in range(3)]
-    engines += [_make_engine(fleet, _SMALL, "t4") for _ in range(4)]
-    for engine in engines:
-        await engine.start(host)
-    route = {"kind": "streaming", "resumable": True, "sticky": True}
+    servers = [Server("desk", "colombo-a", store, record) for _ in range(3)]
+    for server in servers:
+        await server.start(host)
     write_config(
         fleet,
         7,
         [
             {
-                **route,
-                "name": name,
-                "path_prefix": f"/{name}/",
-                "service": name,
+                "name": "w",
+                "path_prefix": "/write/",
+                "kind": "non_idempotent",
+                "service": "desk",
             }
-            for name, _ in (_LARGE, _SMALL)
         ],
-        [_make_service(*_LARGE), _make_service(*_SMALL)],
+        [{"name": "desk", "health_path": "/health", "max_connections": 110}],
     )
     await fleet.start_gateways(2)
-    await asyncio.sleep(10.0)
-    lost = engines[0]
-    port = int(lost.address.rpartition(":")[2])
-    lost.stop(entry=False)
-    await asyncio.sleep(_REUSE_SECONDS + 0.2)
-    new = _make_engine(fleet, _SMALL, "t4")
-    # Without the disruption the new engine has an address of its own.
-    await new.start(host, port if fleet.trouble else 0, lag=_LAG_SECONDS)
-    await asyncio.sleep(_WATCH_SECONDS)
-    over = [engine for engine in [*engines, new] if engine.overfilled]
-    for engine in [*engines, new]:
-        record.note(
-            f"{engine.name} of {engine.service} at {engine.address} got "
-            f"{len(engine.orders)} orders"
-        )
-    if not new.orders:
-        raise RuntimeError("the new engine got no order; nothing is shown")
-    if not over:
+    traffic = _Traffic(fleet)
+    clients = asyncio.create_task(traffic.run())
+    await asyncio.sleep(5.0)
+    late = 0
+    for number in range(_ROUNDS):
+        # Nothing else has the rhythm of these rounds.
+        await asyncio.sleep(4.0 + 0.43 * number)
+        late += await _play_round(fleet, servers, traffic)
+    traffic.stopped = True
+    await clients
+    record.note(f"{traffic.served} of {len(traffic.sent)} requests served")
+    if traffic.served < len(traffic.sent) // 2:
+        raise RuntimeError("the fleet doesn't serve; the case says nothing")
+    if not late:
         return ""
-    return f"LIMIT, {over[0].name} was ordered to hold more than its card has"
+    return f"DRAIN, {late} requests reached servers that were gone"
+
+
+async def _play_round(
+    fleet: Fleet, servers: list[Server], traffic: _Traffic
+) -> int:
+    """Let channels go silent and a server leave; return the late requests."""
+    record = fleet.record
+    new = Server("desk", "colombo-a", fleet.store, record)
+    await new.start(fleet.hosts.name(50))
+    servers.append(new)
+    await asyncio.sleep(1.0)
+    silent = record.now()
+    if fleet.trouble:
+        fleet.store.silence_channels()
+        record.note("the open channels to the store go silent")
+    await asyncio.sleep(_ACK_AFTER)
+    old = servers.pop(0)
+    old.leave()
+    ack = record.now()
+    await asyncio.sleep(_SERVES_ON)
+    old.stop(entry=True)
+    excused = max(ack + _DRAIN_SECONDS, silent + _CONTACT_SECONDS)
+    late = [
+        at
+        for at, number, name in record.arrivals
+        if name == old.name
+        and traffic.sent.get(number, 0.0) > excused + _MARGIN
+    ]
+    last = max(late, default=ack)
+    record.note(
+        f"{old.name} got {len(late)} requests too late, the last "
+        f"{last - ack:.2f} s after the ack and {last - silent:.2f} s after "
+        "the silence"
+    )
+    return len(late)
 
 
 if __name__ == "__main__":
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -108,6 +108,13 @@
         self.beat()
         self._record.note(f"ack: server {self.name} is draining")
 
+    def leave(self) -> None:
+        """Take the entry away; it goes on serving until it is stopped."""
+        if self._beats is not None:
+            self._beats.cancel()
+        self._store.remove("servers", self.name)
+        self._record.note(f"ack: server {self.name} is gone")
+
     def stop(self, *, entry: bool) -> None:
         """End.
 
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -32,6 +32,12 @@
         self._events: list[tuple[int, str, bool, dict[str, Any]]] = []
         self._revision = 100
         self._changed = asyncio.Event()
+        self._channels: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
+
+    def silence_channels(self) -> None:
+        """Let all open channels go silent for good; new ones work."""
+        self._silent |= self._channels
 
     async def start(self, host: str) -> None:
         """Listen on a free port of an address."""
@@ -43,7 +49,8 @@
         """Create or replace an object; return its revision."""
         items = self._objects.setdefault(kind, {})
         old = items.get(name)
-        if old is not None and old["spec"] == spec:
+        if old is not None and _compare(kind, old["spec"], spec):
+            old["spec"] = spec
             return int(old["metadata"]["revision"])
         self._revision += 1
         created = old["metadata"]["created"] if old else self._revision
@@ -77,15 +84,21 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._channels.add(writer)
         with contextlib.suppress(
             ClosedError, ConnectionError, asyncio.CancelledError
         ):
             while True:
                 request = await read_message(reader)
+                if writer in self._silent:
+                    continue
                 status, data = await self._answer(request)
+                if writer in self._silent:
+                    continue
                 body = json.dumps(data).encode()
                 headers = {"Content-Type": "application/json"}
                 await write_message(writer, status, headers, body)
+        self._channels.discard(writer)
         writer.close()
 
     async def _answer(self, request: Message) -> tuple[int, Any]:
@@ -149,3 +162,13 @@
         for revision, of, removed, item in self._events:
             if of == kind and revision > after:
                 yield {"removed": removed, "object": item}
+
+
+def _compare(kind: str, old: Any, new: Any) -> bool:
+    """Return whether a write changes nothing.
+
+    A server's entry changes when more than its ``sequence`` changes.
+    """
+    if kind != "servers":
+        return bool(old == new)
+    return bool({**old, "sequence": 0} == {**new, "sequence": 0})
