--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -1,7 +1,6 @@
 """Stand-ins for servers: of a plain service, and engines of a model."""
 
 import asyncio
-from collections.abc import Callable
 import contextlib
 import itertools
 import json
@@ -218,9 +217,8 @@
     :param kind: its card.
     :param memory_mb: the memory of that card.
     :param shape: the layers of its model and the size of each.
-    :ivar fails: decides of each request whether it is run and then failed
-        with 503.
     :ivar orders: each order that it was given.
+    :ivar overfilled: whether one of them asked for more than its card holds.
     """
 
     def __init__(
@@ -235,8 +233,6 @@
         shape: tuple[int, float],
     ) -> None:
         super().__init__(service, zone, store, record)
-        self.work = 0.05
-        self.fails: Callable[[str], bool] = lambda number: False
         self.orders: list[dict[str, Any]] = []
         self.overfilled = False
         self._kind = kind
@@ -323,35 +319,3 @@
         self._layers = layers
         self._busy = False
         self.beat()
-
-    async def _run(
-        self, request: Message, number: str, writer: asyncio.StreamWriter
-    ) -> None:
-        whole = f"{self.address}=0-{self._count}"
-        path = request.headers.get("x-hops", whole)
-        if path != whole or self._layers != (0, self._count):
-            # These engines hold the whole model, and serve it alone.
-            headers = {"At-Server": self.address, "X-Not-Executed": "1"}
-            await write_message(writer, 421, headers)
-            return
-        self._note_run(number)
-        headers = {
-            "X-Request-Id": number,
-            "X-Response-Stamp": f"{self.name}.{number}",
-        }
-        await asyncio.sleep(self.work)
-        if self.fails(number):
-            self._record.note(f"{self.name} fails {number} with 503")
-            await write_message(writer, 503, headers, b"the run failed")
-            return
-        head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
-        head += [f"{name}: {value}" for name, value in headers.items()]
-        head.append("Transfer-Encoding: chunked")
-        writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
-        for event in range(1, 9):
-            data = f"id: {event}\ndata: {number} {event}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
-            await writer.drain()
-            await asyncio.sleep(0.01)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
