Notice silent connections to the store in time, and take them for no outage

What callers saw: none; servers did.

Cause: beliefs that rest on one open connection. A watch was found silent after 3.5 s at the earliest, though the lease showed it after 1.4 s; then what was missing was kept 1.5 s more, as an entry that lapsed in an outage; peers waited 25 s and were not told, as a removal found by listing again left newest_change as it was. Ruled out as the only cause: each of the three, since each alone breaks a shape.

Change: a call without an answer renews all connections of the client, a watch goes on from its revision at once, a silence that the next call ends is no outage, peers compare lists by a timer, long waits end when nobody reports changes, the lease is tried again at once. The second report of an engine uses a new connection, as all idle ones may be silent.

Why it works: the sum of a wait, a timeout and a peer's lag is under the 3 s for which a silence excuses, and removals arrive as removals.

The test of an engine's report takes the argument `fresh` in its stand-in; no check changed.

--- a/magnoliacove/directory/targets.py
+++ b/magnoliacove/directory/targets.py
@@ -66,6 +66,11 @@
         # Targets listed since the last log line.
         self._unlogged: list[ListedTarget] = []
         self._listeners: list[Callable[[], None]] = []
+        self._departure_listeners: list[Callable[[], None]] = []
+
+    def listen_departures(self, listener: Callable[[], None]) -> None:
+        """Call a function after a target was removed or began to drain."""
+        self._departure_listeners.append(listener)
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Call a function after each change."""
@@ -118,6 +123,7 @@
         revision: int,
         *,
         after_outage: bool,
+        removed_at: int | None = None,
     ) -> None:
         """Replace the list with a complete listing.
 
@@ -125,6 +131,8 @@
 
         :param after_outage: whether the store was unreachable before, so
             that an entry may be missing although its target is alive.
+        :param removed_at: the revision at which missing entries were removed,
+            None if it is not known; peers must learn of the removal.
         """
         self.populated.set()
         if revision < self.revision:
@@ -132,7 +140,12 @@
         listed = {target.entry: target for target in targets}
         self.revision = revision
         self._stale_filter.retain(listed)
-        for entry in set(self._current_names) - set(listed):
+        missing = set(self._current_names) - set(listed)
+        if missing:
+            self.newest_change = max(
+                self.newest_change, removed_at or revision
+            )
+        for entry in missing:
             if after_outage:
                 self._mark_missing(self._current_names[entry])
             else:
@@ -187,16 +200,27 @@
         return True
 
     def remove(
-        self, entry: str, revision: int, *, may_return: bool = False
+        self,
+        entry: str,
+        revision: int,
+        *,
+        read_at: int = 0,
+        may_return: bool = False,
     ) -> None:
         """Apply the removal of an entry.
 
+        :param revision: of the removal, or that of the entry before it.
+        :param read_at: the store's revision when the removal was read; peers
+            learn of the removal by it if its own is not known.
         :param may_return: whether the entry may have lapsed in an outage of
             the store; its target is then kept for the grace period.
         """
+        name = self._current_names.get(entry, entry)
+        current = self._targets.get(name)
+        if current is not None and revision <= current.revision:
+            revision = max(revision, read_at)
         self.revision = max(self.revision, revision)
         self.newest_change = max(self.newest_change, revision)
-        name = self._current_names.get(entry, entry)
         self._stale_filter.discard(entry)
         if may_return:
             self._mark_missing(name)
@@ -255,6 +279,7 @@
             self._unlogged.append(target)
         elif target.draining and not current.draining:
             self._recorder.record("target-draining", target=target.name)
+            self._notify_departure()
         self._notify()
 
     def _replace_incarnation(
@@ -305,8 +330,13 @@
         del self._current_names[target.entry]
         self._stale_filter.note_removed(name)
         self._recorder.record("target-gone", target=name, why=why)
+        self._notify_departure()
         self._notify()
 
+    def _notify_departure(self) -> None:
+        for listener in self._departure_listeners:
+            listener()
+
     def _notify(self) -> None:
         self.changed_at = self._read_time()
         for listener in self._listeners:
--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -34,6 +34,11 @@
 # Seconds for which this gateway's configuration or list of targets must be
 # behind before a peer's is requested.  The store mostly answers first.
 _CATCH_UP_DELAY = 0.4
+# Seconds until a peer counts as unreachable, up to which a gateway relies on
+# the placement leader alone to learn of changes, and the number of other
+# gateways that report them where it takes longer.
+_MAX_LEADER_TIMEOUT = 1.5
+_SECOND_REPORTERS = 2
 # Seconds after the start until snapshots are served to peers.  Otherwise the
 # first callers of a fleet that starts would wait while the modules for it are
 # loaded.  Meanwhile a peer asks another gateway.
@@ -90,6 +95,7 @@
         state.backpressure.listen(self.heartbeats.send_soon)
         state.health.listen(lambda _: self.heartbeats.send_soon())
         state.listen_routes(self.heartbeats.send_soon)
+        state.targets.listen_departures(self._announce_departure)
 
     async def serve(self) -> None:
         """Serve snapshots to peers until cancelled."""
@@ -208,10 +214,10 @@
         self._sharing.take(heartbeat)
         self.waiting.take(heartbeat)
         state.capacity_queue.fill()
-        if heartbeat.acting and heartbeat.store_reachable:
+        if heartbeat.store_reachable:
             self._store.compare_list(heartbeat.newest_change)
-        elif heartbeat.acting:
-            self._store.record_outage()
+        if heartbeat.acting:
+            self._store.record_leader_contact(heartbeat.store_reachable)
 
     def _take_crashes(self, heartbeat: Heartbeat) -> None:
         """Record what a peer reports about requests that crash targets."""
@@ -290,6 +296,25 @@
             peer.acting and peer.store_reachable for peer in self._list_live()
         )
 
+    def relies_on_leader(self) -> bool:
+        """Return whether the placement leader reports changes in time.
+
+        In a large fleet it takes seconds until a leader that ended is missed.
+        Two of the other gateways then report changes as well.
+        """
+        if not self.has_acting_peer_with_store():
+            return False
+        if self.heartbeats.peer_timeout <= _MAX_LEADER_TIMEOUT:
+            return True
+        staying = [peer.name for peer in self._list_live() if not peer.leaving]
+        name = self._state.name
+        return sum(other < name for other in staying) >= _SECOND_REPORTERS
+
+    def _announce_departure(self) -> None:
+        """Tell peers at once if they wait for this gateway's news."""
+        if not self.relies_on_leader():
+            self.heartbeats.send_soon()
+
     def measure_store_outage(self) -> float:
         """Return seconds since the store became unreachable, else 0."""
         if self._store.reachable:
@@ -327,6 +352,7 @@
             if newest and newest.configuration_version > own:
                 self._behind_since = self._behind_since or now
                 if now - self._behind_since >= _CATCH_UP_DELAY:
+                    self._store.record_newer_configuration(newest.name)
                     await self._fetch_snapshot(newest)
                 continue
             self._behind_since = None
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -131,7 +131,7 @@
         self._store = StoreFollower(
             self.state,
             api,
-            lambda: self._peers.has_acting_peer_with_store(),
+            lambda: self._peers.relies_on_leader(),
             bounds.drain,
         )
         self._peers = PeerExchange(
@@ -166,6 +166,7 @@
                 self._peers.has_acting_peer_with_store,
                 self._store.record_answer,
                 self._store.record_failure,
+                self._store.record_silence,
             ),
             lease,
             recorder,
--- a/magnoliacove/gateway/store.py
+++ b/magnoliacove/gateway/store.py
@@ -24,12 +24,19 @@
 
 __all__ = ["StoreFollower"]
 
-# Seconds for which one call of a watch waits.  An unresponsive connection is
-# detected after this time plus the timeout of a call, and each call has a
-# cost.  The placement leader waits for the short time and reports how new its
-# list is, so the other gateways may wait longer.
-WATCH_SECONDS = 2.5
+# Seconds for which one call of a watch waits.  A silent connection is detected
+# after this time plus the timeout of a call, and each call has a cost.  A
+# machine may be without news for three seconds after a connection went silent.
+# The placement leader waits for the short time and reports how new its list
+# is, so the other gateways may wait longer.
+WATCH_SECONDS = 1.2
 FOLLOWER_WATCH_SECONDS = 25.0
+# Seconds for which a watch waits that reads what a silent one missed.
+_CATCH_UP_SECONDS = 0.05
+# Seconds between checks whether a peer still reports changes, and for which
+# none does until long waits end.  A leader that stops is replaced sooner.
+_LEADER_CHECK_INTERVAL = 0.25
+_LEADER_REPLACEMENT_TIME = 0.75
 # Seconds between two calls of the watch on the list after a change, so that
 # changes that come together cost one call.  It is a tenth of the shortest time
 # within which a leaving target must be known to leave.
@@ -48,9 +55,21 @@
 # at once.
 _QUICK_SUCCESSION = 1.0
 _VERSION_BATCH_DELAY = 0.5
-# Seconds for which the list must be behind the placement leader's before it is
-# read again.  The watch mostly answers first.
+# Seconds for which the list must be behind a peer's before it is read again.
+# The watch mostly answers first, or begins only then.
 _MAX_LIST_LAG = 0.5
+_MIN_SILENCE = 0.3
+_LAG_CHECK_INTERVAL = 0.1
+# Minimum seconds between two renewals of the connections because a peer has a
+# newer configuration.  Versions that come in quick succession are read late.
+_MIN_RENEWAL_INTERVAL = 2.0
+# Seconds after the first unanswered call within which the next is answered if
+# only a connection was silent.  Entries expire in longer outages only: targets
+# write theirs each 1.2 s, and an entry expires without three writes.
+_SHORTEST_OUTAGE = 0.8
+# Seconds for which the placement leader must report that it does not reach the
+# store, for the same reason: it notices within 1.4 s.
+_SHORTEST_LEADER_OUTAGE = 0.5
 # Seconds after an outage in which a removed entry may be one that expired
 # during the outage and will be written again.
 _EXPIRY_WINDOW = 2.5
@@ -60,32 +79,68 @@
 # Seconds between attempts to reach the store.
 _INITIAL_RETRY_DELAY = 0.1
 _MAX_RETRY_DELAY = 0.8
+# Seconds in the log since the store was last reached if it never was.
+_NEVER_REACHED = 1e6
 _SOURCE = "the platform's store"
 _CONFIGURATION_NAME = "/".join(CONFIGURATION)
 
 
 class _Watch:
-    """A watch on one kind of objects that can be ended from outside."""
+    """A watch on one kind of objects that can be ended from outside.
 
-    def __init__(self, api: platform.ObjectApi, kind: str) -> None:
+    :param on_silence: called with the kind and the reason when the watch was
+        not answered.
+    """
+
+    def __init__(
+        self,
+        api: platform.ObjectApi,
+        kind: str,
+        on_silence: Callable[[str, str], None],
+    ) -> None:
         self.kind = f"{kind}/"
         self._api = api
+        self._on_silence = on_silence
         self._scope = trio.CancelScope()
+        # Length and start of the present wait.
+        self._seconds = 0.0
+        self._began = math.inf
+
+    @property
+    def waits_long(self) -> bool:
+        """Whether the present wait relies on the reports of peers."""
+        return self._seconds > WATCH_SECONDS
+
+    @property
+    def waited(self) -> float:
+        """Seconds since the present wait began, not positive without one."""
+        return trio.current_time() - self._began
 
     async def wait(
         self, after: int, seconds: float
     ) -> tuple[tuple[platform.WatchEvent, ...], int] | None:
         """Return changes and the revision to continue from.
 
+        What a silent connection kept back is read at once on a new one.  The
+        store still has these changes, so nothing is listed again, and nothing
+        looks like an entry that expired.
+
         :returns: None when the watch was ended and everything must be read
             again.
         """
         with trio.CancelScope() as self._scope:
-            return await self._api.watch(self.kind, after, seconds)
+            self._seconds, self._began = seconds, trio.current_time()
+            try:
+                return await self._api.watch(self.kind, after, seconds)
+            except platform.NoAnswerError as error:
+                self._on_silence(self.kind, str(error))
+            finally:
+                self._seconds, self._began = 0.0, math.inf
+            return await self._api.watch(self.kind, after, _CATCH_UP_SECONDS)
         return None
 
     def end(self) -> None:
-        """Stop waiting."""
+        """Stop waiting, so that everything is read again."""
         self._scope.cancel()
 
 
@@ -113,6 +168,11 @@
         # Far in the past: the store was never reached, and no outage is known.
         self.unreachable_since = -1e9
         self._outage_at = -1e9
+        self._listed_at = -1e9
+        # Whether the store refused a call since its last answer.  A connection
+        # that goes silent refuses none.
+        self._refused = False
+        self._leader_lost_at: float | None = None
         self.configuration = b""
         self._state = state
         self._api = api
@@ -120,14 +180,16 @@
         self._follower_batch_delay = max(
             _BATCH_DELAY, drain * _FOLLOWER_BATCH_FRACTION
         )
-        self._list_watch = _Watch(api, SERVERS)
-        self._configuration_watch = _Watch(api, CONFIGURATION[0])
-        self._behind_since: float | None = None
-        # Whether the list may lack live targets, because the store was
-        # unavailable since the list was last read.  The two watches fail and
-        # recover independently, so the success of the other watch does not
-        # reset this.
-        self._may_lack_targets = True
+        self._list_watch = _Watch(api, SERVERS, self._report_silence)
+        self._configuration_watch = _Watch(
+            api, CONFIGURATION[0], self._report_silence
+        )
+        # The revision up to which the list is known here, and the newest one
+        # at which a peer's list changed.
+        self._list_revision = 0
+        self._peers_change = 0
+        self._behind = trio.Event()
+        self._renewed_at = -1e9
         self._unreadable = ""
         # The last logged error of each unreadable entry, by name.
         self._reported_errors: dict[str, str] = {}
@@ -138,20 +200,46 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._repeat, self._follow_configuration)
             nursery.start_soon(self._repeat, self._follow_targets)
+            nursery.start_soon(self._compare_lists)
+            nursery.start_soon(self._check_leader)
 
     def record_answer(self) -> None:
         """Record that the store answers."""
+        now = trio.current_time()
         if not self.reachable:
-            self.record_outage()
-            self._state.recorder.record("store-regained")
+            silence = now - self.unreachable_since
+            outage = self._refused or silence >= _SHORTEST_OUTAGE
+            if outage:
+                self.record_outage()
+            self._state.recorder.record(
+                "store-regained",
+                seconds=min(_NEVER_REACHED, round(silence, 2)),
+                outage=outage,
+            )
         self.reachable = True
+        self._refused = False
 
     def record_failure(self, why: str) -> None:
-        """Record that the store does not answer.
+        """Record that the store refuses calls or connections.
 
         Watches wait for seconds and may continue while the store refuses all
         new calls, so each caller of the store reports the outcome.
         """
+        self._refused = True
+        self._record_loss(why)
+
+    def record_silence(self, why: str, began: float) -> None:
+        """Record that a call was not answered in time.
+
+        The store may be away, or the connection silent and with it all others
+        that were open.  Calls on new connections show which.
+
+        :param began: when the call began, by trio's clock.
+        """
+        self._record_loss(why)
+        self._api.renew_channels(began)
+
+    def _record_loss(self, why: str) -> None:
         if self.reachable:
             self.unreachable_since = trio.current_time()
             self._state.recorder.record("store-lost", why=why)
@@ -165,6 +253,28 @@
         """
         self._outage_at = trio.current_time()
 
+    def record_leader_contact(self, reachable: bool) -> None:
+        """Record whether the placement leader reaches the store.
+
+        An outage that is too short for an entry to expire does not count.
+        """
+        now = trio.current_time()
+        if reachable:
+            self._leader_lost_at = None
+            return
+        if self._leader_lost_at is None:
+            self._leader_lost_at = now
+        if now - self._leader_lost_at >= _SHORTEST_LEADER_OUTAGE:
+            self.record_outage()
+
+    def _report_silence(self, kind: str, why: str) -> None:
+        self._state.recorder.record(
+            "watch-silent",
+            target=kind.rstrip("/"),
+            why=why,
+            revision=self._list_revision,
+        )
+
     @property
     def era(self) -> platform.StoreEra:
         """The store's era as known to this process."""
@@ -192,7 +302,6 @@
             why=f"restored from an older snapshot, reported by {source}",
         )
         self._state.targets.note_restored()
-        self._may_lack_targets = True
         self.record_outage()
         self._list_watch.end()
         self._configuration_watch.end()
@@ -202,18 +311,64 @@
 
         :param newest_change: the newest change in the peer's list.
         """
-        if newest_change <= self._state.targets.newest_change:
-            self._behind_since = None
-            return
+        self._peers_change = max(self._peers_change, newest_change)
+        if self._is_list_behind():
+            self._behind.set()
+
+    def _is_list_behind(self) -> bool:
+        known = max(self._list_revision, self._state.targets.newest_change)
+        return self._peers_change > known
+
+    async def _compare_lists(self) -> None:
+        """Read the list again each time that it stays behind a peer's."""
+        while True:
+            await self._behind.wait()
+            await trio.sleep(_MAX_LIST_LAG)
+            while (
+                self._is_list_behind()
+                and self._list_watch.waited < _MIN_SILENCE
+            ):
+                await trio.sleep(_LAG_CHECK_INTERVAL)
+            self._behind = trio.Event()
+            if self._is_list_behind():
+                self._state.recorder.record(
+                    "watch-stuck",
+                    target=SERVERS,
+                    why="a peer has a newer list",
+                    revision=self._list_revision,
+                    peers_revision=self._peers_change,
+                )
+                self._list_watch.end()
+                self._api.renew_channels(trio.current_time())
+
+    def record_newer_configuration(self, peer: str) -> None:
+        """Read the configuration from the store, since a peer has a newer."""
         now = trio.current_time()
-        if self._behind_since is None:
-            self._behind_since = now
-        if now - self._behind_since >= _MAX_LIST_LAG:
-            self._behind_since = None
-            self._state.recorder.record(
-                "watch-stuck", why="the placement leader has a newer list"
-            )
-            self._list_watch.end()
+        if now - self._renewed_at < _MIN_RENEWAL_INTERVAL:
+            return
+        self._renewed_at = now
+        self._state.recorder.record(
+            "watch-stuck",
+            target=CONFIGURATION[0],
+            why=f"{peer} has a newer configuration",
+        )
+        self._api.renew_channels(now)
+
+    async def _check_leader(self) -> None:
+        """End long waits when no peer reports changes any more."""
+        lost_at: float | None = None
+        while True:
+            await trio.sleep(_LEADER_CHECK_INTERVAL)
+            now = trio.current_time()
+            if self._is_following():
+                lost_at = None
+                continue
+            lost_at = now if lost_at is None else lost_at
+            if now - lost_at < _LEADER_REPLACEMENT_TIME:
+                continue
+            watches = (self._list_watch, self._configuration_watch)
+            if any(watch.waits_long for watch in watches):
+                self._api.renew_channels(now)
 
     def apply_configuration(self, value: bytes, source: str) -> None:
         """Put a configuration in force, unless it cannot be read."""
@@ -243,8 +398,11 @@
                 # Reading everything again misses nothing.
                 self._state.recorder.record("store-compacted")
                 await backoff.pause()
+            except platform.NoAnswerError as error:
+                # The client has renewed the connections.
+                self._record_loss(str(error))
+                await backoff.pause()
             except errors.PlatformError as error:
-                self._may_lack_targets = True
                 self.record_failure(str(error))
                 await backoff.pause()
 
@@ -294,12 +452,7 @@
         watch = self._list_watch
         listing = await self._api.list_records(watch.kind)
         self.record_answer()
-        self._state.targets.replace(
-            self._read_targets(listing.records),
-            listing.revision,
-            after_outage=self._may_lack_targets,
-        )
-        self._may_lack_targets = False
+        self._replace_targets(listing)
         backoff.reset()
         revision = listing.revision
         while True:
@@ -308,12 +461,40 @@
                 return
             events, revision = changes
             self.record_answer()
+            self._note_listed(revision)
             for event in events:
-                self._take_event(event)
+                self._take_event(event, revision)
             self._state.targets.expire()
             if events:
                 await trio.sleep(self._choose_batch_delay())
 
+    def _replace_targets(self, listing: platform.Listing) -> None:
+        targets = self._state.targets
+        newer_at_peers = self._peers_change > targets.newest_change
+        targets.replace(
+            self._read_targets(listing.records),
+            listing.revision,
+            after_outage=self._may_lack_targets(),
+            removed_at=self._peers_change if newer_at_peers else None,
+        )
+        self._note_listed(listing.revision)
+
+    def _note_listed(self, revision: int) -> None:
+        """Record up to which revision the list is known."""
+        self._list_revision = revision
+        self._listed_at = trio.current_time()
+
+    def _may_lack_targets(self) -> bool:
+        """Return whether the list may lack live targets.
+
+        Their entries may have expired in an outage since the list was last
+        read, or in one that ended too recently for them to be back.
+        """
+        return self._outage_at >= self._listed_at or self._follows_outage()
+
+    def _follows_outage(self) -> bool:
+        return trio.current_time() - self._outage_at < _EXPIRY_WINDOW
+
     def _choose_batch_delay(self) -> float:
         if self._is_following() or not self._state.seen_traffic:
             return self._follower_batch_delay
@@ -324,14 +505,18 @@
             FOLLOWER_WATCH_SECONDS if self._is_following() else WATCH_SECONDS
         )
 
-    def _take_event(self, event: platform.WatchEvent) -> None:
+    def _take_event(self, event: platform.WatchEvent, read_at: int) -> None:
+        """Apply a change of the list.
+
+        :param read_at: the store's revision when the change was read.
+        """
         if not event.record.version:
             name = event.record.name.partition("/")[2]
-            since = trio.current_time() - self._outage_at
             self._state.targets.remove(
                 name,
                 event.revision,
-                may_return=not self.reachable or since < _EXPIRY_WINDOW,
+                read_at=read_at,
+                may_return=not self.reachable or self._follows_outage(),
             )
             return
         target = self._read_target(event.record)
--- a/magnoliacove/peers/heartbeats.py
+++ b/magnoliacove/peers/heartbeats.py
@@ -95,7 +95,7 @@
 
     def list_live(self) -> list[Peer]:
         """Return the reachable peers, sorted by name."""
-        limit = trio.current_time() - self._peer_timeout
+        limit = trio.current_time() - self.peer_timeout
         return [
             self._peers[name]
             for name in sorted(self._peers)
@@ -132,7 +132,8 @@
         return max(_MIN_INTERVAL, _INTERVAL_PER_PEER * len(self._addresses))
 
     @property
-    def _peer_timeout(self) -> float:
+    def peer_timeout(self) -> float:
+        """Seconds without a heartbeat after which a peer is unreachable."""
         return max(_MIN_PEER_TIMEOUT, _PEER_TIMEOUT_INTERVALS * self._interval)
 
     async def _send(self, socket: trio.socket.SocketType) -> None:
--- a/magnoliacove/placement/leadership.py
+++ b/magnoliacove/placement/leadership.py
@@ -51,8 +51,11 @@
     :param has_peer_leader: whether a live peer announces that it leads.
     :param is_superseded: whether a live peer that reaches the store leads.
     :param record_store_answer: called when the store answered.
-    :param record_store_failure: called with the reason when the store did
-        not answer.
+    :param record_store_failure: called with the reason when the store
+        refused a call.
+    :param record_store_silence: called with the reason and the start of the
+        call when the store did not answer in time; the next attempt uses a
+        new connection.
     """
 
     read_store_silence: Callable[[], float]
@@ -61,6 +64,7 @@
     is_superseded: Callable[[], bool]
     record_store_answer: Callable[[], None]
     record_store_failure: Callable[[str], None]
+    record_store_silence: Callable[[str, float], None]
 
 
 class Leadership:
@@ -88,24 +92,31 @@
     async def run(self) -> None:
         """Take or renew the lease until :meth:`release` is called."""
         while not self._leaving:
-            await self._try_take()
+            answered = await self._try_take()
+            if not answered and not self._leaving:
+                # Perhaps only the connection was silent.  If the renewal
+                # waited for its next turn, the lease would expire.
+                await self._try_take()
             await self._pause()
         await trio.sleep_forever()
 
-    async def _try_take(self) -> None:
+    async def _try_take(self) -> bool:
+        """Take or renew the lease; return False if no answer came in time."""
         inputs = self._inputs
+        began = trio.current_time()
         try:
             with trio.move_on_after(_RENEW_TIMEOUT) as scope:
                 await self._lease.try_acquire()
         except errors.PlatformError as exc:
             inputs.record_store_failure(str(exc))
-            return
+            return True
         if scope.cancelled_caught:
-            inputs.record_store_failure(
-                f"no answer on the lease in {_RENEW_TIMEOUT} s"
+            inputs.record_store_silence(
+                f"no answer on the lease in {_RENEW_TIMEOUT} s", began
             )
-            return
+            return False
         inputs.record_store_answer()
+        return True
 
     async def release(self) -> None:
         """Release leadership permanently; another gateway takes over."""
--- a/magnoliacove/placement/reports.py
+++ b/magnoliacove/placement/reports.py
@@ -103,7 +103,10 @@
         began = trio.current_time()
         with trio.move_on_after(timeout):
             try:
-                report = await self._inputs.calls.read_report(target)
+                # An idle connection may be silent although the engine works.
+                report = await self._inputs.calls.read_report(
+                    target, fresh=engine.failures > 0
+                )
             except TargetError as exc:
                 engine.failures += 1
                 if exc.outcome is errors.Outcome.NOT_RUN:
--- a/magnoliacove/platform/__init__.py
+++ b/magnoliacove/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from magnoliacove.platform.api import CompactedError
 from magnoliacove.platform.api import Listing
+from magnoliacove.platform.api import NoAnswerError
 from magnoliacove.platform.api import ObjectApi
 from magnoliacove.platform.api import Record
 from magnoliacove.platform.api import VersionConflictError
@@ -13,6 +14,7 @@
     "CompactedError",
     "HttpObjectApi",
     "Listing",
+    "NoAnswerError",
     "ObjectApi",
     "Record",
     "StoreEra",
--- a/magnoliacove/platform/api.py
+++ b/magnoliacove/platform/api.py
@@ -9,6 +9,7 @@
 __all__ = [
     "CompactedError",
     "Listing",
+    "NoAnswerError",
     "ObjectApi",
     "Record",
     "VersionConflictError",
@@ -28,6 +29,14 @@
     """
 
 
+class NoAnswerError(errors.PlatformError):
+    """An open connection brought no answer in time.
+
+    The platform may be unavailable, or only this connection may have gone
+    silent, and others that were opened before with it.
+    """
+
+
 @dataclass(frozen=True)
 class Record:
     """One object of the platform.
@@ -70,11 +79,23 @@
 
     Each method raises :class:`magnoliacove.errors.PlatformError` if the
     platform does not answer; the error's outcome states whether a write may
-    have taken effect.
+    have taken effect.  It raises :class:`NoAnswerError` if a connection is
+    open and silent.
     """
 
     era: StoreEra
 
+    def renew_channels(self, began: float) -> None:
+        """Use new connections from now on.
+
+        A connection may go silent permanently while new ones work, and those
+        that were opened before it probably did the same.  Watches that wait
+        end with :class:`NoAnswerError`; other calls in progress continue.
+
+        :param began: when the call began that was not answered, by trio's
+            clock.  Nothing happens if the connections were renewed since.
+        """
+
     async def get(self, name: str) -> Record | None:
         """Return an object, or None if it does not exist."""
 
--- a/magnoliacove/platform/client.py
+++ b/magnoliacove/platform/client.py
@@ -7,6 +7,7 @@
 import base64
 from collections.abc import Iterable
 from collections.abc import Iterator
+import math
 from typing import Any
 from urllib.parse import quote
 from urllib.parse import unquote
@@ -14,6 +15,7 @@
 
 import httpcore
 import orjson
+import trio
 
 from magnoliacove import defaults
 from magnoliacove import errors
@@ -51,6 +53,18 @@
         )
         self.calls = 0
         self.era = StoreEra()
+        self._renewal_due = False
+        self._renewed_at = -math.inf
+        self._waiting: set[trio.CancelScope] = set()
+
+    def renew_channels(self, began: float) -> None:
+        """Use new connections from now on."""
+        if began < self._renewed_at:
+            return
+        self._renewed_at = trio.current_time()
+        self._renewal_due = True
+        for scope in tuple(self._waiting):
+            scope.cancel()
 
     async def get(self, name: str) -> api.Record | None:
         """Return an object, or None if it does not exist."""
@@ -136,7 +150,7 @@
         number = split_revision(after)[1]
         query = urlencode({"watch": number, "wait_ms": int(wait * 1000)})
         path = f"{_OBJECTS}{quote(kind)}?{query}"
-        _, data = await self._call("GET", path, extra=wait)
+        data = await self._wait_for_changes(path, wait)
         self._check_watched(after)
         events = (
             self._read_event(kind, item)
@@ -153,6 +167,24 @@
             revision,
         )
 
+    async def _wait_for_changes(self, path: str, wait: float) -> Any:
+        """Return the answer to a watch.
+
+        :raises magnoliacove.platform.NoAnswerError: also when the
+            connections are renewed meanwhile.
+        """
+        with trio.CancelScope() as scope:
+            self._waiting.add(scope)
+            try:
+                _, data = await self._call("GET", path, extra=wait)
+            finally:
+                self._waiting.discard(scope)
+            return data
+        raise api.NoAnswerError(
+            f"GET {path} was given up: the connections were renewed",
+            errors.Outcome.NOT_RUN,
+        )
+
     async def aclose(self) -> None:
         """Close the connections."""
         await self._pool.aclose()
@@ -221,10 +253,21 @@
                 errors.Outcome.MAY_HAVE_RUN,
             )
 
+    async def _close_renewed(self) -> None:
+        """Close the idle connections after :meth:`renew_channels`."""
+        if not self._renewal_due:
+            return
+        self._renewal_due = False
+        for connection in self._pool.connections:
+            if connection.is_idle():
+                await connection.aclose()
+
     async def _call(
         self, method: str, path: str, body: bytes = b"", extra: float = 0.0
     ) -> tuple[int, Any]:
         self.calls += 1
+        await self._close_renewed()
+        began = trio.current_time()
         wait = self._timeout + extra
         try:
             response = await self._pool.request(
@@ -248,6 +291,13 @@
                 f"the object API at {self._url} cannot be reached",
                 errors.Outcome.NOT_RUN,
             ) from exc
+        except httpcore.ReadTimeout as exc:
+            self.renew_channels(began)
+            raise api.NoAnswerError(
+                f"the object API at {self._url} gave no answer to "
+                f"{method} {path} in {wait:g} s",
+                errors.Outcome.MAY_HAVE_RUN,
+            ) from exc
         except (
             httpcore.NetworkError,
             httpcore.TimeoutException,
--- a/magnoliacove/standins/object_api.py
+++ b/magnoliacove/standins/object_api.py
@@ -73,6 +73,9 @@
         self._changed = trio.Event()
         self._recent_calls: deque[float] = deque()
 
+    def renew_channels(self, began: float) -> None:
+        """Do nothing: calls in memory need no connection."""
+
     async def get(self, name: str) -> api.Record | None:
         """Return an object, or None if it does not exist."""
         await self._begin_call("get")
--- a/tests/directory/test_targets.py
+++ b/tests/directory/test_targets.py
@@ -282,3 +282,35 @@
     targets.apply(_target("i-1"))
     assert _names(targets) == ["i-1"]
     assert [e.kind for e in recorder.list_events()] == ["targets-listed"]
+
+
+@pytest.mark.parametrize("removed_at", [None, 8])
+def test_removal_found_by_a_listing_counts_as_a_change(removed_at):
+    """A gateway whose watch missed a removal finds it by listing again.  The
+    peers that wait for its news must learn that its list changed, else they
+    send requests to the target until their own watches answer.
+    """
+    targets, _ = _make_list()
+    targets.apply(_target("i-1", revision=3))
+    targets.apply(_target("i-2", revision=4))
+    assert targets.newest_change == 4
+    targets.replace(
+        [_target("i-1", revision=3)],
+        9,
+        after_outage=False,
+        removed_at=removed_at,
+    )
+    assert targets.newest_change == (removed_at or 9)
+    targets.replace([_target("i-1", revision=3)], 12, after_outage=False)
+    assert targets.newest_change == (removed_at or 9)
+
+
+@pytest.mark.parametrize("revision", [0, 3, 7])
+def test_removal_without_its_own_revision_counts_as_a_change(revision):
+    """An event may name the removed entry's last revision instead of that of
+    the removal.  Peers must learn that the list changed all the same.
+    """
+    targets, _ = _make_list()
+    targets.apply(_target("i-1", revision=3))
+    targets.remove("i-1", revision, read_at=7)
+    assert targets.newest_change == 7
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -23,6 +23,7 @@
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.limits import SharedRetryBudget
 from magnoliacove.metrics import Meters
+from magnoliacove.peers.heartbeats import Peer
 from magnoliacove.platform import headers
 from magnoliacove.wire import Address
 from tests.shapes import make_shape
@@ -394,3 +395,15 @@
     state.saturation.note_waiting(service, 1)
     await trio.sleep(0.21)
     state.saturation.note_waiting(service, 1)
+
+
+class LiveHeartbeats:
+    """The last heartbeats of peers that are all live."""
+
+    def __init__(self, peer_timeout, heartbeats):
+        self.peer_timeout = peer_timeout
+        self._heartbeats = heartbeats
+
+    def list_live(self):
+        """Return the peers."""
+        return [Peer(heartbeat, 0.0) for heartbeat in self._heartbeats]
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -188,3 +188,69 @@
         [sent] = peers.Heartbeat.decode(heartbeat.encode()).suspicions
         assert (sent.target, sent.leaving) == ("i-1", True)
         assert sent.age == pytest.approx(told.age, abs=0.001)
+
+
+@pytest.mark.parametrize(
+    ("peer_timeout", "names", "relies"),
+    [
+        (1.2, ("h-2", "h-3"), True),
+        (4.9, ("h-2", "h-3"), False),
+        (4.9, ("a-1", "h-3"), False),
+        (4.9, ("a-1", "a-2"), True),
+    ],
+)
+async def test_more_gateways_than_the_leader_report_changes_of_a_large_fleet(
+    tmp_path, peer_timeout, names, relies
+):
+    """In a large fleet it takes seconds until a leader that ended is missed.
+    Gateways whose channels are silent would learn of no change meanwhile.
+    """
+    async with stubs.open_harness() as harness:
+        exchange = _make_exchange(harness, tmp_path)
+        exchange._state.name = "g-1"
+        exchange.heartbeats = stubs.LiveHeartbeats(
+            peer_timeout,
+            [
+                _make_heartbeat(name=name, acting=name == "h-3")
+                for name in (*names, "h-3")
+            ],
+        )
+        assert exchange.relies_on_leader() == relies
+
+
+async def test_a_moment_without_the_store_is_no_outage_of_the_leader(
+    tmp_path, autojump_clock
+):
+    """The leader's channel went silent, and for a moment it reports that it
+    does not reach the store.  Removals must not be taken for entries that
+    lapsed in an outage, unless it says so for long enough.
+    """
+    async with stubs.open_harness() as harness:
+        exchange = _make_exchange(harness, tmp_path)
+        follower = exchange._store
+        follower.record_answer()
+        await trio.sleep(9.0)
+        for reachable in (False, False, True, False):
+            exchange._take_heartbeat(
+                _make_heartbeat(acting=True, store_reachable=reachable)
+            )
+            await trio.sleep(0.2)
+        assert not follower._follows_outage()
+        for _ in range(4):
+            exchange._take_heartbeat(
+                _make_heartbeat(acting=True, store_reachable=False)
+            )
+            await trio.sleep(0.2)
+        assert follower._follows_outage()
+
+
+async def test_the_leader_reports_a_departure_at_once(tmp_path):
+    """In a large fleet heartbeats are rare, and peers whose own channels are
+    silent send requests to an engine that left until the next one.
+    """
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", stubs.stay_silent)
+        exchange = _make_exchange(harness, tmp_path)
+        assert not exchange.heartbeats._send_requested.is_set()
+        harness.state.targets.remove("i-1", 99)
+        assert exchange.heartbeats._send_requested.is_set()
--- a/tests/placement/test_controller.py
+++ b/tests/placement/test_controller.py
@@ -56,7 +56,7 @@
         self.report_requests = Counter()
         self.report_after = 0.001
 
-    async def read_report(self, target):
+    async def read_report(self, target, *, fresh=False):
         self.report_requests[target.name] += 1
         await trio.sleep(self.report_after)
         engine = self.all[target.name]
@@ -133,7 +133,7 @@
         self.lists.append(targets)
         failed_at = []
 
-        def record_store_failure(_):
+        def record_store_failure(why, began=0.0):
             self.store_outcomes.append("lost")
             failed_at.append(trio.current_time())
 
@@ -154,6 +154,7 @@
                 lambda: self.superseded,
                 record_store_answer,
                 record_store_failure,
+                record_store_failure,
             ),
             directory.Lease(
                 self.store,
@@ -458,3 +459,24 @@
         time.sleep(0.5)  # noqa: ASYNC251
         await trio.sleep(0.02)
         assert not fleet.healths[0].list_suspicions()
+
+
+async def test_a_report_is_requested_again_on_a_new_connection(
+    autojump_clock, fleet
+):
+    """All idle connections went silent.  If a second report is requested on
+    such a connection too, the leader suspects every engine, and all gateways
+    reroute their streams around engines that work.
+    """
+    silent = [True]
+    answered = fleet.calls.read_report
+
+    async def read_report(target, *, fresh=False):
+        if silent[0] and not fresh:
+            await trio.sleep_forever()
+        return await answered(target)
+
+    fleet.calls.read_report = read_report
+    fleet.add_gateway("g-1")
+    await trio.sleep(4.0)
+    assert not fleet.healths[0].list_suspicions()
