Let a value that cannot be decoded hide nothing but its own object

Cause: the decoder refuses a whole answer of the store for one value of another writer, here half of a character as an escape, and the list has it too. Evidence: store-lost names GET calls that the store answered with 200, and no target-unreadable. Ruled out: an outage, as calls on the lease were answered. A second way to the same end: what decodes at 1,024 levels of nesting and encodes at 254 raised an error that nobody expected.

Change: an answer that cannot be decoded is taken apart down to the fields of an object, and what cannot be decoded stays as it was received, for its reader to refuse. Along the same class: a page whose last object has no name, a lease that cannot be read, announcements on the own interface, and numbers in reports, entries and headers that do not fit into a heartbeat, which the leader could then not send at all.

Why it works: texts are skipped with their escapes, so only brackets that the store wrote decide where a value ends.

--- a/magnoliacove/agent/orders.py
+++ b/magnoliacove/agent/orders.py
@@ -70,7 +70,9 @@
             # If it did not read the store, it would accept orders from a
             # paused holder that resumes after its lease expired.
             record = await self._api.get(f"leases/{ORDERS_LEASE}")
-            self.highest_fence = max(self.highest_fence, read_lease(record)[1])
+            self.highest_fence = max(
+                self.highest_fence, read_lease(record).fence
+            )
             self._is_fence_loaded = True
         if order.fence < self.highest_fence:
             raise errors.StaleOrderError(
--- a/magnoliacove/directory/leases.py
+++ b/magnoliacove/directory/leases.py
@@ -24,13 +24,15 @@
 from magnoliacove.platform.eras import split_revision
 from magnoliacove.timeline import Recorder
 
-__all__ = ["Lease", "Membership", "read_lease"]
+__all__ = ["Lease", "Membership", "StoredLease", "read_lease"]
 
 # Seconds before the expiry of the lease at which the holder stops using it, so
 # that a timer that fires late does not lead to two holders.
 _SAFETY_MARGIN = 0.5
 # Maximum number of acquisitions of a lease in one era of the store.
 _FENCES_PER_ERA = 1 << 32
+# The holder of a lease whose object cannot be read.
+_UNKNOWN_HOLDER = "?"
 
 
 @dataclass(frozen=True)
@@ -48,6 +50,20 @@
     expect: Callable[[int], None] = lambda _: None
 
 
+@dataclass(frozen=True)
+class StoredLease:
+    """What a lease's object contains.
+
+    :param holder: ``NAME/INCARNATION``, or "" for none.
+    :param fence: the fencing token.
+    :param members: how many processes compete for the lease, 0 if unknown.
+    """
+
+    holder: str
+    fence: int
+    members: int
+
+
 @dataclass(frozen=True)
 class _Observed:
     """The last seen version of a lease, and when it was first seen."""
@@ -82,6 +98,9 @@
         self._owner = owner
         self._duration = duration
         self._membership = membership or Membership()
+        # The highest fencing token that this process has seen, for a lease
+        # that another writer made unreadable.
+        self._highest_fence = 0
         self._version = 0
         self._renewals = 0
         self._valid_until = 0.0
@@ -114,14 +133,16 @@
         record = await self._api.get(f"leases/{self.name}")
         now = trio.current_time()
         version = record.version if record else 0
-        holder, fence = read_lease(record)
-        self._membership.expect(_read_members(record))
+        stored = read_lease(record)
+        holder, fence = stored.holder, stored.fence
+        self._membership.expect(stored.members)
+        self._highest_fence = max(self._highest_fence, fence)
         # The version of a missing lease includes the era, so that its absence
         # in two eras counts as two observations.
         seen = version or self._api.era.join(0)
         era_minimum = split_revision(seen)[0] * _FENCES_PER_ERA
         from_snapshot = fence < era_minimum
-        next_fence = max(fence, era_minimum) + 1
+        next_fence = max(self._highest_fence, era_minimum) + 1
         if self.held and from_snapshot:
             # The store lost our renewals.  Other processes wait for a full
             # lease duration after they first see this record, so none of
@@ -179,6 +200,7 @@
             self._note_lost("another process acquired the lease")
             return False
         self._version = written
+        self._highest_fence = max(self._highest_fence, fence)
         self._valid_until = requested_at + self._duration - _SAFETY_MARGIN
         self._observed = _Observed(written, self._owner, requested_at)
         if self.fence != fence:
@@ -206,18 +228,21 @@
     return owner.partition("/")[0]
 
 
-def read_lease(record: platform.Record | None) -> tuple[str, int]:
-    """Return the holder and the fencing token of a lease's object."""
-    if record is None:
-        return "", 0
-    values = json.loads(record.value)
-    return values["holder"], values["fence"]
-
+def read_lease(record: platform.Record | None) -> StoredLease:
+    """Return what a lease's object contains.
 
-def _read_members(record: platform.Record | None) -> int:
-    """Return the number of processes that a lease's object contains.
-
-    A lease that an older build wrote contains none.
+    An object that another writer made unreadable is held by nobody who is
+    known.  Like any holder's, it expires without a renewal.
     """
-    values = json.loads(record.value) if record is not None else {}
-    return int(values.get("members", 0))
+    if record is None:
+        return StoredLease("", 0, 0)
+    try:
+        values = json.loads(record.value)
+        return StoredLease(
+            str(values["holder"]),
+            int(values["fence"]),
+            # A lease that an older build wrote contains none.
+            int(values.get("members", 0)),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError):
+        return StoredLease(_UNKNOWN_HOLDER, 0, 0)
--- a/magnoliacove/directory/store.py
+++ b/magnoliacove/directory/store.py
@@ -128,16 +128,36 @@
 
     def _adopt_records(self, records: tuple[platform.Record, ...]) -> None:
         self._view.adopt_entries(
-            [instances.read_entry(record.value) for record in records]
+            [
+                entry
+                for record in records
+                if (entry := self._read_entry(record)) is not None
+            ]
         )
 
+    def _read_entry(self, record: platform.Record) -> instances.Entry | None:
+        """Return an entry, None for one that another writer corrupted."""
+        try:
+            return instances.read_entry(record.value)
+        except errors.ProtocolError as exc:
+            self._recorder.record(
+                "entry-unreadable", target=record.name, why=str(exc)
+            )
+            return None
+
     def _adopt_platform(self, records: tuple[platform.Record, ...]) -> None:
         states = []
         for record in records:
             if not record.version:
                 continue
             name = record.name.removeprefix(PLATFORM_PREFIX)
-            state = json.loads(record.value).get("state", "live")
+            try:
+                state = str(json.loads(record.value).get("state", "live"))
+            except (ValueError, AttributeError) as exc:
+                self._recorder.record(
+                    "entry-unreadable", target=record.name, why=str(exc)
+                )
+                continue
             states.append(instances.PlatformState(name, state, record.version))
         self._view.adopt_entries(states)
 
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -371,6 +371,7 @@
             ),
             "store_era": self._store.era.number,
             "store_calls": getattr(self._api, "calls", 0),
+            "store_objects_skipped": getattr(self._api, "skipped", 0),
             "engine_reports": self._calls.reports,
             "engine_orders": self._calls.orders,
             "peers_live": len(self._peers.heartbeats.list_live()),
--- a/magnoliacove/platform/client.py
+++ b/magnoliacove/platform/client.py
@@ -6,7 +6,7 @@
 
 import base64
 from collections.abc import Iterable
-from collections.abc import Iterator
+from collections.abc import Sequence
 import math
 from typing import Any
 from urllib.parse import quote
@@ -23,6 +23,8 @@
 from magnoliacove.platform.eras import MAX_ERA
 from magnoliacove.platform.eras import StoreEra
 from magnoliacove.platform.eras import split_revision
+from magnoliacove.platform.partial_json import UndecodableValue
+from magnoliacove.platform.partial_json import decode_partially
 
 __all__ = ["HttpObjectApi"]
 
@@ -31,6 +33,8 @@
 # times that the store was restored from an older snapshot.
 _ERA_HEADER = b"store-era"
 _SOURCE = "the platform's store"
+# Stands for a value of which a part cannot be decoded; it is no JSON.
+_UNDECODABLE = b"undecodable"
 # Seconds; the longest wait that the store accepts for a watch.
 _MAX_WATCH_WAIT = 30.0
 
@@ -41,6 +45,8 @@
     :param url: for example ``http://10.0.0.2:8500``.
     :param timeout: seconds allowed for each of connecting, sending the
         request and reading the answer.
+    :ivar skipped: number of objects in answers that had no readable name or
+        revision.
     """
 
     def __init__(
@@ -52,6 +58,7 @@
             max_connections=8, keepalive_expiry=defaults.KEEP_ALIVE / 2
         )
         self.calls = 0
+        self.skipped = 0
         self.era = StoreEra()
         self._renewal_due = False
         self._renewed_at = -math.inf
@@ -106,12 +113,12 @@
             # Use the first page's revision: a later watch then repeats the
             # writes made while the other pages were read instead of
             # missing them.
-            revision = revision or self.era.join(int(data["as_of"]))
-            items = data["items"]
-            records += self._read_all(kind, items)
-            if not data.get("has_more") or not items:
+            revision = revision or self._read_as_of(data)
+            page = self._read_all(kind, _read_list(data, "items"))
+            records += page
+            if data.get("has_more") is not True or not page:
                 return api.Listing(tuple(records), revision)
-            after = items[-1]["metadata"]["name"]
+            after = _local_name(page[-1].name)
 
     async def put(
         self, name: str, value: bytes, if_version: int | None = None
@@ -124,7 +131,7 @@
         status, data = await self._call("PUT", _path(name), body)
         self._check_condition(name, if_version)
         if status != 404:
-            return self.era.join(int(data["metadata"]["revision"]))
+            return self._read_version(data)
         if if_version is not None:
             raise api.VersionConflictError(f"{name} does not exist")
         return await self._create(name, value)
@@ -152,12 +159,8 @@
         path = f"{_OBJECTS}{quote(kind)}?{query}"
         data = await self._wait_for_changes(path, wait)
         self._check_watched(after)
-        events = (
-            self._read_event(kind, item)
-            for item in data.get("events", ())
-            if _is_named(item["object"])
-        )
-        revision = self.era.join(int(data["as_of"]))
+        revision = self._read_as_of(data)
+        events = self._read_events(kind, _read_list(data, "events"))
         return (
             tuple(
                 e
@@ -193,16 +196,40 @@
         path = f"{_OBJECTS}{quote(_kind(name))}"
         body = _write_object(name, value, None)
         _, data = await self._call("POST", path, body)
-        return self.era.join(int(data["metadata"]["revision"]))
+        return self._read_version(data)
 
-    def _read(self, kind: str, data: dict[str, Any]) -> api.Record:
+    def _read(self, kind: str, data: Any) -> api.Record:
+        if not _is_named(data):
+            raise _make_unreadable(f"the object of kind {kind}")
         return _read_object(kind, data, self.era)
 
-    def _read_all(
-        self, kind: str, items: Iterable[Any]
-    ) -> Iterator[api.Record]:
+    def _read_version(self, data: Any) -> int:
+        """Return the version of an object that was written."""
+        if not _is_named(data):
+            raise _make_unreadable("the object that was written")
+        return self.era.join(data["metadata"]["revision"])
+
+    def _read_as_of(self, data: Any) -> int:
+        """Return the store's revision at the time of an answer."""
+        revision = data.get("as_of") if isinstance(data, dict) else None
+        if not isinstance(revision, int):
+            raise _make_unreadable("the store's revision")
+        return self.era.join(revision)
+
+    def _read_all(self, kind: str, items: Sequence[Any]) -> list[api.Record]:
         """Decode a list of objects, skipping those without a name."""
-        return (self._read(kind, item) for item in items if _is_named(item))
+        named = [item for item in items if _is_named(item)]
+        self.skipped += len(items) - len(named)
+        return [self._read(kind, item) for item in named]
+
+    def _read_events(
+        self, kind: str, items: Sequence[Any]
+    ) -> list[api.WatchEvent]:
+        """Decode a list of changes, skipping those of no named object."""
+        changes = [item for item in items if isinstance(item, dict)]
+        named = [item for item in changes if _is_named(item.get("object"))]
+        self.skipped += len(items) - len(named)
+        return [self._read_event(kind, item) for item in named]
 
     def _read_event(self, kind: str, data: dict[str, Any]) -> api.WatchEvent:
         record = self._read(kind, data["object"])
@@ -285,7 +312,7 @@
                 },
             )
             self._note_era(response.headers)
-            data = _load(response.content or b"null")
+            data = decode_partially(response.content or b"null")
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise errors.PlatformError(
                 f"the object API at {self._url} cannot be reached",
@@ -302,7 +329,6 @@
             httpcore.NetworkError,
             httpcore.TimeoutException,
             httpcore.ProtocolError,
-            ValueError,
         ) as exc:
             # Only the answer is lost: the platform may have executed the
             # write.  Reporting it as not run would let the caller apply a
@@ -349,36 +375,54 @@
     )
 
 
-def _load(content: bytes) -> Any:
-    """Decode an answer in which a value may contain invalid UTF-8.
+def _make_unreadable(what: str) -> errors.PlatformError:
+    return errors.PlatformError(
+        f"the object API's answer does not contain {what}",
+        errors.Outcome.MAY_HAVE_RUN,
+    )
+
 
-    Any client of the store may have written that value.  The other values
-    must remain readable; otherwise one such value hides all objects of its
-    kind.
-    """
-    try:
-        return orjson.loads(content)
-    except orjson.JSONDecodeError:
-        return orjson.loads(content.decode("utf-8", "replace"))
+def _read_list(data: Any, name: str) -> list[Any]:
+    items = data.get(name) if isinstance(data, dict) else None
+    if not isinstance(items, list):
+        raise _make_unreadable(f"the list of {name}")
+    return items
 
 
 def _is_named(item: Any) -> bool:
     meta = item.get("metadata") if isinstance(item, dict) else None
-    return isinstance(meta, dict) and isinstance(meta.get("name"), str)
+    return (
+        isinstance(meta, dict)
+        and isinstance(meta.get("name"), str)
+        and isinstance(meta.get("revision"), int)
+    )
 
 
 def _read_object(kind: str, data: dict[str, Any], era: StoreEra) -> api.Record:
-    meta, spec = data["metadata"], data.get("spec")
+    meta = data["metadata"]
     name = f"{kind}/{unquote(meta['name'])}"
+    value = _read_value(data.get("spec"))
+    return api.Record(name, era.join(meta["revision"]), value)
+
+
+def _read_value(spec: Any) -> bytes:
+    """Return an object's value; what cannot be decoded is kept as it is.
+
+    Whoever reads the value then rejects it, and with it no other object.
+    """
+    if isinstance(spec, UndecodableValue):
+        return spec.data
     if isinstance(spec, str):
         try:
-            value = base64.b64decode(spec, validate=True)
+            return base64.b64decode(spec, validate=True)
         except ValueError:
             # Text that is not base64, written by another client.
-            value = spec.encode()
-    else:
-        value = orjson.dumps(spec)
-    return api.Record(name, era.join(int(meta["revision"])), value)
+            return spec.encode()
+    try:
+        return orjson.dumps(spec)
+    except TypeError:
+        # Part of it cannot be decoded, or it is nested too deeply to encode.
+        return _UNDECODABLE
 
 
 def _write_object(name: str, value: bytes, version: int | None) -> bytes:
--- a/magnoliacove/platform/engines.py
+++ b/magnoliacove/platform/engines.py
@@ -95,12 +95,12 @@
     return EngineReport(
         layers=read_layers(fields),
         loading=fields.flag("busy"),
-        orders=fields.integer("sequence", 0),
-        running=fields.integer("in_flight", 0),
-        waiting=fields.integer("queued", 0),
-        used=fields.number("kv_used", 0),
-        total=fields.number("kv_total", 0),
-        slowness=fields.number("pace", 1),
+        orders=fields.count("sequence", 0),
+        running=fields.count("in_flight", 0),
+        waiting=fields.count("queued", 0),
+        used=fields.amount("kv_used", 0),
+        total=fields.amount("kv_total", 0),
+        slowness=fields.amount("pace", 1),
         stalled=tuple(
             StalledRequest(item.text("id", ""), item.text("address", ""))
             for item in fields.objects("stalled")
--- a/magnoliacove/platform/fields.py
+++ b/magnoliacove/platform/fields.py
@@ -6,7 +6,13 @@
 
 from magnoliacove import errors
 
-__all__ = ["Fields"]
+__all__ = ["MAX_AMOUNT", "MAX_COUNT", "Fields"]
+
+# The largest count and amount that are read.  Heartbeats have 32 bits for the
+# one and 64 bits for the other; a larger value would keep a gateway from
+# sending any.
+MAX_COUNT = 2**31 - 1
+MAX_AMOUNT = 2.0**53
 
 
 class Fields:
@@ -40,10 +46,29 @@
             raise self._reject(name, value)
         return int(value)
 
+    def count(
+        self, name: str, default: int | None = None, *, most: int = MAX_COUNT
+    ) -> int:
+        """Return an integer that is not negative.
+
+        :param most: the largest one that makes sense.
+        """
+        value = self.integer(name, default)
+        if not 0 <= value <= most:
+            raise self._reject(name, value)
+        return value
+
     def number(self, name: str, default: float | None = None) -> float:
         """Return a number."""
         return float(self._get_number(name, default))
 
+    def amount(self, name: str, default: float) -> float:
+        """Return a number that is not negative and fits into 63 bits."""
+        value = self.number(name, default)
+        if not 0.0 <= value <= MAX_AMOUNT:
+            raise self._reject(name, value)
+        return value
+
     def seconds(self, name: str, default_ms: float | None = None) -> float:
         """Return the value in seconds of a field in milliseconds."""
         return self.number(name, default_ms) / 1000
@@ -91,5 +116,5 @@
     def _reject(self, name: str, value: Any) -> errors.ProtocolError:
         return errors.ProtocolError(
             f"{self.where} has {value!r:.60} in field {name!r}, which is not "
-            "of the expected type; correct the field"
+            "of the expected type or range; correct the field"
         )
--- a/magnoliacove/platform/headers.py
+++ b/magnoliacove/platform/headers.py
@@ -45,6 +45,10 @@
 # Engines accept priorities from 0, the most urgent, to this one.
 _LOWEST_PRIORITY = 9
 
+# The largest number that is read from a header, and its number of digits.
+_MAX_COUNT_DIGITS = 9
+_MAX_COUNT = 10**_MAX_COUNT_DIGITS - 1
+
 # Headers that apply to a single connection and are not forwarded.
 _HOP_BY_HOP = frozenset(
     [
@@ -246,5 +250,14 @@
 
 
 def _read_count(value: bytes) -> int | None:
+    """Return a number, at most the largest one, or None if it is none.
+
+    Sums of these numbers are reported to peers, where each has 64 bits, and
+    Python refuses to convert thousands of digits.
+    """
     text = value.strip()
-    return int(text) if text.isdigit() else None
+    if not text.isdigit():
+        return None
+    if len(text.lstrip(b"0")) > _MAX_COUNT_DIGITS:
+        return _MAX_COUNT
+    return int(text)
--- a/magnoliacove/platform/servers.py
+++ b/magnoliacove/platform/servers.py
@@ -17,6 +17,10 @@
 SERVERS = "servers"
 _READY = "ready"
 _DRAINING = "draining"
+# The largest number of layers and time in milliseconds since 1970 that make
+# sense.  Heartbeats have 16 bits for a layer.
+_MAX_LAYERS = 2**16 - 1
+_MAX_TIME_MS = 2**53
 # Characters allowed in a header field, because the engine's name is sent in
 # one.
 _NAME = re.compile(r"[!-~]+")
@@ -52,7 +56,7 @@
         address=_read_address(fields),
         data_centre=fields.text("zone"),
         draining=state == _DRAINING,
-        slots=fields.integer("slots"),
+        slots=fields.count("slots"),
         accelerator=fields.text("kind", ""),
         layers=read_layers(fields),
         revision=record.version,
@@ -66,7 +70,7 @@
     A restarted engine may keep its name, so only the start time shows
     whether earlier information about the engine is still valid.
     """
-    return fields.integer("born", 0)
+    return fields.count("born", 0, most=_MAX_TIME_MS)
 
 
 def _read_json(value: bytes) -> object:
@@ -94,10 +98,7 @@
         return None
     # The field "to" is one past the last layer.
     layer_range = listed.LayerRange(
-        layers.integer("from"), layers.integer("to")
+        layers.count("from", most=_MAX_LAYERS),
+        layers.count("to", most=_MAX_LAYERS),
     )
-    if layer_range.first < 0:
-        raise errors.ProtocolError(
-            f"{layers.where} begins before the first layer; correct 'from'"
-        )
     return layer_range if layer_range.count > 0 else None
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -3,6 +3,7 @@
 import orjson
 
 from magnoliacove.platform import client
+from magnoliacove.platform import partial_json
 
 
 def _item(name, spec):
@@ -15,7 +16,7 @@
     more and every request is refused.
     """
     body = orjson.dumps({"items": [_item("i-1", {"a": 1}), _item("i-2", "@")]})
-    data = client._load(body.replace(b"@", b"\xff\xfe"))
+    data = partial_json.decode_partially(body.replace(b"@", b"\xff\xfe"))
     records = list(
         client.HttpObjectApi("http://x")._read_all("servers", data["items"])
     )
