Bound what is read of an answer that has no end

What callers saw, outside this repository on: a server that answers in chunks without end took 945 MB of a gateway's memory, for which the platform kills it, and a report without end 93 MB each time.

Cause: bodies that are read whole had no limit, nor interim answers, nor answers to other requests that are skipped, nor answers of the store; an event had one, but each part of it was copied and searched with all before. Ruled out: heads, trailers and lengths of chunks, which the parser bounds.

Parts count too, as each costs processor time. A stream whose event does not end avoids the engine; it went back to the same one before. An answer of the store that trickles ends like a silent one. Ids of events with thousands of digits, or digits that Python cannot convert, raised an error of ours.

Why it works: every reader that waits for its sender's end has a bound in bytes, parts or time, and short answers keep room beside endless ones.

--- a/magnoliacove/gateway/calls.py
+++ b/magnoliacove/gateway/calls.py
@@ -1,5 +1,6 @@
 """Requests to plain services, with retries and hedging."""
 
+import contextlib
 from dataclasses import dataclass
 
 import trio
@@ -83,6 +84,7 @@
         self._crash_watch = crash_watch
         self._exchange = exchange
         self._routed = routed
+        self._buffers = contextlib.ExitStack()
         self._tried: list[str] = []
         # Targets that may have run the request, one entry for each run, and
         # targets that are processing it now.
@@ -95,11 +97,12 @@
         :raises magnoliacove.errors.RequestError: when there is no answer.
         """
         result: _Result | None = None
-        with trio.move_on_at(self._routed.deadline):
-            result = await self._find_answer()
-        if result is None:
-            raise make_timeout(bool(self._ran or self._working))
-        await self._forward(result)
+        with self._buffers:
+            with trio.move_on_at(self._routed.deadline):
+                result = await self._find_answer()
+            if result is None:
+                raise make_timeout(bool(self._ran or self._working))
+            await self._forward(result)
 
     async def _find_answer(self) -> _Result:
         """Send the request, with retries, and return the result to forward."""
@@ -260,7 +263,13 @@
         answer, decoded = await read_answer(
             channel, self._routed.caller_headers.request
         )
-        body = await channel.read_whole_body()
+        # Held until the answer is forwarded or replaced by another one.
+        buffer = self._buffers.enter_context(self._state.answer_memory.open())
+        try:
+            body = await channel.read_whole_body(buffer)
+        except TargetError:
+            buffer.release()
+            raise
         if answer.status < 300 and not is_genuine(answer, decoded):
             raise TargetError(
                 "the answer is not one of the service's targets",
--- a/magnoliacove/gateway/channels.py
+++ b/magnoliacove/gateway/channels.py
@@ -15,6 +15,9 @@
 import trio
 
 from magnoliacove import errors
+from magnoliacove.limits.answer_memory import AnswerMemory
+from magnoliacove.limits.answer_memory import AnswerTooLongError
+from magnoliacove.limits.answer_memory import BodyBuffer
 
 __all__ = ["Answer", "Channel", "AnswerListener", "TargetError"]
 
@@ -29,8 +32,13 @@
 # Bytes of a request that fit into the socket's buffer, so that it is sent
 # without a second task.
 _SMALL_REQUEST = 8192
-# Number of answers to other requests after which an exchange fails.
+# Number of answers to other requests after which an exchange fails, bytes and
+# parts of one that are skipped, and number of interim answers before the one
+# that is due.
 _MAX_STRAY_ANSWERS = 3
+_MAX_STRAY_BYTES = 256 * 1024
+_MAX_STRAY_PARTS = 1024
+_MAX_INTERIM_ANSWERS = 16
 
 
 class TargetError(errors.Error):
@@ -162,15 +170,18 @@
             if isinstance(event, h11.EndOfMessage):
                 return None
 
-    async def read_whole_body(self) -> bytes:
+    async def read_whole_body(self, buffer: BodyBuffer) -> bytes:
         """Return the whole body.
 
-        :raises TargetError: when the answer breaks off.
+        :param buffer: bounds the body, which may have no end.
+        :raises TargetError: when the answer breaks off or is too long.
         """
-        body = bytearray()
-        while (part := await self.read_body()) is not None:
-            body += part
-        return bytes(body)
+        try:
+            while (part := await self.read_body()) is not None:
+                buffer.add(part)
+        except AnswerTooLongError as exc:
+            raise TargetError(str(exc), errors.Outcome.MAY_HAVE_RUN) from exc
+        return bytes(buffer.body)
 
     async def close(self) -> None:
         """Close the connection at once."""
@@ -226,17 +237,21 @@
         self._sending = False
 
     async def _read_head(self) -> Answer:
-        while True:
+        for _ in range(_MAX_INTERIM_ANSWERS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 headers = tuple((bytes(n), bytes(v)) for n, v in event.headers)
                 self._read_keep_alive(headers)
                 return Answer(event.status_code, headers)
+        raise TargetError(
+            "the target sends interim answers without end",
+            errors.Outcome.MAY_HAVE_RUN,
+        )
 
     async def _skip_answer(self) -> None:
         """Read a stray answer to its end and prepare for the next one."""
-        while await self.read_body() is not None:
-            continue
+        with AnswerMemory().open(_MAX_STRAY_BYTES, _MAX_STRAY_PARTS) as stray:
+            await self.read_whole_body(stray)
         rest, closed = self._parser.trailing_data
         request = self._request
         if request is None or closed:
--- a/magnoliacove/gateway/delivery.py
+++ b/magnoliacove/gateway/delivery.py
@@ -13,6 +13,7 @@
 from magnoliacove.gateway.callers import Exchange
 from magnoliacove.gateway.channels import Answer
 from magnoliacove.gateway.events import EventSplitter
+from magnoliacove.gateway.events import read_number
 from magnoliacove.platform import headers
 
 __all__ = ["BrokenRunError", "EventDelivery"]
@@ -212,9 +213,9 @@
 
     :raises BrokenRunError: when events before it are missing.
     """
-    if not last_event.isdigit():
+    last = read_number(last_event)
+    if last is None:
         return True
-    last = int(last_event)
     if number <= last:
         return False
     if number > last + 1:
--- a/magnoliacove/gateway/engines.py
+++ b/magnoliacove/gateway/engines.py
@@ -7,6 +7,7 @@
 from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.pool import ChannelPool
+from magnoliacove.limits.answer_memory import AnswerMemory
 from magnoliacove.platform import engines
 from magnoliacove.routing.paths import Path
 
@@ -15,6 +16,10 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 _OK = 200
+# Bytes and parts of an answer to the gateway itself.  A report takes a few
+# kilobytes; one without end would come again twice a second.
+_MAX_BODY = 256 * 1024
+_MAX_PARTS = 1024
 # Seconds by which a wait may end late.  Beyond that this process itself was
 # delayed, and silence does not indicate a failure of the engine.
 _MAX_WAKE_DELAY = 0.1
@@ -38,6 +43,7 @@
         self.reports = 0
         self.orders = 0
         self._pool = pool
+        self._memory = AnswerMemory()
 
     async def is_reachable(self, target: ListedTarget) -> bool:
         """Return whether an engine accepts a connection.
@@ -156,5 +162,6 @@
         async with self._pool.use(target, fresh=fresh) as channel:
             await channel.send(method, path.encode(), request_headers, body)
             answer = await channel.read_head("", lambda _: "")
-            content = await channel.read_whole_body()
+            with self._memory.open(_MAX_BODY, _MAX_PARTS) as buffer:
+                content = await channel.read_whole_body(buffer)
         return answer.status, answer.headers, content
--- a/magnoliacove/gateway/events.py
+++ b/magnoliacove/gateway/events.py
@@ -3,10 +3,15 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-__all__ = ["EventSplitter", "StreamEvent"]
+__all__ = ["EventSplitter", "StreamEvent", "read_number"]
 
 # Bytes of an event that has not ended yet.
 _MAX_PENDING = 1024 * 1024
+# Empty lines that end an event.
+_ENDS = (b"\n\n", b"\r\n\r\n")
+_LONGEST_END = 4
+# Digits of an event's number; Python refuses to convert thousands.
+_MAX_NUMBER_DIGITS = 18
 
 
 @dataclass(frozen=True)
@@ -23,7 +28,15 @@
     @property
     def number(self) -> int | None:
         """The id as a number, or None if it is not one."""
-        return int(self.event_id) if self.event_id.isdigit() else None
+        return read_number(self.event_id)
+
+
+def read_number(event_id: str) -> int | None:
+    """Return an event's id as a number, or None if it is not one."""
+    digits = event_id.isascii() and event_id.isdigit()
+    if not digits or len(event_id) > _MAX_NUMBER_DIGITS:
+        return None
+    return int(event_id)
 
 
 class EventSplitter:
@@ -35,38 +48,39 @@
     """
 
     def __init__(self) -> None:
-        self._pending = b""
+        self._pending = bytearray()
+        # Where the end of the pending event may lie at the earliest.
+        self._searched = 0
 
     @property
     def rest(self) -> bytes:
         """The bytes after the last whole event."""
-        return self._pending
+        return bytes(self._pending)
 
     def feed(self, data: bytes) -> Iterator[StreamEvent]:
         """Add a part of the body and return the events that it completes.
 
         :raises ValueError: when an event exceeds the maximum length.
         """
-        pending = self._pending + data
-        if len(pending) > _MAX_PENDING:
+        self._pending += data
+        events, begin = [], 0
+        while (end := _find_end(self._pending, self._searched)) >= 0:
+            events.append(_make_event(bytes(self._pending[begin:end])))
+            begin = self._searched = end
+        del self._pending[:begin]
+        if len(self._pending) > _MAX_PENDING:
             raise ValueError("an event of the stream is too long")
-        events = []
-        while True:
-            end = _find_end(pending)
-            if end < 0:
-                break
-            events.append(_make_event(pending[:end]))
-            pending = pending[end:]
-        self._pending = pending
+        # An event that comes in small parts is searched once.
+        self._searched = max(0, len(self._pending) - _LONGEST_END + 1)
         return iter(events)
 
 
-def _find_end(data: bytes) -> int:
-    """Return the length of the first event with its empty line, or -1."""
+def _find_end(data: bytearray, start: int) -> int:
+    """Return the position after the first empty line, or -1."""
     ends = [
         at + len(terminator)
-        for terminator in (b"\n\n", b"\r\n\r\n")
-        if (at := data.find(terminator)) >= 0
+        for terminator in _ENDS
+        if (at := data.find(terminator, start)) >= 0
     ]
     return min(ends, default=-1)
 
--- a/magnoliacove/gateway/path_runs.py
+++ b/magnoliacove/gateway/path_runs.py
@@ -90,6 +90,17 @@
         answer, decoded = await read_answer(channel, self._request)
         if answer.status != 200:
             await self._handle_failure(channel, answer, decoded)
+        try:
+            await self._forward_events(channel, answer, decoded)
+        except BrokenRunError:
+            # It would send the same again on the next run.
+            if self._path_reservation.first_target is not None:
+                self._avoid_engine(self._path_reservation.first_target)
+            raise
+
+    async def _forward_events(
+        self, channel: Channel, answer: Answer, decoded: headers.AnswerHeaders
+    ) -> None:
         if not is_genuine(answer, decoded):
             raise BrokenRunError("the answer is not one of the model's", True)
         if self._path_reservation.path is not None:
@@ -107,7 +118,8 @@
 
         :raises BrokenRunError: always.
         """
-        body = await channel.read_whole_body()
+        with self._state.answer_memory.open() as buffer:
+            body = await channel.read_whole_body(buffer)
         if decoded.not_run:
             self._handle_refusal(answer.status, decoded.faulty)
             raise BrokenRunError(
--- a/magnoliacove/gateway/state.py
+++ b/magnoliacove/gateway/state.py
@@ -12,6 +12,7 @@
 from magnoliacove.directory.health import Health
 from magnoliacove.directory.targets import TargetList
 from magnoliacove.gateway.pool import ChannelPool
+from magnoliacove.limits.answer_memory import AnswerMemory
 from magnoliacove.limits.backpressure import BackpressureBook
 from magnoliacove.limits.capacity import CapacityQueue
 from magnoliacove.limits.crashes import CrashHistory
@@ -43,6 +44,7 @@
         heartbeat reports yet.
     :param shared_waiting: decides when this gateway leaves capacity to the
         others.
+    :param answer_memory: bounds the answers that are read whole.
     :param routes: the configuration in force, None before the first.
     :param routes_applied_at: when it was applied, by trio's clock.
     :param leaving: whether this process is about to stop.
@@ -73,6 +75,7 @@
     grants: GrantBook
     permits: Permits
     quarantine: QuarantineBook
+    answer_memory: AnswerMemory = field(default_factory=AnswerMemory)
     routes: RouteTable | None = None
     routes_applied_at: float = 0.0
     leaving: bool = False
--- a/magnoliacove/platform/client.py
+++ b/magnoliacove/platform/client.py
@@ -33,6 +33,11 @@
 # times that the store was restored from an older snapshot.
 _ERA_HEADER = b"store-era"
 _SOURCE = "the platform's store"
+# Bytes of an answer; a page of objects takes about one megabyte.
+_MAX_ANSWER = 32 * 1024 * 1024
+# Timeouts of a call that a whole answer may take beyond the wait for it.  One
+# that trickles must not hide changes.
+_ANSWER_TIMEOUTS = 2
 # Stands for a value of which a part cannot be decoded; it is no JSON.
 _UNDECODABLE = b"undecodable"
 # Seconds; the longest wait that the store accepts for a watch.
@@ -297,28 +302,16 @@
         began = trio.current_time()
         wait = self._timeout + extra
         try:
-            response = await self._pool.request(
-                method,
-                self._url + path,
-                headers=[(b"content-type", b"application/json")],
-                content=body or None,
-                extensions={
-                    "timeout": {
-                        "connect": self._timeout,
-                        "read": wait,
-                        "write": self._timeout,
-                        "pool": self._timeout,
-                    }
-                },
-            )
-            self._note_era(response.headers)
-            data = decode_partially(response.content or b"null")
+            with trio.fail_after(wait + _ANSWER_TIMEOUTS * self._timeout):
+                status, content = await self._exchange(
+                    method, path, body, wait
+                )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise errors.PlatformError(
                 f"the object API at {self._url} cannot be reached",
                 errors.Outcome.NOT_RUN,
             ) from exc
-        except httpcore.ReadTimeout as exc:
+        except (httpcore.ReadTimeout, trio.TooSlowError) as exc:
             self.renew_channels(began)
             raise api.NoAnswerError(
                 f"the object API at {self._url} gave no answer to "
@@ -338,8 +331,41 @@
                 f"{method} {path}",
                 errors.Outcome.MAY_HAVE_RUN,
             ) from exc
-        _check(response.status, data)
-        return response.status, data
+        data = decode_partially(content or b"null")
+        _check(status, data)
+        return status, data
+
+    async def _exchange(
+        self, method: str, path: str, body: bytes, wait: float
+    ) -> tuple[int, bytes]:
+        """Send a request and return the status and the body of the answer.
+
+        :param wait: seconds until the answer begins, and between its parts.
+        """
+        timeouts = {
+            "connect": self._timeout,
+            "read": wait,
+            "write": self._timeout,
+            "pool": self._timeout,
+        }
+        async with self._pool.stream(
+            method,
+            self._url + path,
+            headers=[(b"content-type", b"application/json")],
+            content=body or None,
+            extensions={"timeout": timeouts},
+        ) as response:
+            self._note_era(response.headers)
+            content = bytearray()
+            async for part in response.aiter_stream():
+                content += part
+                if len(content) > _MAX_ANSWER:
+                    raise errors.PlatformError(
+                        f"the object API's answer to {method} {path} does "
+                        f"not end within {_MAX_ANSWER} bytes",
+                        errors.Outcome.MAY_HAVE_RUN,
+                    )
+            return response.status, bytes(content)
 
 
 def _check(status: int, data: Any) -> None:
--- a/magnoliacove/wire/network.py
+++ b/magnoliacove/wire/network.py
@@ -24,7 +24,8 @@
     def parse(cls, text: str) -> "Address":
         """Parse ``host:port``, with brackets around an IPv6 address."""
         host, _, port = text.rpartition(":")
-        if not host or not port.isdigit() or int(port) > 65535:
+        digits = port.isascii() and port.isdigit() and len(port) <= 5
+        if not host or not digits or int(port) > 65535:
             raise errors.UserError(
                 f"{text!r} is no address; write it as 10.0.0.5:7000"
             )
