Bound the short parts of an answer, and parse less at a stretch

Found in a trial with real processes: answers in chunks of one byte held up all other requests for 0.45 s each (16,384 parts at about 30 us). Long parts do not count, so an answer that a slow link brings in pieces is not cut.

--- a/magnoliacove/gateway/channels.py
+++ b/magnoliacove/gateway/channels.py
@@ -27,17 +27,18 @@
 # announces less; the margin, in seconds, allows for the time in transit.
 _MAX_IDLE = 8.0
 _IDLE_MARGIN = 1.0
-# Bytes that one read of a connection returns at most.
-_READ_SIZE = 65536
+# Bytes that one read of a connection returns at most.  What it returns is
+# parsed at a stretch, which takes long if it is all chunks of one byte.
+_READ_SIZE = 16384
 # Bytes of a request that fit into the socket's buffer, so that it is sent
 # without a second task.
 _SMALL_REQUEST = 8192
 # Number of answers to other requests after which an exchange fails, bytes and
-# parts of one that are skipped, and number of interim answers before the one
-# that is due.
+# short parts of one that are skipped, and number of interim answers before the
+# one that is due.
 _MAX_STRAY_ANSWERS = 3
 _MAX_STRAY_BYTES = 256 * 1024
-_MAX_STRAY_PARTS = 1024
+_MAX_STRAY_SHORT_PARTS = 256
 _MAX_INTERIM_ANSWERS = 16
 
 
@@ -250,7 +251,8 @@
 
     async def _skip_answer(self) -> None:
         """Read a stray answer to its end and prepare for the next one."""
-        with AnswerMemory().open(_MAX_STRAY_BYTES, _MAX_STRAY_PARTS) as stray:
+        memory = AnswerMemory()
+        with memory.open(_MAX_STRAY_BYTES, _MAX_STRAY_SHORT_PARTS) as stray:
             await self.read_whole_body(stray)
         rest, closed = self._parser.trailing_data
         request = self._request
--- a/magnoliacove/gateway/engines.py
+++ b/magnoliacove/gateway/engines.py
@@ -16,10 +16,10 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 _OK = 200
-# Bytes and parts of an answer to the gateway itself.  A report takes a few
-# kilobytes; one without end would come again twice a second.
+# Bytes and short parts of an answer to the gateway itself.  A report takes a
+# few kilobytes; one without end would come again twice a second.
 _MAX_BODY = 256 * 1024
-_MAX_PARTS = 1024
+_MAX_SHORT_PARTS = 256
 # Seconds by which a wait may end late.  Beyond that this process itself was
 # delayed, and silence does not indicate a failure of the engine.
 _MAX_WAKE_DELAY = 0.1
@@ -162,6 +162,6 @@
         async with self._pool.use(target, fresh=fresh) as channel:
             await channel.send(method, path.encode(), request_headers, body)
             answer = await channel.read_head("", lambda _: "")
-            with self._memory.open(_MAX_BODY, _MAX_PARTS) as buffer:
+            with self._memory.open(_MAX_BODY, _MAX_SHORT_PARTS) as buffer:
                 content = await channel.read_whole_body(buffer)
         return answer.status, answer.headers, content
--- a/magnoliacove/limits/answer_memory.py
+++ b/magnoliacove/limits/answer_memory.py
@@ -19,8 +19,10 @@
 # megabytes, and a body is copied a few times on its way.
 MAX_BODY = 8 * 1024 * 1024
 MAX_BODIES = 32 * 1024 * 1024
-# Parts of one body.  Each costs processor time, however short it is.
-MAX_PARTS = 16_384
+# Number of short parts of one body, and the length in bytes from which a part
+# is not short.  Each costs processor time, however short it is.
+MAX_SHORT_PARTS = 4096
+_SHORT_PART = 512
 
 
 class AnswerTooLongError(errors.Error):
@@ -39,10 +41,12 @@
         self.used = 0
 
     def open(
-        self, max_bytes: int = MAX_BODY, max_parts: int = MAX_PARTS
+        self,
+        max_bytes: int = MAX_BODY,
+        max_short_parts: int = MAX_SHORT_PARTS,
     ) -> "BodyBuffer":
         """Return a buffer for one body."""
-        return BodyBuffer(self, max_bytes, max_parts)
+        return BodyBuffer(self, max_bytes, max_short_parts)
 
 
 class BodyBuffer:
@@ -52,12 +56,12 @@
     """
 
     def __init__(
-        self, memory: AnswerMemory, max_bytes: int, max_parts: int
+        self, memory: AnswerMemory, max_bytes: int, max_short_parts: int
     ) -> None:
         self.body = bytearray()
         self._memory = memory
         self._max_bytes = max_bytes
-        self._parts_left = max_parts
+        self._short_parts_left = max_short_parts
 
     def add(self, part: bytes) -> None:
         """Add the next part of the body.
@@ -67,12 +71,16 @@
         memory = self._memory
         free = memory.capacity - memory.used
         limit = min(self._max_bytes, free)
-        self._parts_left -= 1
-        if len(self.body) + len(part) > limit or self._parts_left < 0:
+        if len(self.body) + len(part) > limit:
             raise AnswerTooLongError(
                 f"the answer is longer than the {limit} bytes that are left "
                 "for it"
             )
+        self._short_parts_left -= len(part) < _SHORT_PART
+        if self._short_parts_left < 0:
+            raise AnswerTooLongError(
+                f"the answer has {len(self.body)} bytes in too many parts"
+            )
         self.body += part
         memory.used += len(part)
 
