Give the store's watches and its reachability modules of their own

What a watch does with a silent connection is in watches.py, which outages count in store_contact.py; the follower puts both together. Tests name the new attribute; what they ask is the same, and a shim for the code before the mend is gone.

--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -129,7 +129,7 @@
             data_centre=state.data_centre,
             configuration_version=table.version if table else 0,
             leaving=state.leaving,
-            store_reachable=self._store.reachable,
+            store_reachable=self._store.contact.reachable,
             crossings=state.loads.crossings,
             loads=dict(state.loads.list_own()),
             suspicions=tuple(
@@ -217,7 +217,9 @@
         if heartbeat.store_reachable:
             self._store.compare_list(heartbeat.newest_change)
         if heartbeat.acting:
-            self._store.record_leader_contact(heartbeat.store_reachable)
+            self._store.contact.record_leader_contact(
+                heartbeat.store_reachable
+            )
 
     def _take_crashes(self, heartbeat: Heartbeat) -> None:
         """Record what a peer reports about requests that crash targets."""
@@ -317,9 +319,9 @@
 
     def measure_store_outage(self) -> float:
         """Return seconds since the store became unreachable, else 0."""
-        if self._store.reachable:
+        if self._store.contact.reachable:
             return 0.0
-        return trio.current_time() - self._store.unreachable_since
+        return trio.current_time() - self._store.contact.unreachable_since
 
     def _list_live(self) -> list[Heartbeat]:
         """Return the last heartbeat of each live peer."""
--- a/magnoliacove/gateway/store.py
+++ b/magnoliacove/gateway/store.py
@@ -17,6 +17,10 @@
 from magnoliacove.directory.backoff import Backoff
 from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.state import GatewayState
+from magnoliacove.gateway.store_contact import StoreContact
+from magnoliacove.gateway.watches import FOLLOWER_WATCH_SECONDS
+from magnoliacove.gateway.watches import WATCH_SECONDS
+from magnoliacove.gateway.watches import Watch
 from magnoliacove.platform.routes import CONFIGURATION
 from magnoliacove.platform.routes import read_routes
 from magnoliacove.platform.servers import SERVERS
@@ -24,15 +28,6 @@
 
 __all__ = ["StoreFollower"]
 
-# Seconds for which one call of a watch waits.  A silent connection is detected
-# after this time plus the timeout of a call, and each call has a cost.  A
-# machine may be without news for three seconds after a connection went silent.
-# The placement leader waits for the short time and reports how new its list
-# is, so the other gateways may wait longer.
-WATCH_SECONDS = 1.2
-FOLLOWER_WATCH_SECONDS = 25.0
-# Seconds for which a watch waits that reads what a silent one missed.
-_CATCH_UP_SECONDS = 0.05
 # Seconds between checks whether a peer still reports changes, and for which
 # none does until long waits end.  A leader that stops is replaced sooner.
 _LEADER_CHECK_INTERVAL = 0.25
@@ -63,96 +58,23 @@
 # Minimum seconds between two renewals of the connections because a peer has a
 # newer configuration.  Versions that come in quick succession are read late.
 _MIN_RENEWAL_INTERVAL = 2.0
-# Seconds after the first unanswered call within which the next is answered if
-# only a connection was silent.  Entries expire in longer outages only: targets
-# write theirs each 1.2 s, and an entry expires without three writes.
-_SHORTEST_OUTAGE = 0.8
-# Seconds for which the placement leader must report that it does not reach the
-# store, for the same reason: it notices within 1.4 s.
-_SHORTEST_LEADER_OUTAGE = 0.5
-# Seconds after an outage in which a removed entry may be one that expired
-# during the outage and will be written again.
-_EXPIRY_WINDOW = 2.5
 # Maximum number of unreadable entries whose error is remembered, so that each
 # is logged once.
 _MAX_REMEMBERED_ERRORS = 256
 # Seconds between attempts to reach the store.
 _INITIAL_RETRY_DELAY = 0.1
 _MAX_RETRY_DELAY = 0.8
-# Seconds in the log since the store was last reached if it never was.
-_NEVER_REACHED = 1e6
 _SOURCE = "the platform's store"
 _CONFIGURATION_NAME = "/".join(CONFIGURATION)
 
 
-class _Watch:
-    """A watch on one kind of objects that can be ended from outside.
-
-    :param on_silence: called with the kind and the reason when the watch was
-        not answered.
-    """
-
-    def __init__(
-        self,
-        api: platform.ObjectApi,
-        kind: str,
-        on_silence: Callable[[str, str], None],
-    ) -> None:
-        self.kind = f"{kind}/"
-        self._api = api
-        self._on_silence = on_silence
-        self._scope = trio.CancelScope()
-        # Length and start of the present wait.
-        self._seconds = 0.0
-        self._began = math.inf
-
-    @property
-    def waits_long(self) -> bool:
-        """Whether the present wait relies on the reports of peers."""
-        return self._seconds > WATCH_SECONDS
-
-    @property
-    def waited(self) -> float:
-        """Seconds since the present wait began, not positive without one."""
-        return trio.current_time() - self._began
-
-    async def wait(
-        self, after: int, seconds: float
-    ) -> tuple[tuple[platform.WatchEvent, ...], int] | None:
-        """Return changes and the revision to continue from.
-
-        What a silent connection kept back is read at once on a new one.  The
-        store still has these changes, so nothing is listed again, and nothing
-        looks like an entry that expired.
-
-        :returns: None when the watch was ended and everything must be read
-            again.
-        """
-        with trio.CancelScope() as self._scope:
-            self._seconds, self._began = seconds, trio.current_time()
-            try:
-                return await self._api.watch(self.kind, after, seconds)
-            except platform.NoAnswerError as error:
-                self._on_silence(self.kind, str(error))
-            finally:
-                self._seconds, self._began = 0.0, math.inf
-            return await self._api.watch(self.kind, after, _CATCH_UP_SECONDS)
-        return None
-
-    def end(self) -> None:
-        """Stop waiting, so that everything is read again."""
-        self._scope.cancel()
-
-
 class StoreFollower:
     """Keeps the state of a gateway up to date with the store.
 
     :param is_following: whether a live peer that reaches the store is the
         placement leader, and so reports when this gateway's list is behind.
     :param drain: seconds within which a leaving target must be known to leave.
-    :param reachable: whether the last call was answered.
-    :param unreachable_since: time by trio's clock at which the first call
-        since the last answer failed.
+    :param contact: whether the store answers.
     :param configuration: the newest configuration as the store holds it,
         for peers that cannot reach the store.
     """
@@ -164,15 +86,7 @@
         is_following: Callable[[], bool] = lambda: False,
         drain: float = 0.0,
     ) -> None:
-        self.reachable = False
-        # Far in the past: the store was never reached, and no outage is known.
-        self.unreachable_since = -1e9
-        self._outage_at = -1e9
-        self._listed_at = -1e9
-        # Whether the store refused a call since its last answer.  A connection
-        # that goes silent refuses none.
-        self._refused = False
-        self._leader_lost_at: float | None = None
+        self.contact = StoreContact(state.recorder, api.renew_channels)
         self.configuration = b""
         self._state = state
         self._api = api
@@ -180,8 +94,8 @@
         self._follower_batch_delay = max(
             _BATCH_DELAY, drain * _FOLLOWER_BATCH_FRACTION
         )
-        self._list_watch = _Watch(api, SERVERS, self._report_silence)
-        self._configuration_watch = _Watch(
+        self._list_watch = Watch(api, SERVERS, self._report_silence)
+        self._configuration_watch = Watch(
             api, CONFIGURATION[0], self._report_silence
         )
         # The revision up to which the list is known here, and the newest one
@@ -189,6 +103,9 @@
         self._list_revision = 0
         self._peers_change = 0
         self._behind = trio.Event()
+        # When the list was last read, and the connections were renewed for a
+        # peer's configuration; far in the past for never.
+        self._listed_at = -1e9
         self._renewed_at = -1e9
         self._unreadable = ""
         # The last logged error of each unreadable entry, by name.
@@ -203,70 +120,6 @@
             nursery.start_soon(self._compare_lists)
             nursery.start_soon(self._check_leader)
 
-    def record_answer(self) -> None:
-        """Record that the store answers."""
-        now = trio.current_time()
-        if not self.reachable:
-            silence = now - self.unreachable_since
-            outage = self._refused or silence >= _SHORTEST_OUTAGE
-            if outage:
-                self.record_outage()
-            self._state.recorder.record(
-                "store-regained",
-                seconds=min(_NEVER_REACHED, round(silence, 2)),
-                outage=outage,
-            )
-        self.reachable = True
-        self._refused = False
-
-    def record_failure(self, why: str) -> None:
-        """Record that the store refuses calls or connections.
-
-        Watches wait for seconds and may continue while the store refuses all
-        new calls, so each caller of the store reports the outcome.
-        """
-        self._refused = True
-        self._record_loss(why)
-
-    def record_silence(self, why: str, began: float) -> None:
-        """Record that a call was not answered in time.
-
-        The store may be away, or the connection silent and with it all others
-        that were open.  Calls on new connections show which.
-
-        :param began: when the call began, by trio's clock.
-        """
-        self._record_loss(why)
-        self._api.renew_channels(began)
-
-    def _record_loss(self, why: str) -> None:
-        if self.reachable:
-            self.unreachable_since = trio.current_time()
-            self._state.recorder.record("store-lost", why=why)
-        self.reachable = False
-
-    def record_outage(self) -> None:
-        """Record an outage of the store, for this process or a peer.
-
-        A watch may wait through a whole outage and then return the removal
-        of entries that expired during it.
-        """
-        self._outage_at = trio.current_time()
-
-    def record_leader_contact(self, reachable: bool) -> None:
-        """Record whether the placement leader reaches the store.
-
-        An outage that is too short for an entry to expire does not count.
-        """
-        now = trio.current_time()
-        if reachable:
-            self._leader_lost_at = None
-            return
-        if self._leader_lost_at is None:
-            self._leader_lost_at = now
-        if now - self._leader_lost_at >= _SHORTEST_LEADER_OUTAGE:
-            self.record_outage()
-
     def _report_silence(self, kind: str, why: str) -> None:
         self._state.recorder.record(
             "watch-silent",
@@ -302,7 +155,7 @@
             why=f"restored from an older snapshot, reported by {source}",
         )
         self._state.targets.note_restored()
-        self.record_outage()
+        self.contact.record_outage()
         self._list_watch.end()
         self._configuration_watch.end()
 
@@ -400,16 +253,16 @@
                 await backoff.pause()
             except platform.NoAnswerError as error:
                 # The client has renewed the connections.
-                self._record_loss(str(error))
+                self.contact.record_loss(str(error))
                 await backoff.pause()
             except errors.PlatformError as error:
-                self.record_failure(str(error))
+                self.contact.record_failure(str(error))
                 await backoff.pause()
 
     async def _follow_configuration(self, backoff: Backoff) -> None:
         watch = self._configuration_watch
         listing = await self._api.list_records(watch.kind)
-        self.record_answer()
+        self.contact.record_answer()
         self._take_records(listing.records)
         backoff.reset()
         revision, changed_at = listing.revision, -math.inf
@@ -418,7 +271,7 @@
             if changes is None:
                 return
             events, revision = changes
-            self.record_answer()
+            self.contact.record_answer()
             if not events:
                 continue
             self._take_records(tuple(event.record for event in events))
@@ -431,7 +284,7 @@
     async def _read_newest(self) -> int:
         """Read the current configuration and return its revision."""
         record = await self._api.get(_CONFIGURATION_NAME)
-        self.record_answer()
+        self.contact.record_answer()
         if record is None:
             return 0
         self._take_records((record,))
@@ -451,7 +304,7 @@
     async def _follow_targets(self, backoff: Backoff) -> None:
         watch = self._list_watch
         listing = await self._api.list_records(watch.kind)
-        self.record_answer()
+        self.contact.record_answer()
         self._replace_targets(listing)
         backoff.reset()
         revision = listing.revision
@@ -460,7 +313,7 @@
             if changes is None:
                 return
             events, revision = changes
-            self.record_answer()
+            self.contact.record_answer()
             self._note_listed(revision)
             for event in events:
                 self._take_event(event, revision)
@@ -490,10 +343,10 @@
         Their entries may have expired in an outage since the list was last
         read, or in one that ended too recently for them to be back.
         """
-        return self._outage_at >= self._listed_at or self._follows_outage()
-
-    def _follows_outage(self) -> bool:
-        return trio.current_time() - self._outage_at < _EXPIRY_WINDOW
+        return (
+            self.contact.outage_at >= self._listed_at
+            or self.contact.follows_outage
+        )
 
     def _choose_batch_delay(self) -> float:
         if self._is_following() or not self._state.seen_traffic:
@@ -516,7 +369,8 @@
                 name,
                 event.revision,
                 read_at=read_at,
-                may_return=not self.reachable or self._follows_outage(),
+                may_return=not self.contact.reachable
+                or self.contact.follows_outage,
             )
             return
         target = self._read_target(event.record)
--- a/tests/gateway/test_peering.py
+++ b/tests/gateway/test_peering.py
@@ -136,9 +136,9 @@
     async with stubs.open_harness() as harness:
         exchange = _make_exchange(harness, tmp_path)
         assert exchange.measure_store_outage() > 1e6
-        exchange._store.record_answer()
+        exchange._store.contact.record_answer()
         assert exchange.measure_store_outage() == 0.0
-        exchange._store.record_failure("refused")
+        exchange._store.contact.record_failure("refused")
         assert 0.0 <= exchange.measure_store_outage() < 1.0
 
 
@@ -228,20 +228,20 @@
     async with stubs.open_harness() as harness:
         exchange = _make_exchange(harness, tmp_path)
         follower = exchange._store
-        follower.record_answer()
+        follower.contact.record_answer()
         await trio.sleep(9.0)
         for reachable in (False, False, True, False):
             exchange._take_heartbeat(
                 _make_heartbeat(acting=True, store_reachable=reachable)
             )
             await trio.sleep(0.2)
-        assert not follower._follows_outage()
+        assert not follower.contact.follows_outage
         for _ in range(4):
             exchange._take_heartbeat(
                 _make_heartbeat(acting=True, store_reachable=False)
             )
             await trio.sleep(0.2)
-        assert follower._follows_outage()
+        assert follower.contact.follows_outage
 
 
 async def test_the_leader_reports_a_departure_at_once(tmp_path):
--- a/tests/gateway/test_silent_channels.py
+++ b/tests/gateway/test_silent_channels.py
@@ -91,7 +91,7 @@
 
         def has_leader():
             return any(
-                g.leadership.acting and g.follower.reachable
+                g.leadership.acting and g.follower.contact.reachable
                 for g in list_peers()
             )
 
@@ -102,9 +102,9 @@
                 lambda: False,
                 lambda: any(g.leadership.acting for g in list_peers()),
                 has_leader,
-                follower.record_answer,
-                follower.record_failure,
-                *_list_silence_inputs(follower),
+                follower.contact.record_answer,
+                follower.contact.record_failure,
+                follower.contact.record_silence,
             ),
             directory.Lease(
                 api,
@@ -146,12 +146,9 @@
         if not peer.leadership.acting:
             return
         follower = other.follower
-        if peer.follower.reachable:
+        if peer.follower.contact.reachable:
             follower.compare_list(peer.state.targets.newest_change)
-        if hasattr(follower, "record_leader_contact"):
-            follower.record_leader_contact(peer.follower.reachable)
-        elif not peer.follower.reachable:
-            follower.record_outage()
+        follower.contact.record_leader_contact(peer.follower.contact.reachable)
 
     def silence(self, keep=()):
         for gateway in self.gateways:
@@ -175,12 +172,6 @@
             assert _list_names(gateway) == ["i-1", "i-2", "i-3"]
 
 
-def _list_silence_inputs(follower):
-    """Return the inputs of leadership that tell silence from refusals."""
-    silence = getattr(follower, "record_silence", None)
-    return (silence,) if silence else ()
-
-
 def _list_names(gateway):
     return sorted(t.name for t in gateway.state.targets.list_service("llm"))
 
--- a/tests/gateway/test_store.py
+++ b/tests/gateway/test_store.py
@@ -90,7 +90,7 @@
     store.faults.outage = True
     store.wake_watches()
     await trio.sleep(8.0)
-    assert not follower.reachable
+    assert not follower.contact.reachable
     assert len(state.targets.list_all()) == 2
     store.faults.outage = False
     for name in ("i-1", "i-2"):
@@ -184,7 +184,7 @@
     for name in ("i-1", "i-2"):
         await store.put(f"servers/{name}", json.dumps(_ENTRY).encode())
     await trio.sleep(0.5)
-    follower.record_outage()
+    follower.contact.record_outage()
     await store.delete("servers/i-1")
     await store.delete("servers/i-2")
     await trio.sleep(1.0)
--- a/tests/gateway/test_undecodable_values.py
+++ b/tests/gateway/test_undecodable_values.py
@@ -100,7 +100,7 @@
     await _write(store, "servers/i-4", _ENTRY)
     await trio.sleep(1.0)
     assert _list_names(state) == ["i-3", "i-4"]
-    assert follower.reachable
+    assert follower.contact.reachable
     reported = [
         event.target
         for event in state.recorder.list_events()
