Let no stream wait on a silent idle connection

What callers saw, in a test: an idle connection to an engine went silent, the next stream was sent on it, and its caller got nothing for 20 s, though the engine worked and answered reports.

Cause: a stream that has not begun stays with an engine that answers reports, since reading its prompt twice is dear; reports use other connections. Ruled out: the engine, as it serves whoever connects anew.

Change: a stream without an answer for 2 s leaves a connection that was idle before, unless the service is full, where it may wait for its turn. Later runs use new connections, as do streams that may run once; plain requests that may run once did already. Also: only a gateway that follows takes a peer's revision for that of a removal it finds by listing, and an answer of the store may take five timeouts in all.

Tests: the two for streams failed before (20 s, nothing), the one for plain requests held. tests/gateway, placement, peers and limits pass.

--- a/magnoliacove/gateway/delivery.py
+++ b/magnoliacove/gateway/delivery.py
@@ -51,6 +51,7 @@
 
     :param last_event: the id of the last event that the caller has, or "".
     :param on_write: called after each write.
+    :param answered: whether the current run's answer has begun.
     :param longest_gap: seconds of the longest interval between two writes of
         events to the caller.
     """
@@ -63,6 +64,7 @@
     ) -> None:
         self.last_event = last_event
         self.count = 0
+        self.answered = False
         self.writing = False
         self.first_at = 0.0
         self.sent_at = 0.0
@@ -85,6 +87,7 @@
     def prepare_run(self) -> None:
         """Prepare for a new run before its request is sent."""
         self._run_began_at = None
+        self.answered = False
         self.received_at = trio.current_time()
         self.forget_data()
 
@@ -95,6 +98,7 @@
     def begin_run(self, answer: Answer) -> None:
         """Start reading a new run after the head of its answer."""
         self._answer = answer
+        self.answered = True
         self._splitter = EventSplitter()
 
     def read_run_age(self) -> float:
--- a/magnoliacove/gateway/path_runs.py
+++ b/magnoliacove/gateway/path_runs.py
@@ -31,7 +31,9 @@
 
     :param check_refusal: starts a check of why an engine refused, given the
         engine, the status and the path of its health check.
+    :param fresh: send the request on a new connection.
     :param sent: whether the request, or a part of it, may have been sent.
+    :param reused: whether it was sent on a connection that was idle before.
     """
 
     def __init__(
@@ -41,8 +43,12 @@
         routed: RoutedRequest,
         path_reservation: PathReservation,
         delivery: EventDelivery,
+        *,
+        fresh: bool,
     ) -> None:
         self.sent = False
+        self.reused = False
+        self._fresh = fresh
         self._state = state
         self._check_refusal = check_refusal
         self._routed = routed
@@ -74,7 +80,8 @@
 
         The connection is closed unless the exchange completes.
         """
-        async with self._state.pool.use(target) as channel:
+        async with self._state.pool.use(target, fresh=self._fresh) as channel:
+            self.reused = channel.used
             # Counted only once connected.  An unreachable engine would count
             # towards the engines that the request may run on, and the stream
             # would wait for it, with other engines free, until its caller
--- a/magnoliacove/gateway/stalls.py
+++ b/magnoliacove/gateway/stalls.py
@@ -35,6 +35,10 @@
 # may run once more and one is free, whatever the report contains.  Callers
 # disconnect after 2 s, and reading the prompt again takes a part of that.
 MOVE_TIMEOUT = 1.4
+# Seconds without an answer after which a stream leaves a connection that was
+# idle before.  Idle connections may go silent while their engine works and
+# answers all who ask it.
+_OLD_CONNECTION_TIMEOUT = 2.0
 # Minimum seconds between two checks of the same engine.  The information on
 # stalled streams in the report of a first engine is 0.2 s old.
 _RECHECK_INTERVAL = 0.25
@@ -58,6 +62,10 @@
         :returns: by trio's clock, minus infinity when they have not yet.
         """
 
+    @property
+    def waits_on_old_connection(self) -> bool:
+        """Whether nothing of the current run came on a reused connection."""
+
     def read_wait(self, now: float) -> float:
         """Return the seconds since the caller was last sent an event.
 
@@ -152,7 +160,16 @@
                 stream.departure.leave_silent(
                     "it was silent for too long", engines
                 )
-            if stream.read_silence(now) >= SILENCE_TIMEOUT:
+            silence = stream.read_silence(now)
+            if (
+                silence >= _OLD_CONNECTION_TIMEOUT
+                and stream.waits_on_old_connection
+                and not self._state.saturation.is_full(stream.service)
+            ):
+                stream.departure.leave_silent(
+                    "its connection brought nothing", []
+                )
+            if silence >= SILENCE_TIMEOUT:
                 self._check_path(stream, now, nursery)
 
     def _check_path(
--- a/magnoliacove/gateway/store.py
+++ b/magnoliacove/gateway/store.py
@@ -323,7 +323,9 @@
 
     def _replace_targets(self, listing: platform.Listing) -> None:
         targets = self._state.targets
-        newer_at_peers = self._peers_change > targets.newest_change
+        newer_at_peers = (
+            self._is_following() and self._peers_change > targets.newest_change
+        )
         targets.replace(
             self._read_targets(listing.records),
             listing.revision,
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -97,6 +97,7 @@
         self._owes_retry = False
         # Whether the last run, which may go on, was sent to an engine.
         self._sent = False
+        self._path_run: PathRun | None = None
         self._slowness = 1.0
         # Who ends the answer if it is not complete when this call ends.
         self._cut = _STOPPED
@@ -184,6 +185,12 @@
         """When the engines of the current path last brought data."""
         return self._delivery.data_at
 
+    @property
+    def waits_on_old_connection(self) -> bool:
+        """Whether nothing of the current run came on a reused connection."""
+        run = self._path_run
+        return run is not None and run.reused and not self._delivery.answered
+
     def read_silence(self, now: float) -> float:
         """Return the seconds since the engine last sent data.
 
@@ -418,7 +425,11 @@
             self._routed,
             self._path_reservation,
             self._delivery,
+            # An idle connection may be silent.  A stream that may run once
+            # could not leave it.
+            fresh=number > 1 or not self._routed.route.repeatable,
         )
+        self._path_run = run
         self._stalls.streams.add(self)
         try:
             with trio.CancelScope() as self._scope:
@@ -426,6 +437,7 @@
                 return
         finally:
             self._sent = run.sent
+            self._path_run = None
             self._scope = None
             self.departure.end()
             self._stalls.streams.discard(self)
--- a/magnoliacove/platform/client.py
+++ b/magnoliacove/platform/client.py
@@ -37,7 +37,7 @@
 _MAX_ANSWER = 32 * 1024 * 1024
 # Timeouts of a call that a whole answer may take beyond the wait for it.  One
 # that trickles must not hide changes.
-_ANSWER_TIMEOUTS = 2
+_ANSWER_TIMEOUTS = 4
 # Stands for a value of which a part cannot be decoded; it is no JSON.
 _UNDECODABLE = b"undecodable"
 # Seconds; the longest wait that the store accepts for a watch.
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -354,6 +354,23 @@
     return [int(n) for n in re.findall(rb"^id: (\d+)$", body, re.M)]
 
 
+def fall_silent(serve):
+    """Return a script, and a function that silences the open connections.
+
+    :param serve: the script of connections that are not silent.
+    """
+    opened, silent = [], []
+
+    async def script(received, stream):
+        if stream not in opened:
+            opened.append(stream)
+        if stream in silent:
+            await trio.sleep_forever()
+        await serve(received, stream)
+
+    return script, lambda: silent.extend(opened)
+
+
 async def suspect_when_begun(harness, target):
     """Suspect an engine once a stream has begun there."""
     while not any(stream.began for stream in harness.stalls.streams):
--- a/tests/gateway/test_silent_channels.py
+++ b/tests/gateway/test_silent_channels.py
@@ -316,3 +316,31 @@
             await trio.sleep(0.05)
             assert leader.leadership.acting
         await trio.sleep(0.43)
+
+
+@pytest.mark.parametrize("path", ["/stream/1", "/once/1"])
+async def test_a_stream_is_not_lost_on_a_silent_idle_connection(path):
+    """An idle connection to an engine is silent, and the engine works.  A
+    stream that is sent on it brings nothing until its caller's time is over.
+    """
+    script, silence = stubs.fall_silent(stubs.serve_whole)
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", script, layers=(0, 80))
+        for _ in range(2):
+            with trio.fail_after(6.0):
+                answer = await stubs.ask_stream(harness, path)
+            assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
+            silence()
+
+
+async def test_a_plain_request_is_not_lost_on_a_silent_idle_connection():
+    script, silence = stubs.fall_silent(
+        stubs.answer_with(stubs.make_answer(b"ok"))
+    )
+    async with stubs.open_harness() as harness:
+        for name in ("i-1", "i-2"):
+            await harness.add(name, script)
+        for _ in range(3):
+            with trio.fail_after(1.0):
+                assert (await harness.ask("/get/1")).endswith(b"ok")
+            silence()
