Tell peers of removals once they are sure, and of an unreadable lease

Found in reading the whole change: a gateway that listed again while entries were missing after an outage told peers of a change each time, and each of them would read its list again. Now a removal counts once it is sure, and a gateway that relies on its peers' reports takes over the revision that they report. A lease that another writer overwrote was treated without a line in the log. A test for the first, red before by its two listings; no check changed.

--- a/magnoliacove/directory/leases.py
+++ b/magnoliacove/directory/leases.py
@@ -155,6 +155,12 @@
         self._note_lost("another process acquired the lease")
         if self._observed is None or self._observed.version != seen:
             self._observed = _Observed(seen, holder, now)
+            if holder == _UNKNOWN_HOLDER:
+                self._recorder.record(
+                    "lease-unreadable",
+                    target=self.name,
+                    why="another writer changed its object",
+                )
         # Only one process of an instance runs at a time, so a holder that was
         # killed and restarted need not wait until its own lease expires.  This
         # does not apply to a record from a snapshot: another process may have
--- a/magnoliacove/directory/store.py
+++ b/magnoliacove/directory/store.py
@@ -127,13 +127,8 @@
             self._adopt_platform(tuple(e.record for e in events))
 
     def _adopt_records(self, records: tuple[platform.Record, ...]) -> None:
-        self._view.adopt_entries(
-            [
-                entry
-                for record in records
-                if (entry := self._read_entry(record)) is not None
-            ]
-        )
+        entries = map(self._read_entry, records)
+        self._view.adopt_entries([e for e in entries if e is not None])
 
     def _read_entry(self, record: platform.Record) -> instances.Entry | None:
         """Return an entry, None for one that another writer corrupted."""
--- a/magnoliacove/directory/targets.py
+++ b/magnoliacove/directory/targets.py
@@ -131,8 +131,8 @@
 
         :param after_outage: whether the store was unreachable before, so
             that an entry may be missing although its target is alive.
-        :param removed_at: the revision at which missing entries were removed,
-            None if it is not known; peers must learn of the removal.
+        :param removed_at: the revision of the newest change that a peer
+            reports, for a gateway that relies on peers to report removals.
         """
         self.populated.set()
         if revision < self.revision:
@@ -140,16 +140,14 @@
         listed = {target.entry: target for target in targets}
         self.revision = revision
         self._stale_filter.retain(listed)
-        missing = set(self._current_names) - set(listed)
-        if missing:
-            self.newest_change = max(
-                self.newest_change, removed_at or revision
-            )
-        for entry in missing:
+        for entry in set(self._current_names) - set(listed):
             if after_outage:
                 self._mark_missing(self._current_names[entry])
             else:
                 self._remove(self._current_names[entry], "not listed any more")
+                self._note_change(
+                    revision if removed_at is None else removed_at
+                )
         for target in listed.values():
             self._put(target)
         self.expire()
@@ -220,7 +218,7 @@
         if current is not None and revision <= current.revision:
             revision = max(revision, read_at)
         self.revision = max(self.revision, revision)
-        self.newest_change = max(self.newest_change, revision)
+        self._note_change(revision)
         self._stale_filter.discard(entry)
         if may_return:
             self._mark_missing(name)
@@ -238,6 +236,7 @@
         for name, since in list(self._missing_since.items()):
             if now - since >= self._grace:
                 self._remove(name, "its entry did not come back")
+                self._note_change(self.revision)
         for name, since in list(self._former.items()):
             if now - since >= _FORMER_RETENTION:
                 del self._former[name]
@@ -257,7 +256,7 @@
 
     def _put(self, target: ListedTarget) -> None:
         self.populated.set()
-        self.newest_change = max(self.newest_change, target.revision)
+        self._note_change(target.revision)
         current = self._targets.get(self._current_names.get(target.entry, ""))
         if current is not None:
             self._missing_since.pop(current.name, None)
@@ -333,6 +332,10 @@
         self._notify_departure()
         self._notify()
 
+    def _note_change(self, revision: int) -> None:
+        """Record the revision of a change, by which peers learn of it."""
+        self.newest_change = max(self.newest_change, revision)
+
     def _notify_departure(self) -> None:
         for listener in self._departure_listeners:
             listener()
--- a/magnoliacove/gateway/store.py
+++ b/magnoliacove/gateway/store.py
@@ -322,15 +322,11 @@
                 await trio.sleep(self._choose_batch_delay())
 
     def _replace_targets(self, listing: platform.Listing) -> None:
-        targets = self._state.targets
-        newer_at_peers = (
-            self._is_following() and self._peers_change > targets.newest_change
-        )
-        targets.replace(
+        self._state.targets.replace(
             self._read_targets(listing.records),
             listing.revision,
             after_outage=self._may_lack_targets(),
-            removed_at=self._peers_change if newer_at_peers else None,
+            removed_at=self._peers_change if self._is_following() else None,
         )
         self._note_listed(listing.revision)
 
--- a/magnoliacove/limits/answer_memory.py
+++ b/magnoliacove/limits/answer_memory.py
@@ -6,13 +6,8 @@
 endless ones stop each other early without taking the memory of short ones.
 """
 
-from typing import TYPE_CHECKING
-
 from magnoliacove import errors
 
-if TYPE_CHECKING:
-    from types import TracebackType
-
 __all__ = ["AnswerMemory", "AnswerTooLongError", "BodyBuffer"]
 
 # Bytes of one body and of all bodies together.  A gateway has a few hundred
@@ -92,10 +87,5 @@
     def __enter__(self) -> "BodyBuffer":
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: "TracebackType | None",
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self.release()
--- a/tests/directory/test_targets.py
+++ b/tests/directory/test_targets.py
@@ -305,6 +305,20 @@
     assert targets.newest_change == (removed_at or 9)
 
 
+def test_entry_that_does_not_come_back_counts_as_a_change():
+    """Peers learn of it once it is sure.  Lists that are read while entries
+    are missing must not make all other gateways read theirs again.
+    """
+    targets, time = _make_list()
+    targets.replace([_target("i-1", revision=3)], 5, after_outage=False)
+    for revision in (9, 11):
+        targets.replace([], revision, after_outage=True)
+        assert targets.newest_change == 3
+    time.now += 2.0
+    targets.expire()
+    assert targets.newest_change == 11
+
+
 @pytest.mark.parametrize("revision", [0, 3, 7])
 def test_removal_without_its_own_revision_counts_as_a_change(revision):
     """An event may name the removed entry's last revision instead of that of
