--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -1,11 +1,11 @@
 """The store's client across restores from an older snapshot."""
 
 import contextlib
-from dataclasses import dataclass
 import itertools
 
 from hypothesis import given
 from hypothesis import strategies as st
+import httpcore
 import orjson
 import pytest
 import trio
@@ -42,16 +42,11 @@
     assert accepted == [True, True, True, False, True, True]
 
 
-@dataclass(frozen=True)
-class _Response:
-    status: int
-    headers: list
-    content: bytes
-
-
 def _answer(era, data, status=200):
     header = (b"Store-Era", str(era).encode())
-    return _Response(status, [header], orjson.dumps(data))
+    return httpcore.Response(
+        status, headers=[header], content=orjson.dumps(data)
+    )
 
 
 def _object(revision, spec=None):
@@ -66,10 +61,11 @@
         self.calls = []
         self._answers = list(answers)
 
-    async def request(self, method, url, **others):
+    @contextlib.asynccontextmanager
+    async def stream(self, method, url, **others):
         self.calls.append((method, url, others.get("content")))
         await trio.lowlevel.checkpoint()
-        return self._answers.pop(0)
+        yield self._answers.pop(0)
 
 
 def _open(*answers):
