--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -3,9 +3,9 @@
 import contextlib
 import itertools
 
+import httpcore
 from hypothesis import given
 from hypothesis import strategies as st
-import httpcore
 import orjson
 import pytest
 import trio
@@ -137,11 +137,15 @@
 
 
 async def test_a_store_without_a_valid_era_is_accepted():
-    plain = _Response(200, [], orjson.dumps(_object(5)))
+    plain = httpcore.Response(200, content=orjson.dumps(_object(5)))
     api = _open(
         plain,
         *(
-            _Response(200, [(b"store-era", invalid)], orjson.dumps(_object(6)))
+            httpcore.Response(
+                200,
+                headers=[(b"store-era", invalid)],
+                content=orjson.dumps(_object(6)),
+            )
             for invalid in (b"x", b"", b"-1", b"9" * 40)
         ),
     )
