Let fewer gateways of a large fleet call the store to report changes

Two gateways besides the leader waited shortly, all renewed their connections when the leader changed, and each that paused between versions in quick succession renewed them because a peer had a newer one. Now the first gateway by name reports besides the leader, the others rely on it while the leader changes, and a pause is no silence. The test of it has the cases of the new rule.

--- a/magnoliacove/gateway/peering.py
+++ b/magnoliacove/gateway/peering.py
@@ -34,11 +34,9 @@
 # Seconds for which this gateway's configuration or list of targets must be
 # behind before a peer's is requested.  The store mostly answers first.
 _CATCH_UP_DELAY = 0.4
-# Seconds until a peer counts as unreachable, up to which a gateway relies on
-# the placement leader alone to learn of changes, and the number of other
-# gateways that report them where it takes longer.
+# Seconds until a peer counts as unreachable, up to which gateways rely on the
+# placement leader alone to learn of changes.
 _MAX_LEADER_TIMEOUT = 1.5
-_SECOND_REPORTERS = 2
 # Seconds after the start until snapshots are served to peers.  Otherwise the
 # first callers of a fleet that starts would wait while the modules for it are
 # loaded.  Meanwhile a peer asks another gateway.
@@ -298,23 +296,27 @@
             peer.acting and peer.store_reachable for peer in self._list_live()
         )
 
-    def relies_on_leader(self) -> bool:
-        """Return whether the placement leader reports changes in time.
+    def relies_on_peers(self) -> bool:
+        """Return whether peers report changes of the store in time.
 
-        In a large fleet it takes seconds until a leader that ended is missed.
-        Two of the other gateways then report changes as well.
+        The placement leader does.  In a large fleet it takes seconds until a
+        leader that ended is missed, so the first gateway by name reports
+        changes as well, whether there is a leader or not.
         """
-        if not self.has_acting_peer_with_store():
+        if self._is_acting():
             return False
         if self.heartbeats.peer_timeout <= _MAX_LEADER_TIMEOUT:
-            return True
-        staying = [peer.name for peer in self._list_live() if not peer.leaving]
-        name = self._state.name
-        return sum(other < name for other in staying) >= _SECOND_REPORTERS
+            return self.has_acting_peer_with_store()
+        return any(
+            peer.store_reachable
+            and not peer.leaving
+            and peer.name < self._state.name
+            for peer in self._list_live()
+        )
 
     def _announce_departure(self) -> None:
         """Tell peers at once if they wait for this gateway's news."""
-        if not self.relies_on_leader():
+        if not self.relies_on_peers():
             self.heartbeats.send_soon()
 
     def measure_store_outage(self) -> float:
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -131,7 +131,7 @@
         self._store = StoreFollower(
             self.state,
             api,
-            lambda: self._peers.relies_on_leader(),
+            lambda: self._peers.relies_on_peers(),
             bounds.drain,
         )
         self._peers = PeerExchange(
--- a/magnoliacove/gateway/store.py
+++ b/magnoliacove/gateway/store.py
@@ -56,7 +56,7 @@
 _MIN_SILENCE = 0.3
 _LAG_CHECK_INTERVAL = 0.1
 # Minimum seconds between two renewals of the connections because a peer has a
-# newer configuration.  Versions that come in quick succession are read late.
+# newer configuration.
 _MIN_RENEWAL_INTERVAL = 2.0
 # Maximum number of unreadable entries whose error is remembered, so that each
 # is logged once.
@@ -197,6 +197,10 @@
     def record_newer_configuration(self, peer: str) -> None:
         """Read the configuration from the store, since a peer has a newer."""
         now = trio.current_time()
+        if self._configuration_watch.waited < _MIN_SILENCE:
+            # It pauses, as versions come in quick succession, and reads the
+            # newest one after that.
+            return
         if now - self._renewed_at < _MIN_RENEWAL_INTERVAL:
             return
         self._renewed_at = now
