--- a/magnoliacove/gateway/store.py
+++ b/magnoliacove/gateway/store.py
@@ -15,7 +15,7 @@
 from magnoliacove import errors
 from magnoliacove import platform
 from magnoliacove.directory.backoff import Backoff
-from magnoliacove.directory.listed import ListedTarget
+from magnoliacove.gateway.entries import EntryReader
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.gateway.store_contact import StoreContact
 from magnoliacove.gateway.watches import FOLLOWER_WATCH_SECONDS
@@ -24,7 +24,6 @@
 from magnoliacove.platform.routes import CONFIGURATION
 from magnoliacove.platform.routes import read_routes
 from magnoliacove.platform.servers import SERVERS
-from magnoliacove.platform.servers import read_server
 
 __all__ = ["StoreFollower"]
 
@@ -58,9 +57,6 @@
 # Minimum seconds between two renewals of the connections because a peer has a
 # newer configuration.
 _MIN_RENEWAL_INTERVAL = 2.0
-# Maximum number of unreadable entries whose error is remembered, so that each
-# is logged once.
-_MAX_REMEMBERED_ERRORS = 256
 # Seconds between attempts to reach the store.
 _INITIAL_RETRY_DELAY = 0.1
 _MAX_RETRY_DELAY = 0.8
@@ -71,8 +67,8 @@
 class StoreFollower:
     """Keeps the state of a gateway up to date with the store.
 
-    :param is_following: whether a live peer that reaches the store is the
-        placement leader, and so reports when this gateway's list is behind.
+    :param is_following: whether live peers that reach the store report its
+        changes in time, so that this gateway may wait longer for them.
     :param drain: seconds within which a leaving target must be known to leave.
     :param contact: whether the store answers.
     :param configuration: the newest configuration as the store holds it,
@@ -108,8 +104,7 @@
         self._listed_at = -1e9
         self._renewed_at = -1e9
         self._unreadable = ""
-        # The last logged error of each unreadable entry, by name.
-        self._reported_errors: dict[str, str] = {}
+        self._entries = EntryReader(state.recorder)
         api.era.listen(self._handle_restore)
 
     async def run(self) -> None:
@@ -327,7 +322,7 @@
 
     def _replace_targets(self, listing: platform.Listing) -> None:
         self._state.targets.replace(
-            self._read_targets(listing.records),
+            self._entries.read_all(listing.records),
             listing.revision,
             after_outage=self._may_lack_targets(),
             removed_at=self._peers_change if self._is_following() else None,
@@ -375,40 +370,10 @@
                 or self.contact.follows_outage,
             )
             return
-        target = self._read_target(event.record)
+        target = self._entries.read(event.record)
         if target is not None:
             self._state.targets.apply(target)
             return
         # Whichever target the entry named before, it names none now.
         name = event.record.name.partition("/")[2]
         self._state.targets.remove(name, event.revision)
-
-    def _read_targets(
-        self, records: tuple[platform.Record, ...]
-    ) -> list[ListedTarget]:
-        results = map(self._read_target, records)
-        return [target for target in results if target is not None]
-
-    def _read_target(self, record: platform.Record) -> ListedTarget | None:
-        """Return the target that an entry names, None when it names none.
-
-        Other writers may repeatedly write invalid entries among those of the
-        engines.  Each error of an entry is logged once.
-        """
-        try:
-            target = read_server(record)
-        except errors.ProtocolError as error:
-            self._report_unreadable(record.name, str(error))
-            return None
-        self._reported_errors.pop(record.name, None)
-        return target
-
-    def _report_unreadable(self, name: str, why: str) -> None:
-        if self._reported_errors.get(name) == why:
-            return
-        if len(self._reported_errors) >= _MAX_REMEMBERED_ERRORS:
-            self._reported_errors.clear()
-        self._reported_errors[name] = why
-        self._state.recorder.record(
-            "target-unreadable", target=name.partition("/")[2], why=why
-        )
--- a/magnoliacove/limits/answer_memory.py
+++ b/magnoliacove/limits/answer_memory.py
@@ -8,7 +8,13 @@
 
 from magnoliacove import errors
 
-__all__ = ["AnswerMemory", "AnswerTooLongError", "BodyBuffer"]
+__all__ = [
+    "MAX_BODIES",
+    "MAX_BODY",
+    "AnswerMemory",
+    "AnswerTooLongError",
+    "BodyBuffer",
+]
 
 # Bytes of one body and of all bodies together.  A gateway has a few hundred
 # megabytes, and a body is copied a few times on its way.
--- a/magnoliacove/platform/fields.py
+++ b/magnoliacove/platform/fields.py
@@ -6,13 +6,13 @@
 
 from magnoliacove import errors
 
-__all__ = ["MAX_AMOUNT", "MAX_COUNT", "Fields"]
+__all__ = ["Fields"]
 
 # The largest count and amount that are read.  Heartbeats have 32 bits for the
 # one and 64 bits for the other; a larger value would keep a gateway from
 # sending any.
-MAX_COUNT = 2**31 - 1
-MAX_AMOUNT = 2.0**53
+_MAX_COUNT = 2**31 - 1
+_MAX_AMOUNT = 2.0**53
 
 
 class Fields:
@@ -47,7 +47,7 @@
         return int(value)
 
     def count(
-        self, name: str, default: int | None = None, *, most: int = MAX_COUNT
+        self, name: str, default: int | None = None, *, most: int = _MAX_COUNT
     ) -> int:
         """Return an integer that is not negative.
 
@@ -63,9 +63,9 @@
         return float(self._get_number(name, default))
 
     def amount(self, name: str, default: float) -> float:
-        """Return a number that is not negative and fits into 63 bits."""
+        """Return a number that is not negative and at most 2**53."""
         value = self.number(name, default)
-        if not 0.0 <= value <= MAX_AMOUNT:
+        if not 0.0 <= value <= _MAX_AMOUNT:
             raise self._reject(name, value)
         return value
 
--- a/magnoliacove/platform/partial_json.py
+++ b/magnoliacove/platform/partial_json.py
@@ -16,7 +16,7 @@
 __all__ = ["UndecodableValue", "decode_partially"]
 
 # Strings and the punctuation outside of them.
-_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{},:]', re.DOTALL)
+_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{},]', re.DOTALL)
 _OPENING, _CLOSING = b"[{", b"]}"
 # Levels of an answer that are taken apart: the answer, a list, a change, an
 # object and its fields.
--- a/tests/platform/memory_network.py
+++ b/tests/platform/memory_network.py
@@ -67,7 +67,6 @@
     """
 
     def __init__(self, nursery, app, delay=0.01):
-        self.opened = 0
         self._nursery = nursery
         self._app = app
         self._delay = delay
@@ -84,7 +83,6 @@
     async def connect_tcp(self, host, port, **options):
         near, far = trio.testing.memory_stream_pair()
         channel, last = _Channel(near), [""]
-        self.opened += 1
         self._channels.append((channel, last))
         self._nursery.start_soon(self._serve, far, last)
         return channel
