--- a/magnoliacove/platform/client.py
+++ b/magnoliacove/platform/client.py
@@ -119,11 +119,13 @@
             # writes made while the other pages were read instead of
             # missing them.
             revision = revision or self._read_as_of(data)
-            page = self._read_all(kind, _read_list(data, "items"))
-            records += page
-            if data.get("has_more") is not True or not page:
+            items = _read_list(data, "items")
+            records += self._read_all(kind, items)
+            # The name as the store spells it, and not as it is decoded.
+            names = [i["metadata"]["name"] for i in items if _is_named(i)]
+            if data.get("has_more") is not True or not names:
                 return api.Listing(tuple(records), revision)
-            after = _local_name(page[-1].name)
+            after = names[-1]
 
     async def put(
         self, name: str, value: bytes, if_version: int | None = None
--- a/tests/gateway/test_undecodable_values.py
+++ b/tests/gateway/test_undecodable_values.py
@@ -244,3 +244,16 @@
     assert engines.read_report(
         json.dumps({**_REPORT, "layers": {"from": 0, "to": 65535}}).encode()
     ).layers == LayerRange(0, 65535)
+
+
+async def test_a_name_with_an_escape_ends_no_page(autojump_clock, nursery):
+    """The next page continues after the last name as the store spells it.  If
+    the escape in it is decoded, names between the two spellings are skipped.
+    """
+    store, api, _, _ = await _start(nursery, b"null")
+    names = [f"i-{number:03}" for number in range(499)]
+    names += ["i-z%7E", "i-zz", "j-1"]
+    for name in names:
+        await _write(store, f"servers/{name}", {})
+    listing = await api.list_records("servers/")
+    assert len(listing.records) == len(names)
