--- a/magnoliacove/platform/client.py
+++ b/magnoliacove/platform/client.py
@@ -4,26 +4,23 @@
 are stored as base64 text.
 """
 
-import base64
 from collections.abc import Iterable
 from collections.abc import Sequence
 import math
 from typing import Any
 from urllib.parse import quote
-from urllib.parse import unquote
 from urllib.parse import urlencode
 
 import httpcore
-import orjson
 import trio
 
 from magnoliacove import defaults
 from magnoliacove import errors
 from magnoliacove.platform import api
+from magnoliacove.platform import objects
 from magnoliacove.platform.eras import MAX_ERA
 from magnoliacove.platform.eras import StoreEra
 from magnoliacove.platform.eras import split_revision
-from magnoliacove.platform.partial_json import UndecodableValue
 from magnoliacove.platform.partial_json import decode_partially
 
 __all__ = ["HttpObjectApi"]
@@ -38,8 +35,6 @@
 # Timeouts of a call that a whole answer may take beyond the wait for it.  One
 # that trickles must not hide changes.
 _ANSWER_TIMEOUTS = 4
-# Stands for a value of which a part cannot be decoded; it is no JSON.
-_UNDECODABLE = b"undecodable"
 # Seconds; the longest wait that the store accepts for a watch.
 _MAX_WATCH_WAIT = 30.0
 
@@ -92,7 +87,9 @@
         while listing is None:
             listing = await self._list_kind(kind, stale)
         matching = (
-            r for r in listing.records if _local_name(r.name).startswith(start)
+            r
+            for r in listing.records
+            if objects.local_name(r.name).startswith(start)
         )
         return api.Listing(tuple(matching), listing.revision)
 
@@ -119,10 +116,12 @@
             # writes made while the other pages were read instead of
             # missing them.
             revision = revision or self._read_as_of(data)
-            items = _read_list(data, "items")
+            items = objects.read_list(data, "items")
             records += self._read_all(kind, items)
             # The name as the store spells it, and not as it is decoded.
-            names = [i["metadata"]["name"] for i in items if _is_named(i)]
+            names = [
+                i["metadata"]["name"] for i in items if objects.is_named(i)
+            ]
             if data.get("has_more") is not True or not names:
                 return api.Listing(tuple(records), revision)
             after = names[-1]
@@ -134,7 +133,7 @@
         if if_version == 0:
             return await self._create(name, value)
         self._check_condition(name, if_version)
-        body = _write_object(name, value, if_version)
+        body = objects.write_object(name, value, if_version)
         status, data = await self._call("PUT", _path(name), body)
         self._check_condition(name, if_version)
         if status != 404:
@@ -167,12 +166,12 @@
         data = await self._wait_for_changes(path, wait)
         self._check_watched(after)
         revision = self._read_as_of(data)
-        events = self._read_events(kind, _read_list(data, "events"))
+        events = self._read_events(kind, objects.read_list(data, "events"))
         return (
             tuple(
                 e
                 for e in events
-                if _local_name(e.record.name).startswith(start)
+                if objects.local_name(e.record.name).startswith(start)
             ),
             revision,
         )
@@ -201,31 +200,31 @@
 
     async def _create(self, name: str, value: bytes) -> int:
         path = f"{_OBJECTS}{quote(_kind(name))}"
-        body = _write_object(name, value, None)
+        body = objects.write_object(name, value, None)
         _, data = await self._call("POST", path, body)
         return self._read_version(data)
 
     def _read(self, kind: str, data: Any) -> api.Record:
-        if not _is_named(data):
-            raise _make_unreadable(f"the object of kind {kind}")
-        return _read_object(kind, data, self.era)
+        if not objects.is_named(data):
+            raise objects.make_unreadable(f"the object of kind {kind}")
+        return objects.read_object(kind, data, self.era)
 
     def _read_version(self, data: Any) -> int:
         """Return the version of an object that was written."""
-        if not _is_named(data):
-            raise _make_unreadable("the object that was written")
+        if not objects.is_named(data):
+            raise objects.make_unreadable("the object that was written")
         return self.era.join(data["metadata"]["revision"])
 
     def _read_as_of(self, data: Any) -> int:
         """Return the store's revision at the time of an answer."""
         revision = data.get("as_of") if isinstance(data, dict) else None
         if not isinstance(revision, int):
-            raise _make_unreadable("the store's revision")
+            raise objects.make_unreadable("the store's revision")
         return self.era.join(revision)
 
     def _read_all(self, kind: str, items: Sequence[Any]) -> list[api.Record]:
         """Decode a list of objects, skipping those without a name."""
-        named = [item for item in items if _is_named(item)]
+        named = [item for item in items if objects.is_named(item)]
         self.skipped += len(items) - len(named)
         return [self._read(kind, item) for item in named]
 
@@ -234,7 +233,9 @@
     ) -> list[api.WatchEvent]:
         """Decode a list of changes, skipping those of no named object."""
         changes = [item for item in items if isinstance(item, dict)]
-        named = [item for item in changes if _is_named(item.get("object"))]
+        named = [
+            item for item in changes if objects.is_named(item.get("object"))
+        ]
         self.skipped += len(items) - len(named)
         return [self._read_event(kind, item) for item in named]
 
@@ -393,74 +394,6 @@
     return name.partition("/")[0]
 
 
-def _local_name(name: str) -> str:
-    return name.partition("/")[2]
-
-
 def _path(name: str) -> str:
-    return (
-        f"{_OBJECTS}{quote(_kind(name))}/{quote(_local_name(name), safe='')}"
-    )
-
-
-def _make_unreadable(what: str) -> errors.PlatformError:
-    return errors.PlatformError(
-        f"the object API's answer does not contain {what}",
-        errors.Outcome.MAY_HAVE_RUN,
-    )
-
-
-def _read_list(data: Any, name: str) -> list[Any]:
-    items = data.get(name) if isinstance(data, dict) else None
-    if not isinstance(items, list):
-        raise _make_unreadable(f"the list of {name}")
-    return items
-
-
-def _is_named(item: Any) -> bool:
-    meta = item.get("metadata") if isinstance(item, dict) else None
-    return (
-        isinstance(meta, dict)
-        and isinstance(meta.get("name"), str)
-        and isinstance(meta.get("revision"), int)
-    )
-
-
-def _read_object(kind: str, data: dict[str, Any], era: StoreEra) -> api.Record:
-    meta = data["metadata"]
-    name = f"{kind}/{unquote(meta['name'])}"
-    value = _read_value(data.get("spec"))
-    return api.Record(name, era.join(meta["revision"]), value)
-
-
-def _read_value(spec: Any) -> bytes:
-    """Return an object's value; what cannot be decoded is kept as it is.
-
-    Whoever reads the value then rejects it, and with it no other object.
-    """
-    if isinstance(spec, UndecodableValue):
-        return spec.data
-    if isinstance(spec, str):
-        try:
-            return base64.b64decode(spec, validate=True)
-        except ValueError:
-            # Text that is not base64, written by another client.
-            return spec.encode()
-    try:
-        return orjson.dumps(spec)
-    except TypeError:
-        # Part of it cannot be decoded, or it is nested too deeply to encode.
-        return _UNDECODABLE
-
-
-def _write_object(name: str, value: bytes, version: int | None) -> bytes:
-    meta: dict[str, Any] = {"name": _local_name(name)}
-    if version is not None:
-        meta["revision"] = split_revision(version)[1]
-    try:
-        spec = orjson.loads(value)
-        if isinstance(spec, str):
-            raise ValueError
-    except ValueError:
-        spec = base64.b64encode(value).decode()
-    return orjson.dumps({"metadata": meta, "spec": spec})
+    local = quote(objects.local_name(name), safe="")
+    return f"{_OBJECTS}{quote(_kind(name))}/{local}"
