--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -17,6 +17,8 @@
 # Ranges of the second and third octet of the loopback addresses of runs.
 _HOST_BLOCKS = 200
 _HOSTS_IN_BLOCK = 256
+# The state of an open connection in the kernel's table of connections.
+_ESTABLISHED = "01"
 
 
 def choose_port(rng: random.Random) -> int:
@@ -46,6 +48,8 @@
         being asked to.
     :param grace: seconds from SIGTERM to the end of the process.
     :param retry_slack: retries in ten seconds beyond a share of the requests.
+    :param memory_mb: memory that the process may use.
+    :param max_descriptors: open descriptors that the process may have.
     """
 
     def __init__(
@@ -58,6 +62,8 @@
         self.unexpected_exits: list[int] = []
         self.grace = 4
         self.retry_slack = 200
+        self.memory_mb = 300
+        self.max_descriptors = 4100
         self._log = folder / f"{self.name}.log"
         self._settings = folder / f"{self.name}.json"
         self._process: subprocess.Popen[bytes] | None = None
@@ -76,6 +82,10 @@
             "internal_ports": [self.peer_port],
             "seeds": seeds,
             "bootstrap": True,
+            "limits": {
+                "memory_mb": self.memory_mb,
+                "max_fds": self.max_descriptors,
+            },
             "bounds": {
                 "drain_ms": 2000,
                 "grace_s": self.grace,
@@ -124,11 +134,43 @@
         if any(int(mask, 16) & hangup for mask in masks.values()):
             self.send(signal.SIGHUP)
 
+    @property
+    def alive(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self._process is not None and self._process.poll() is None
+
+    def count_descriptors(self) -> int:
+        """Return the number of open descriptors of the process."""
+        return len(list((self._read_folder() / "fd").iterdir()))
+
+    def read_unread_bytes(self) -> int:
+        """Return the bytes that callers sent and the process has not read."""
+        octets = reversed(self.host.split("."))
+        address = "".join(f"{int(octet):02X}" for octet in octets)
+        local = f"{address}:{self.callers_port:04X}"
+        lines = pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]
+        rows = (line.split() for line in lines)
+        return sum(
+            int(row[4].partition(":")[2], 16)
+            for row in rows
+            if row[1] == local and row[3] == _ESTABLISHED
+        )
+
+    def read_resident(self) -> float:
+        """Return the resident memory of the process in MB."""
+        pages = int((self._read_folder() / "statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / 1024 / 1024
+
+    def _read_folder(self) -> pathlib.Path:
+        if self._process is None:
+            raise RuntimeError(f"{self.name} was not started; start it first")
+        return pathlib.Path(f"/proc/{self._process.pid}")
+
     def read_usage(self) -> tuple[float, float]:
         """Return the processor time in seconds and the peak memory in MB."""
         if self._process is None:
             return 0.0, 0.0
-        folder = pathlib.Path(f"/proc/{self._process.pid}")
+        folder = self._read_folder()
         # The fields after the program's name, which may contain spaces.
         fields = (folder / "stat").read_text().rpartition(")")[2].split()
         ticks = int(fields[11]) + int(fields[12])
