Keep what a gateway holds for its callers within its memory

Callers saw a closed connection, or nothing: crowds of clients that send as much as they may and stay ended a gateway for want of memory, or kept it busy for minutes.

Cause: nothing added up what was held for all callers, and nothing read the limits in the settings. Each body had a buffer of its own and up to four copies (h11's buffer, the whole body, the request to the target, its parts joined); answers had a sum of their own, with a constant; connections, heads, requests that follow and what waits in the kernel had none. The announced length was looked at after the body had come. And a chunk cost h11 30 us, however short it is, in reads of up to 10,000 of them.

Ruled out: a limit of chunks or a count of bodies, which would refuse callers inside the limits; pausing all half-read bodies, which would wait for each other; one more sum beside that of the answers.

Change: limits/caller_memory.py, one account for connections, requests and answers, whose size follows from memory_mb and max_fds. What one caller holds may grow while as much stays free; requests and answers leave each other a quarter; closing and idle connections and stale heads, bodies and answers give way. A body over the limit is refused at its head; legal ones wait up to 3 s for memory, then get 503 with Retry-After, which is true as they were not sent. Bodies lie in blocks that are not copied. httptools decodes chunks (0.2 us each), one read at a time over all callers, while h11 keeps heads and states. Refused connections are read on at a bounded rate for all of them.

Tests of answers without end take the new account with the same bound of 32 MB; the one of a caller that leaves names the reader, which the wait has moved to.

--- a/magnoliacove/gateway/assembly.py
+++ b/magnoliacove/gateway/assembly.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import field
 import random
 
 import trio
@@ -17,7 +18,9 @@
 from magnoliacove.limits import LoadBook
 from magnoliacove.limits import SharedRetryBudget
 from magnoliacove.limits import UnreportedRequests
+from magnoliacove.limits.answer_memory import AnswerMemory
 from magnoliacove.limits.backpressure import BackpressureBook
+from magnoliacove.limits.caller_memory import CallerMemory
 from magnoliacove.limits.crashes import CrashHistory
 from magnoliacove.limits.crashing_parts import PartHistory
 from magnoliacove.limits.grants import GrantBook
@@ -46,6 +49,7 @@
     :param shares_waiting: whether requests leave capacity to those that wait
         at other gateways.
     :param expects_peers: whether there are other gateways.
+    :param memory: the account of all that is held for callers.
     """
 
     recorder: Recorder
@@ -58,6 +62,7 @@
     owns: Callable[[str], bool] = lambda _: True
     shares_waiting: bool = False
     expects_peers: bool = False
+    memory: CallerMemory = field(default_factory=CallerMemory)
 
 
 def make_state(inputs: StateInputs) -> GatewayState:
@@ -114,6 +119,7 @@
         grants=grants,
         permits=permits,
         quarantine=QuarantineBook(recorder, inputs.owns),
+        answer_memory=AnswerMemory(inputs.memory),
     )
     return state
 
--- a/magnoliacove/gateway/callers.py
+++ b/magnoliacove/gateway/callers.py
@@ -8,31 +8,47 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
 from dataclasses import dataclass
+from dataclasses import field
 from http import HTTPStatus
 import socket
 
 import h11
 import trio
 
+from magnoliacove.bodies import Body
+from magnoliacove.bodies import Buffer
+from magnoliacove.bodies import encode_body
 from magnoliacove.configuration.routes import CallerLimits
-
-__all__ = ["CallerConnection", "CallerLeftError", "Exchange", "Request"]
+from magnoliacove.gateway.discarding import Discarder
+from magnoliacove.gateway.request_reader import NO_MEMORY_RETRY
+from magnoliacove.gateway.request_reader import ReadError
+from magnoliacove.gateway.request_reader import Request
+from magnoliacove.gateway.request_reader import RequestReader
+from magnoliacove.limits.caller_memory import IDLE_CONNECTION_BYTES
+from magnoliacove.limits.caller_memory import Allocation
+from magnoliacove.limits.caller_memory import CallerMemory
+from magnoliacove.limits.caller_memory import Use
+
+__all__ = [
+    "CallerConnection",
+    "CallerLeftError",
+    "CallerResources",
+    "Exchange",
+    "Request",
+]
 
 Headers = Sequence[tuple[bytes, bytes]]
 
-# Bytes that one read of a connection returns at most.
-_READ_SIZE = 65536
-# Bytes of further requests that are buffered while one is answered.
-_MAX_PIPELINED = 65536
+# Bytes that one write of a long answer sends, so that it is seen whether its
+# caller reads on.
+_WRITE_SIZE = 16384
 # Seconds that a write to a caller may take before the connection counts as
 # broken.
 _WRITE_TIMEOUT = 10.0
-# Seconds to read on before closing a connection, so that a reset does not
-# discard an answer that the caller has not read yet.
-_LINGER_TIMEOUT = 1.0
 # Milliseconds that sent data may stay unacknowledged before the connection
 # breaks.
 _UNACKNOWLEDGED_TIMEOUT_MS = 5000
@@ -43,33 +59,6 @@
     """The caller closed its connection or stopped reading."""
 
 
-@dataclass(frozen=True)
-class Request:
-    """A request of a caller with its whole body.
-
-    :param target: the path and the query, as sent.
-    :param headers: names in lower case.
-    :param arrived: when the head was complete, by trio's clock.
-    """
-
-    method: bytes
-    target: bytes
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-    arrived: float
-
-    @property
-    def host(self) -> str:
-        """The value of the host header without a port."""
-        value = dict(self.headers).get(b"host", b"").decode("latin-1")
-        return value.rpartition(":")[0] if ":" in value else value
-
-    @property
-    def path(self) -> str:
-        """The path without its query."""
-        return self.target.partition(b"?")[0].decode("latin-1")
-
-
 class Exchange:
     """A request and its answer.
 
@@ -85,7 +74,7 @@
         self,
         request: Request,
         parser: h11.Connection,
-        send: Callable[[bytes], Awaitable[None]],
+        send: Callable[[Sequence[Buffer]], Awaitable[None]],
         must_close: Callable[[], bool],
         *,
         late: bool = False,
@@ -126,21 +115,23 @@
         await self._send_part(self._parser.send(h11.EndOfMessage()) or b"")
         self.ended = True
 
-    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+    async def answer(
+        self, status: int, headers: Headers, body: bytes | Body
+    ) -> None:
         """Send a whole answer."""
         self.started = True
         kept = [(n, v) for n, v in headers if n != b"content-length"]
         length = (b"content-length", b"%d" % len(body))
-        parts = [self._write_head(status, [*kept, length])]
-        if body and self.request.method != b"HEAD":
-            parts.append(self._parser.send(h11.Data(data=body)) or b"")
+        parts: list[Buffer] = [self._write_head(status, [*kept, length])]
+        if self.request.method != b"HEAD":
+            parts += encode_body(self._parser, body)
         parts.append(self._parser.send(h11.EndOfMessage()) or b"")
-        await self._send_part(b"".join(parts))
+        await self._send_part(*parts)
         self.ended = True
 
-    async def _send_part(self, data: bytes) -> None:
+    async def _send_part(self, *parts: Buffer) -> None:
         try:
-            await self._send(data)
+            await self._send(parts)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             self.caller_left = True
             raise CallerLeftError from exc
@@ -158,6 +149,24 @@
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
+def _ignore(kind: str, *, why: str) -> None:
+    """Record nothing."""
+
+
+@dataclass
+class CallerResources:
+    """What the connections of all callers share.
+
+    :param turns: held while a part of a long body is decoded.
+    :param record: records an event.
+    """
+
+    memory: CallerMemory = field(default_factory=CallerMemory)
+    turns: trio.Lock = field(default_factory=trio.Lock)
+    discarder: Discarder = field(default_factory=Discarder)
+    record: Callable[..., object] = _ignore
+
+
 class CallerConnection:
     """Serves the requests on one caller's connection in sequence.
 
@@ -166,6 +175,7 @@
     :param is_leaving: returns whether this process is about to stop.
     :param is_closing: returns whether a request that arrives now could no
         longer be answered before the process stops.
+    :param resources: shared by all connections.
     """
 
     def __init__(
@@ -175,40 +185,35 @@
         handle: Handler,
         is_leaving: Callable[[], bool],
         is_closing: Callable[[], bool] = lambda: False,
+        resources: CallerResources | None = None,
     ) -> None:
-        self.busy = False
         self._stream = stream
         self._read_limits = read_limits
         self._handle = handle
         self._is_leaving = is_leaving
         self._is_closing = is_closing
+        self._resources = resources or CallerResources()
         self._parser = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=read_limits().header_bytes,
         )
         self._late = False
-        # While it waits for the first bytes of a request.
-        self._idle_scope: trio.CancelScope | None = None
+        self._allocation: Allocation
+        self._reader: RequestReader | None = None
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is being read or answered.
-
-        Only the wait is cancelled.  Bytes that are read in the same moment
-        are a request that is served: closed now, it would have no answer.
-        """
-        if self._idle_scope is not None:
-            self._idle_scope.cancel()
+        """Close the connection unless a request is being read or answered."""
+        if self._reader is not None:
+            self._reader.stop_waiting()
 
     async def run(self) -> None:
         """Serve until the caller or this process closes the connection."""
-        self._stream.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            _UNACKNOWLEDGED_TIMEOUT_MS,
-        )
         try:
-            while await self._serve_request():
-                continue
+            with self._resources.memory.open_connection() as allocation:
+                if allocation is None:
+                    self._record_refusal("too many connections are in use")
+                    return
+                await self._run(allocation)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller disconnected, so the error cannot be reported to it.
             pass
@@ -216,15 +221,32 @@
             with trio.CancelScope(shield=True, deadline=0):
                 await trio.aclose_forcefully(self._stream)
 
-    async def _serve_request(self) -> bool:
+    async def _run(self, allocation: Allocation) -> None:
+        self._stream.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            _UNACKNOWLEDGED_TIMEOUT_MS,
+        )
+        self._allocation = allocation
+        reader = self._reader = RequestReader(
+            self._stream,
+            self._parser,
+            allocation,
+            self._resources.turns,
+            self._send_continue,
+        )
+        while await self._serve_request(reader):
+            continue
+
+    async def _serve_request(self, reader: RequestReader) -> bool:
         """Serve one request; return whether another may follow."""
         try:
-            request = await self._read_request()
+            request = await reader.read(self._read_limits())
         except h11.RemoteProtocolError as exc:
-            await self._refuse(exc.error_status_hint)
+            await self._refuse(exc.error_status_hint, str(exc))
             return False
-        except _TooLargeError:
-            await self._refuse(413)
+        except ReadError as exc:
+            await self._refuse(exc.status, str(exc))
             return False
         if request is None:
             return False
@@ -232,16 +254,17 @@
             request,
             self._parser,
             self._write,
-            lambda: self._late or self._is_leaving(),
+            lambda: (
+                self._late or self._is_leaving() or request.refusal is not None
+            ),
             late=self._late,
         )
-        if not await self._answer(exchange):
+        if not await self._answer(exchange, reader):
             return False
-        self.busy = False
         if self._parser.our_state is not h11.DONE:
             await self._linger()
             return False
-        if self._is_closing() and not self._parser.trailing_data[0]:
+        if self._is_closing() and not reader.has_unread:
             # An answer that began before the stop did not announce that the
             # connection would close.  The caller's next request follows at
             # once, and would be cut off in the middle at the end of the grace
@@ -255,123 +278,66 @@
         self._parser.start_next_cycle()
         return True
 
-    async def _answer(self, exchange: Exchange) -> bool:
+    async def _answer(self, exchange: Exchange, reader: RequestReader) -> bool:
         """Call the handler; return whether it sent a complete answer."""
 
         async def watch(scope: trio.CancelScope) -> None:
-            await self._wait_disconnect()
+            await reader.wait_disconnect()
             exchange.caller_left = True
             scope.cancel()
 
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(watch, nursery.cancel_scope)
-            # A write may detect first that the caller disconnected.
-            with contextlib.suppress(CallerLeftError):
-                await self._handle(exchange)
-            nursery.cancel_scope.cancel()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch, nursery.cancel_scope)
+                # A write may detect first that the caller disconnected.
+                with contextlib.suppress(CallerLeftError):
+                    await self._handle(exchange)
+                nursery.cancel_scope.cancel()
+        finally:
+            exchange.request.body.clear()
         if exchange.caller_left:
             return False
         return self._parser.our_state in (h11.DONE, h11.MUST_CLOSE)
 
-    async def _wait_disconnect(self) -> None:
-        """Return once the caller has closed its end of the connection."""
-        pipelined = 0
-        while True:
-            try:
-                data = await self._stream.receive_some(_READ_SIZE)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return
-            if not data:
-                return
-            # A further request, sent without waiting for this answer.
-            self._parser.receive_data(data)
-            pipelined += len(data)
-            if pipelined > _MAX_PIPELINED:
-                await trio.sleep_forever()
-
-    async def _read_request(self) -> Request | None:
-        """Return the next request, or None at the end of the connection."""
-        limits = self._read_limits()
-        head: h11.Request | None = None
-        body = bytearray()
-        timeout = limits.idle_timeout
-        if self._parser.trailing_data[0]:
-            timeout = limits.header_timeout
-        deadline = trio.current_time() + timeout
-        arrived = 0.0
-        while True:
-            event = self._parser.next_event()
-            if event is h11.NEED_DATA:
-                if self._parser.they_are_waiting_for_100_continue:
-                    await self._send_continue()
-                data = await self._receive(deadline, idle=not self.busy)
-                if not data and head is None and not self.busy:
-                    return None
-                if data is None:
-                    return None
-                if not self.busy:
-                    self.busy = True
-                    deadline = trio.current_time() + limits.header_timeout
-                self._parser.receive_data(data)
-            elif isinstance(event, h11.Request):
-                head = event
-                self.busy = True
-                arrived = trio.current_time()
-                deadline = arrived + limits.idle_timeout
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > limits.body_bytes:
-                    raise _TooLargeError
-            elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return Request(
-                    bytes(head.method),
-                    bytes(head.target),
-                    tuple((bytes(n), bytes(v)) for n, v in head.headers),
-                    bytes(body),
-                    arrived,
-                )
-            else:
-                return None
-
-    async def _receive(self, deadline: float, *, idle: bool) -> bytes | None:
-        """Return the next data, b"" at the end, or None on a timeout.
-
-        :param idle: whether the wait may be ended by :meth:`close_if_idle`.
-        """
-        with trio.move_on_at(deadline) as scope:
-            self._idle_scope = scope if idle else None
-            try:
-                return bytes(await self._stream.receive_some(_READ_SIZE))
-            finally:
-                self._idle_scope = None
-        return None
-
     async def _send_continue(self) -> None:
         response = h11.InformationalResponse(
             status_code=_CONTINUE_STATUS, headers=[]
         )
-        await self._write(self._parser.send(response) or b"")
+        await self._write([self._parser.send(response) or b""])
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, parts: Sequence[Buffer]) -> None:
         with trio.move_on_after(_WRITE_TIMEOUT) as scope:
-            await self._stream.send_all(data)
+            for piece in _split(parts):
+                await self._write_piece(piece)
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("the write to the caller timed out")
 
-    async def _refuse(self, status: int) -> None:
+    async def _write_piece(self, piece: Buffer) -> None:
+        with self._allocation.evictable(Use.WRITING) as scope:
+            await self._stream.send_all(piece)
+        if scope.cancelled_caught:
+            self._record_refusal("the answer was not read, memory is short")
+            raise trio.BrokenResourceError("others need the answer's memory")
+
+    async def _refuse(self, status: int, why: str) -> None:
         """Answer an invalid request and close the connection."""
+        self._record_refusal(f"{status}: {why}")
         if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
+        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            headers.append((b"retry-after", b"%.2f" % NO_MEMORY_RETRY))
         response = h11.Response(
-            status_code=status,
-            headers=[(b"content-length", b"0"), (b"connection", b"close")],
-            reason=_find_reason(status),
+            status_code=status, headers=headers, reason=_find_reason(status)
         )
         data = self._parser.send(response) or b""
         data += self._parser.send(h11.EndOfMessage()) or b""
-        await self._write(data)
+        await self._write([data])
         await self._linger()
 
+    def _record_refusal(self, why: str) -> None:
+        self._resources.record("caller-refused", why=why)
+
     async def _linger(self, *, for_requests: bool = True) -> None:
         """Close our end and read on briefly.
 
@@ -379,15 +345,22 @@
             A request that was sent as our end closed would be read, have no
             answer, and keep its caller waiting.
         """
-        with trio.move_on_after(_LINGER_TIMEOUT):
-            await self._stream.send_eof()
-            while await self._stream.receive_some(_READ_SIZE):
-                if not for_requests:
-                    return
-
-
-class _TooLargeError(Exception):
-    """A caller's body is longer than the limit."""
+        self._allocation.shrink(IDLE_CONNECTION_BYTES)
+        with self._allocation.evictable(Use.CLOSING):
+            await self._resources.discarder.discard(
+                self._stream, until_data=not for_requests
+            )
+
+
+def _split(parts: Sequence[Buffer]) -> Iterator[Buffer]:
+    """Return the same bytes in pieces that are written one after another."""
+    if sum(map(len, parts)) <= _WRITE_SIZE:
+        yield b"".join(parts)
+        return
+    for part in parts:
+        view = memoryview(part)
+        for begin in range(0, len(view), _WRITE_SIZE):
+            yield view[begin : begin + _WRITE_SIZE]
 
 
 def _find_reason(status: int) -> bytes:
--- a/magnoliacove/gateway/calls.py
+++ b/magnoliacove/gateway/calls.py
@@ -2,10 +2,12 @@
 
 import contextlib
 from dataclasses import dataclass
+from dataclasses import field
 
 import trio
 
 from magnoliacove import errors
+from magnoliacove.bodies import Body
 from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.callers import Exchange
 from magnoliacove.gateway.channels import Answer
@@ -51,7 +53,7 @@
 
     target: ListedTarget
     answer: Answer | None = None
-    body: bytes = b""
+    body: Body = field(default_factory=Body)
     decoded: headers.AnswerHeaders | None = None
     error: TargetError | None = None
 
--- a/magnoliacove/gateway/channels.py
+++ b/magnoliacove/gateway/channels.py
@@ -15,6 +15,9 @@
 import trio
 
 from magnoliacove import errors
+from magnoliacove.bodies import Body
+from magnoliacove.bodies import Buffer
+from magnoliacove.bodies import encode_body
 from magnoliacove.limits.answer_memory import AnswerMemory
 from magnoliacove.limits.answer_memory import AnswerTooLongError
 from magnoliacove.limits.answer_memory import BodyBuffer
@@ -100,6 +103,8 @@
         self._request: h11.Request | None = None
         self._idle_timeout = _MAX_IDLE
         self._reusable = True
+        # Bytes of the answer's body that were announced.
+        self._body_length = 0
 
     @property
     def has_no_input(self) -> bool:
@@ -113,7 +118,11 @@
         return not poll.poll(0)
 
     async def send(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes | Body,
     ) -> None:
         """Send a request with its whole body.
 
@@ -125,14 +134,14 @@
         self._request = h11.Request(
             method=method, target=target, headers=list(headers)
         )
-        data = self._encode_request(body)
-        if len(data) <= _SMALL_REQUEST:
-            await self._send_all(data)
+        parts = self._encode_request(body)
+        if sum(map(len, parts)) <= _SMALL_REQUEST:
+            await self._send_all([b"".join(parts)])
             return
         # A target may stop reading a long body and answer early.  Sending
         # concurrently with reading the answer cannot deadlock.
         self._sending = True
-        self._start_soon(self._send_long, data)
+        self._start_soon(self._send_long, parts)
 
     async def read_head(
         self, request: str, read_id: Callable[[Answer], str]
@@ -171,18 +180,19 @@
             if isinstance(event, h11.EndOfMessage):
                 return None
 
-    async def read_whole_body(self, buffer: BodyBuffer) -> bytes:
-        """Return the whole body.
+    async def read_whole_body(self, buffer: BodyBuffer) -> Body:
+        """Return the whole body, which the buffer holds.
 
         :param buffer: bounds the body, which may have no end.
         :raises TargetError: when the answer breaks off or is too long.
         """
         try:
+            await buffer.reserve(self._body_length)
             while (part := await self.read_body()) is not None:
                 buffer.add(part)
         except AnswerTooLongError as exc:
             raise TargetError(str(exc), errors.Outcome.MAY_HAVE_RUN) from exc
-        return bytes(buffer.body)
+        return buffer.body
 
     async def close(self) -> None:
         """Close the connection at once."""
@@ -209,28 +219,29 @@
         target = self._request.target if self._request is not None else b""
         return bytes(target).partition(b"?")[0].decode("latin-1")
 
-    def _encode_request(self, body: bytes) -> bytes:
+    def _encode_request(self, body: bytes | Body) -> list[Buffer]:
+        """Return the parts of the request, of which the body is not copied."""
         request = self._request
         if request is None:
-            return b""
-        parts = [self._parser.send(request) or b""]
-        if body:
-            parts.append(self._parser.send(h11.Data(data=body)) or b"")
+            return []
+        parts: list[Buffer] = [self._parser.send(request) or b""]
+        parts += encode_body(self._parser, body)
         parts.append(self._parser.send(h11.EndOfMessage()) or b"")
-        return b"".join(parts)
+        return parts
 
-    async def _send_all(self, data: bytes) -> None:
+    async def _send_all(self, parts: Sequence[Buffer]) -> None:
         try:
-            await self._stream.send_all(data)
+            for part in parts:
+                await self._stream.send_all(part)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise TargetError(
                 "the connection broke while the request was sent",
                 errors.Outcome.MAY_HAVE_RUN,
             ) from exc
 
-    async def _send_long(self, data: bytes) -> None:
+    async def _send_long(self, parts: Sequence[Buffer]) -> None:
         try:
-            await self._send_all(data)
+            await self._send_all(parts)
         except TargetError:
             # The task that reads the answer reports the broken connection;
             # here it is only marked as not reusable.
@@ -243,6 +254,7 @@
             if isinstance(event, h11.Response):
                 headers = tuple((bytes(n), bytes(v)) for n, v in event.headers)
                 self._read_keep_alive(headers)
+                self._body_length = self._read_length(event)
                 return Answer(event.status_code, headers)
         raise TargetError(
             "the target sends interim answers without end",
@@ -304,6 +316,13 @@
             )
         return event
 
+    def _read_length(self, response: h11.Response) -> int:
+        """Return the length of an answer's body, 0 if it is not announced."""
+        request = self._request
+        if request is not None and request.method == b"HEAD":
+            return 0
+        return int(dict(response.headers).get(b"content-length", b"0"))
+
     def _read_keep_alive(self, headers: Headers) -> None:
         for name, value in headers:
             if name != b"keep-alive":
--- a/magnoliacove/gateway/engines.py
+++ b/magnoliacove/gateway/engines.py
@@ -37,13 +37,18 @@
 
 
 class EngineCalls:
-    """Requests reports from engines and sends them orders."""
+    """Requests reports from engines and sends them orders.
 
-    def __init__(self, pool: ChannelPool) -> None:
+    :param memory: bounds the answers that are read whole.
+    """
+
+    def __init__(
+        self, pool: ChannelPool, memory: AnswerMemory | None = None
+    ) -> None:
         self.reports = 0
         self.orders = 0
         self._pool = pool
-        self._memory = AnswerMemory()
+        self._memory = memory or AnswerMemory()
 
     async def is_reachable(self, target: ListedTarget) -> bool:
         """Return whether an engine accepts a connection.
@@ -163,5 +168,5 @@
             await channel.send(method, path.encode(), request_headers, body)
             answer = await channel.read_head("", lambda _: "")
             with self._memory.open(_MAX_BODY, _MAX_SHORT_PARTS) as buffer:
-                content = await channel.read_whole_body(buffer)
+                content = (await channel.read_whole_body(buffer)).join()
         return answer.status, answer.headers, content
--- a/magnoliacove/gateway/gauges.py
+++ b/magnoliacove/gateway/gauges.py
@@ -12,6 +12,7 @@
     """Return the current value of each gauge."""
     table = state.routes
     now = trio.current_time()
+    memory = state.answer_memory.memory
     elsewhere = state.shared_waiting.reported.count_requests(now)
     return {
         "configuration_version": table.version if table else 0,
@@ -36,6 +37,11 @@
         "requests_quarantined": len(state.quarantine.list_all()),
         "quarantine_refusals": state.quarantine.refused,
         "connections_opened": state.pool.opened,
+        "caller_connections": memory.connections,
+        "caller_memory_used_bytes": memory.used,
+        "caller_memory_limit_bytes": memory.limits.memory,
+        "callers_evicted": memory.evicted,
+        "callers_refused_for_memory": memory.refused,
     }
 
 
--- a/magnoliacove/gateway/path_runs.py
+++ b/magnoliacove/gateway/path_runs.py
@@ -159,7 +159,7 @@
         :raises BrokenRunError: always.
         """
         with self._state.answer_memory.open() as buffer:
-            body = await channel.read_whole_body(buffer)
+            body = (await channel.read_whole_body(buffer)).join()
         if decoded.not_run:
             self._handle_refusal(answer.status, decoded.faulty)
             raise BrokenRunError(
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -1,6 +1,7 @@
 """A gateway process, assembled from its parts."""
 
 import random
+import resource
 import socket
 import time
 import traceback
@@ -18,6 +19,7 @@
 from magnoliacove.gateway.assembly import make_state
 from magnoliacove.gateway.attribution import CrashAttribution
 from magnoliacove.gateway.callers import CallerConnection
+from magnoliacove.gateway.callers import CallerResources
 from magnoliacove.gateway.callers import Exchange
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.draining import Drain
@@ -29,6 +31,9 @@
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.gateway.store import StoreFollower
 from magnoliacove.gateway.supervision import run_supervised
+from magnoliacove.limits.caller_memory import CallerMemory
+from magnoliacove.limits.caller_memory import MemoryLimits
+from magnoliacove.limits.caller_memory import divide_limits
 from magnoliacove.metrics import Meters
 from magnoliacove.metrics import serve_meters
 from magnoliacove.placement import controller
@@ -52,6 +57,11 @@
 _TIDY_INTERVAL = 1.0
 # Seconds after the start until metrics are served.
 _METERS_DELAY = 2.0
+# Bytes that wait in the kernel until a caller reads them; without a limit they
+# grow to megabytes.
+_SEND_BUFFER = 64 * 1024
+# Limits of the balancer's probes, which have no body.
+_PROBE_LIMITS = CallerLimits(body_bytes=0)
 # Maximum seconds in the metric of the store's outage, reported when the store
 # was never reached.
 _MAX_STORE_OUTAGE = 1e6
@@ -85,6 +95,13 @@
         recorder = Recorder(settings.name)
         self.recorder = recorder
         bounds = settings.bounds
+        callers, probes = _read_memory_limits(settings)
+        self._callers = CallerResources(
+            CallerMemory(callers), record=recorder.record
+        )
+        self._probes = CallerResources(
+            CallerMemory(probes), record=recorder.record
+        )
         grace = min(_EXPIRY_GRACE, bounds.drain - _REMOVAL_DELAY)
         expects_peers = any(
             seed.host != settings.host for seed in settings.seeds
@@ -107,10 +124,11 @@
                 owns=lambda fingerprint: self._peers.owns(fingerprint),
                 shares_waiting=shares_waiting,
                 expects_peers=expects_peers,
+                memory=self._callers.memory,
             )
         )
         state = self.state
-        self._calls = EngineCalls(state.pool)
+        self._calls = EngineCalls(state.pool, state.answer_memory)
         self._quarantines = QuarantineRecords(api, state.quarantine, recorder)
         self._attribution = CrashAttribution(
             state,
@@ -238,6 +256,9 @@
         for seed in settings.seeds:
             self._peers.heartbeats.add_address(seed)
         self._settings = settings
+        callers, probes = _read_memory_limits(settings)
+        self._callers.memory.limits = callers
+        self._probes.memory.limits = probes
         self.recorder.record(
             "reloaded",
             why="a name or an address changed; it applies after a restart"
@@ -249,6 +270,15 @@
 
     async def _serve_callers(self) -> None:
         listener = _listen(self._settings.callers, self._listener)
+        # Accepted connections inherit both.
+        listener.socket.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            self._callers.memory.limits.receive_buffer,
+        )
+        listener.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER
+        )
         async with trio.open_nursery() as nursery:
             with self._drain.accepting:
                 await trio.serve_listeners(
@@ -264,6 +294,7 @@
             self._relay.serve,
             lambda: self.state.leaving,
             lambda: self._drain.accepting.cancel_called,
+            self._callers,
         )
         self._drain.connections.add(connection)
         try:
@@ -281,7 +312,11 @@
     async def _serve_readiness(self) -> None:
         async def answer(stream: trio.SocketStream) -> None:
             connection = CallerConnection(
-                stream, CallerLimits, self._answer_readiness, lambda: False
+                stream,
+                lambda: _PROBE_LIMITS,
+                self._answer_readiness,
+                lambda: False,
+                resources=self._probes,
             )
             await connection.run()
 
@@ -353,6 +388,17 @@
         }
 
 
+def _read_memory_limits(
+    settings: NodeSettings,
+) -> tuple[MemoryLimits, MemoryLimits]:
+    """Return the limits for callers and for probes of this process."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    descriptors = settings.descriptors
+    if allowed != resource.RLIM_INFINITY:
+        descriptors = min(descriptors, allowed)
+    return divide_limits(settings.memory, descriptors)
+
+
 def _listen(
     address: wire.Address, listener: socket.socket | None = None
 ) -> trio.SocketListener:
--- a/magnoliacove/gateway/relay.py
+++ b/magnoliacove/gateway/relay.py
@@ -124,6 +124,8 @@
         try:
             if exchange.late:
                 raise make_stopped(False)
+            if exchange.request.refusal is not None:
+                raise exchange.request.refusal
             ready_by = trio.current_time() + _NOT_READY_TIMEOUT
             with self._state.call_limits.limit(ready_by):
                 await self._state.wait_for_routes()
--- a/magnoliacove/gateway/requests.py
+++ b/magnoliacove/gateway/requests.py
@@ -6,6 +6,7 @@
 import random
 
 from magnoliacove import errors
+from magnoliacove.bodies import Body
 from magnoliacove.configuration.routes import Route
 from magnoliacove.configuration.routes import ServiceSpec
 from magnoliacove.gateway.callers import Request
@@ -92,8 +93,8 @@
             request.method,
             request.target,
             account.encode(),
-            request.body,
-        )
+        ),
+        request.body,
     )
 
 
@@ -105,12 +106,17 @@
     return tuple(_make_digest((b"part", part.encode())) for part in ids)
 
 
-def _make_digest(values: Iterable[bytes]) -> str:
+def _make_digest(values: Iterable[bytes], body: Body | None = None) -> str:
+    """Return a digest of values and a body, if there is one."""
     digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    # The length prefix keeps different requests from giving the same
+    # concatenation.
     for value in values:
-        # The length prefix keeps different requests from giving the same
-        # concatenation.
         digest.update(b"%d:" % len(value) + value)
+    if body is not None:
+        digest.update(b"%d:" % len(body))
+        for block in body.read_blocks():
+            digest.update(block)
     return digest.hexdigest()
 
 
--- a/magnoliacove/gateway/state.py
+++ b/magnoliacove/gateway/state.py
@@ -78,7 +78,7 @@
     grants: GrantBook
     permits: Permits
     quarantine: QuarantineBook
-    answer_memory: AnswerMemory = field(default_factory=AnswerMemory)
+    answer_memory: AnswerMemory
     routes: RouteTable | None = None
     routes_applied_at: float = 0.0
     leaving: bool = False
--- a/magnoliacove/limits/answer_memory.py
+++ b/magnoliacove/limits/answer_memory.py
@@ -1,25 +1,27 @@
 """Memory for answers of targets that are read whole before they are forwarded.
 
-A target in trouble may send a body without end, to many requests at once.  The
-bytes of all such bodies together are bounded, and so is each one: it may grow
-by as much as the others leave free.  Few long answers therefore fit, and many
-endless ones stop each other early without taking the memory of short ones.
+A target in trouble may send a body without end, to many requests at once.
+Each body may grow while the account of all that is held for callers has room
+for it, so that few long answers fit, and many endless ones stop each other
+early without taking the memory of short ones.
 """
 
+import contextlib
+
 from magnoliacove import errors
+from magnoliacove.bodies import Body
+from magnoliacove.limits.caller_memory import CallerMemory
+from magnoliacove.limits.caller_memory import Content
 
 __all__ = [
-    "MAX_BODIES",
     "MAX_BODY",
     "AnswerMemory",
     "AnswerTooLongError",
     "BodyBuffer",
 ]
 
-# Bytes of one body and of all bodies together.  A gateway has a few hundred
-# megabytes, and a body is copied a few times on its way.
+# Bytes of one body.
 MAX_BODY = 8 * 1024 * 1024
-MAX_BODIES = 32 * 1024 * 1024
 # Number of short parts of one body, and the length in bytes from which a part
 # is not short.  Each costs processor time, however short it is.
 MAX_SHORT_PARTS = 4096
@@ -33,12 +35,12 @@
 class AnswerMemory:
     """The memory that the bodies of one process share.
 
-    :param capacity: in bytes.
+    :param memory: the account of all that is held for callers.
     :param used: bytes of the bodies that are held now.
     """
 
-    def __init__(self, capacity: int = MAX_BODIES) -> None:
-        self.capacity = capacity
+    def __init__(self, memory: CallerMemory | None = None) -> None:
+        self.memory = memory or CallerMemory()
         self.used = 0
 
     def open(
@@ -57,38 +59,60 @@
     """
 
     def __init__(
-        self, memory: AnswerMemory, max_bytes: int, max_short_parts: int
+        self, answers: AnswerMemory, max_bytes: int, max_short_parts: int
     ) -> None:
-        self.body = bytearray()
-        self._memory = memory
+        self.body = Body()
+        self._answers = answers
         self._max_bytes = max_bytes
         self._short_parts_left = max_short_parts
+        self._resources = contextlib.ExitStack()
+        self._allocation = self._resources.enter_context(
+            answers.memory.allocate(Content.ANSWERS)
+        )
+
+    async def reserve(self, length: int) -> None:
+        """Wait until there is memory for a body of a known length.
+
+        :raises AnswerTooLongError: when there is none for some time.
+        """
+        self._check_length(length)
+        if not await self._allocation.resize(length):
+            raise self._make_error(length)
 
     def add(self, part: bytes) -> None:
         """Add the next part of the body.
 
         :raises AnswerTooLongError: when there is no memory for it.
         """
-        memory = self._memory
-        free = memory.capacity - memory.used
-        limit = min(self._max_bytes, free)
-        if len(self.body) + len(part) > limit:
-            raise AnswerTooLongError(
-                f"the answer is longer than the {limit} bytes that are left "
-                "for it"
-            )
+        size = len(self.body) + len(part)
+        self._check_length(size)
         self._short_parts_left -= len(part) < _SHORT_PART
         if self._short_parts_left < 0:
             raise AnswerTooLongError(
                 f"the answer has {len(self.body)} bytes in too many parts"
             )
-        self.body += part
-        memory.used += len(part)
+        reserved = size <= self._allocation.size
+        if not reserved and not self._allocation.try_resize(size):
+            raise self._make_error(size)
+        self.body.append(part)
+        self._answers.used += len(part)
 
     def release(self) -> None:
         """Return the memory."""
-        self._memory.used -= len(self.body)
-        self.body = bytearray()
+        self._answers.used -= len(self.body)
+        self.body.clear()
+        self._resources.close()
+
+    def _check_length(self, length: int) -> None:
+        if length > self._max_bytes:
+            raise AnswerTooLongError(
+                f"the answer is longer than {self._max_bytes} bytes"
+            )
+
+    def _make_error(self, length: int) -> AnswerTooLongError:
+        return AnswerTooLongError(
+            f"there is no memory for {length} bytes of the answer"
+        )
 
     def __enter__(self) -> "BodyBuffer":
         return self
--- /dev/null
+++ b/magnoliacove/limits/caller_memory.py
@@ -0,0 +1,327 @@
+"""Memory and descriptors that a process uses for its callers.
+
+Callers that nobody controls come in any number, send as much as they may, and
+stay.  Whatever a process holds for them (connections, requests that are read,
+requests in progress, answers) draws on one account, whose size follows from
+the memory of the process.
+
+What one caller holds may grow only while at least as much stays free (a
+dynamic threshold).  So large bodies stop while there is memory for smaller
+ones, and a few large ones fit where many do not.  Requests and answers each
+leave the other a share.  What is held for nothing gives way to what needs it:
+connections that close or are idle, and requests and answers that take long to
+be sent or read.
+"""
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+import contextlib
+from dataclasses import dataclass
+import enum
+
+import trio
+
+__all__ = [
+    "ACTIVE_CONNECTION_BYTES",
+    "IDLE_CONNECTION_BYTES",
+    "Allocation",
+    "CallerMemory",
+    "Content",
+    "MemoryLimits",
+    "Use",
+    "divide_limits",
+]
+
+_MB = 1024 * 1024
+# Bytes of a process without callers, with room for the state of a large
+# fleet; and the share that callers get of the rest.  What is left is for what
+# is freed and not reused at once.
+_PROCESS_BYTES = 96 * _MB
+_CALLERS_SHARE = 0.8
+# Share of a small process's memory that callers get in any case.
+_MIN_CALLERS_SHARE = 0.25
+# Descriptors for files, as the platform reserves them, and share of the others
+# for callers' connections: each request also needs one to a target.
+_FILE_DESCRIPTORS = 200
+_MIN_SOCKETS_SHARE = 0.5
+_CALLERS_SOCKETS_SHARE = 0.5
+# Bytes and connections for the balancer's probes, which must not wait for
+# callers.
+_PROBES_BYTES = 4 * _MB
+_PROBE_CONNECTIONS = 32
+# Share of the memory for what callers sent and nobody has read, and bounds of
+# the bytes for one connection.
+_UNREAD_SHARE = 0.1
+_MIN_RECEIVE_BUFFER = 8 * 1024
+_MAX_RECEIVE_BUFFER = 64 * 1024
+# Bytes that an idle connection holds: its task, parser and socket.
+IDLE_CONNECTION_BYTES = 16 * 1024
+# Bytes of one that is used: also a head or a short body, requests that follow,
+# what waits in the kernel, and the tasks and the connection to a target.
+ACTIVE_CONNECTION_BYTES = 96 * 1024
+# Seconds that a caller waits for memory, so that what becomes stale is gone
+# before; and between two attempts.
+_MAX_WAIT = 3.0
+_RETRY_INTERVAL = 0.1
+
+
+class Content(enum.Enum):
+    """What memory is held for."""
+
+    REQUESTS = enum.auto()
+    ANSWERS = enum.auto()
+
+
+# Share of the memory that is left to each content.  Without it requests in
+# progress would wait for each other's end, as none could read its answer, and
+# answers that nobody reads would keep out all requests.
+_SHARES = {Content.REQUESTS: 0.25, Content.ANSWERS: 0.25}
+
+
+class Use(enum.Enum):
+    """What a connection is used for while others may need its memory."""
+
+    CLOSING = enum.auto()
+    IDLE = enum.auto()
+    HEAD = enum.auto()
+    BODY = enum.auto()
+    WRITING = enum.auto()
+
+
+# Seconds that a use may take once memory is short.
+_STALE_TIMES = {
+    Use.CLOSING: 0.0,
+    Use.IDLE: 0.0,
+    Use.HEAD: 0.5,
+    Use.BODY: 2.0,
+    Use.WRITING: 2.0,
+}
+_STALE_USES = (Use.HEAD, Use.BODY, Use.WRITING)
+# Which uses end first, for a new connection and for the bytes of a message.
+# An idle connection costs its caller a new one, a stale request costs more;
+# but large bodies must not close the idle connections of everybody.
+_ORDER_FOR_CONNECTIONS = (Use.CLOSING, Use.IDLE, *_STALE_USES)
+_ORDER_FOR_MESSAGES = (Use.CLOSING, *_STALE_USES, Use.IDLE)
+
+
+@dataclass(frozen=True)
+class MemoryLimits:
+    """Limits of what is held for callers.
+
+    :param memory: in bytes.
+    :param connections: number of open connections.
+    :param receive_buffer: bytes that wait in the kernel for each of them.
+    """
+
+    memory: int = 32 * _MB
+    connections: int = 1000
+    receive_buffer: int = _MAX_RECEIVE_BUFFER
+
+
+def divide_limits(
+    memory: int, descriptors: int
+) -> tuple[MemoryLimits, MemoryLimits]:
+    """Return the limits for callers and for the balancer's probes.
+
+    :param memory: bytes that the process may use.
+    :param descriptors: descriptors that it may have open.
+    """
+    share = int(
+        max(
+            (memory - _PROCESS_BYTES) * _CALLERS_SHARE,
+            memory * _MIN_CALLERS_SHARE,
+        )
+    )
+    sockets = max(
+        descriptors - _FILE_DESCRIPTORS, descriptors * _MIN_SOCKETS_SHARE
+    )
+    connections = int(sockets * _CALLERS_SOCKETS_SHARE)
+    probes = MemoryLimits(
+        min(_PROBES_BYTES, share // 8),
+        min(_PROBE_CONNECTIONS, connections // 8 + 1),
+    )
+    connections = max(1, connections - probes.connections)
+    buffer = int(memory * _UNREAD_SHARE) // connections
+    callers = MemoryLimits(
+        share - probes.memory,
+        connections,
+        min(max(buffer, _MIN_RECEIVE_BUFFER), _MAX_RECEIVE_BUFFER),
+    )
+    return callers, probes
+
+
+class Allocation:
+    """What is held for one connection or one message.
+
+    :param size: in bytes.
+    """
+
+    def __init__(self, memory: "CallerMemory", content: Content) -> None:
+        self.size = 0
+        self.content = content
+        self._memory = memory
+
+    def try_resize(self, size: int) -> bool:
+        """Change the size, if there is memory; return whether there is."""
+        return self._memory.try_resize(self, size)
+
+    async def resize(self, size: int) -> bool:
+        """Change the size, and wait for memory; return whether there is.
+
+        What can never fit is refused at once.
+        """
+        possible = self._memory.may_ever_fit(size)
+        deadline = trio.current_time() + _MAX_WAIT
+        while not self.try_resize(size):
+            if not possible or trio.current_time() >= deadline:
+                self._memory.refused += 1
+                return False
+            await trio.sleep(_RETRY_INTERVAL)
+        return True
+
+    def shrink(self, size: int) -> None:
+        """Return the memory beyond a size."""
+        if size < self.size:
+            self._memory.set_size(self, size)
+
+    @contextlib.contextmanager
+    def evictable(self, use: Use) -> Iterator[trio.CancelScope]:
+        """Allow that the block is cancelled to make room for others."""
+        with trio.CancelScope() as scope:
+            self._memory.add_evictable(self, use, scope)
+            try:
+                yield scope
+            finally:
+                self._memory.remove_evictable(self, use)
+
+
+@dataclass(frozen=True)
+class _Evictable:
+    """A use that may end; `since` by trio's clock."""
+
+    scope: trio.CancelScope
+    since: float
+
+
+class CallerMemory:
+    """The account of one process.
+
+    :param connections: number of open connections.
+    :param evicted: how often a use was ended for others.
+    :param refused: how often there was no memory.
+    """
+
+    def __init__(self, limits: MemoryLimits | None = None) -> None:
+        self.limits = limits or MemoryLimits()
+        self.connections = 0
+        self.evicted = 0
+        self.refused = 0
+        self._used = dict.fromkeys(Content, 0)
+        # In the order in which they began.
+        self._evictable: dict[Use, dict[Allocation, _Evictable]] = {
+            use: {} for use in Use
+        }
+
+    @property
+    def used(self) -> int:
+        """The bytes that are held now."""
+        return sum(self._used.values())
+
+    @contextlib.contextmanager
+    def allocate(self, content: Content) -> Iterator[Allocation]:
+        """Provide an allocation, which is returned at the end of the block."""
+        allocation = Allocation(self, content)
+        try:
+            yield allocation
+        finally:
+            allocation.shrink(0)
+
+    @contextlib.contextmanager
+    def open_connection(self) -> Iterator[Allocation | None]:
+        """Provide an allocation for a connection, None if there is none."""
+        self.connections += 1
+        try:
+            with self.allocate(Content.REQUESTS) as allocation:
+                yield allocation if self._admit(allocation) else None
+        finally:
+            self.connections -= 1
+
+    def try_resize(self, allocation: Allocation, size: int) -> bool:
+        """Change an allocation's size, and evict what may end for it."""
+        return self._make_room(allocation, size, _ORDER_FOR_MESSAGES)
+
+    def may_ever_fit(self, size: int) -> bool:
+        """Return whether there may be memory when nothing else is held."""
+        return size <= self.limits.memory * (1 - max(_SHARES.values())) / 2
+
+    def set_size(self, allocation: Allocation, size: int) -> None:
+        """Change the size of an allocation, whether it fits or not."""
+        self._used[allocation.content] += size - allocation.size
+        allocation.size = size
+
+    def add_evictable(
+        self, allocation: Allocation, use: Use, scope: trio.CancelScope
+    ) -> None:
+        """Let a use end when others need its memory."""
+        now = trio.current_time()
+        self._evictable[use][allocation] = _Evictable(scope, now)
+
+    def remove_evictable(self, allocation: Allocation, use: Use) -> None:
+        """Let a use go on."""
+        self._evictable[use].pop(allocation, None)
+
+    def _admit(self, allocation: Allocation) -> bool:
+        """Return whether a new connection may stay."""
+        order = _ORDER_FOR_CONNECTIONS
+        excess = self.connections - self.limits.connections
+        admitted = (
+            excess <= 0 or self._evict_next(order, allocation)
+        ) and self._make_room(allocation, IDLE_CONNECTION_BYTES, order)
+        self.refused += not admitted
+        return admitted
+
+    def _make_room(
+        self, allocation: Allocation, size: int, order: Sequence[Use]
+    ) -> bool:
+        while not self._fits(allocation, size):
+            if not self._evict_next(order, allocation):
+                return False
+        self.set_size(allocation, size)
+        return True
+
+    def _fits(self, allocation: Allocation, size: int) -> bool:
+        if size <= allocation.size:
+            return True
+        free = self.limits.memory - self.used + allocation.size - size
+        return free - self._count_left(allocation.content) >= size
+
+    def _count_left(self, content: Content) -> int:
+        """Return the bytes that one content leaves to the other."""
+        return sum(
+            max(0, int(share * self.limits.memory) - self._used[other])
+            for other, share in _SHARES.items()
+            if other is not content
+        )
+
+    def _evict_next(self, order: Sequence[Use], needs: Allocation) -> bool:
+        """End one use for an allocation; return whether there was any."""
+        now = trio.current_time()
+        for use in order:
+            for allocation, found in self._evictable[use].items():
+                if found.since > now - _STALE_TIMES[use]:
+                    break
+                if allocation is needs:
+                    continue
+                self._evict(allocation, use, found)
+                return True
+        return False
+
+    def _evict(
+        self, allocation: Allocation, use: Use, found: _Evictable
+    ) -> None:
+        del self._evictable[use][allocation]
+        # The task that uses it returns the bytes as it is cancelled, before
+        # it runs again.
+        allocation.shrink(0)
+        found.scope.cancel()
+        self.evicted += 1
--- a/magnoliacove/platform/settings.py
+++ b/magnoliacove/platform/settings.py
@@ -14,6 +14,11 @@
 
 __all__ = ["Bounds", "NodeSettings", "read_settings"]
 
+_MB = 1024 * 1024
+# Limits of a process whose settings state none.
+_DEFAULT_MEMORY_MB = 300
+_DEFAULT_DESCRIPTORS = 1024
+
 
 @dataclass(frozen=True)
 class Bounds:
@@ -48,6 +53,9 @@
         may be out of date.
     :param store: the address of the platform's object store.
     :param first_start: whether the whole system starts for the first time.
+    :param memory: bytes that the process may use, also for what it was sent
+        and has not read.
+    :param descriptors: descriptors that it may have open.
     """
 
     name: str
@@ -60,6 +68,8 @@
     store: Address
     bounds: Bounds
     first_start: bool
+    memory: int = _DEFAULT_MEMORY_MB * _MB
+    descriptors: int = _DEFAULT_DESCRIPTORS
 
 
 def read_settings(path: str) -> NodeSettings:
@@ -96,6 +106,7 @@
             "port for connections between processes"
         )
     peer_port = int(ports[0])
+    limits = fields.object("limits") or Fields({}, fields.where)
     return NodeSettings(
         name=fields.text("node_name"),
         data_centre=fields.text("zone"),
@@ -112,6 +123,8 @@
         store=Address.parse(store.text("address")),
         bounds=_decode_bounds(_require(fields, "bounds")),
         first_start=fields.flag("bootstrap"),
+        memory=_MB * limits.count("memory_mb", _DEFAULT_MEMORY_MB),
+        descriptors=limits.count("max_fds", _DEFAULT_DESCRIPTORS),
     )
 
 
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -6,11 +6,11 @@
 import trio
 
 from magnoliacove import errors
-from magnoliacove.gateway.callers import CallerConnection
 from magnoliacove.gateway.callers import Exchange
 from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.path_reservations import PathReservation
 from magnoliacove.gateway.path_runs import PathRun
+from magnoliacove.gateway.request_reader import RequestReader
 from magnoliacove.limits import CapacityQueue
 from magnoliacove.limits import SharedRetryBudget
 from tests.gateway import stubs
@@ -448,7 +448,7 @@
     its caller leaves, so the stream never uses the path.
     """
     monkeypatch.setattr(PathReservation, "read_delay", lambda self: 0.0)
-    original = CallerConnection._wait_disconnect
+    original = RequestReader.wait_disconnect
     async with stubs.open_harness() as harness:
         health = harness.state.health
         await harness.add("i-1", _serve_after(9.0), layers=_LAYERS)
@@ -458,7 +458,7 @@
             health._suspicions.clear()
             harness.state.capacity_queue.fill()
 
-        monkeypatch.setattr(CallerConnection, "_wait_disconnect", free_a_path)
+        monkeypatch.setattr(RequestReader, "wait_disconnect", free_a_path)
         for _ in range(12):
             health._durations.clear()
             health.suspect("i-1", "the test says so")
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -15,16 +15,19 @@
 from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.events import EventSplitter
 from magnoliacove.gateway.events import StreamEvent
-from magnoliacove.limits.answer_memory import MAX_BODIES
 from magnoliacove.limits.answer_memory import MAX_BODY
 from magnoliacove.limits.answer_memory import AnswerMemory
 from magnoliacove.limits.answer_memory import AnswerTooLongError
+from magnoliacove.limits.caller_memory import CallerMemory
+from magnoliacove.limits.caller_memory import MemoryLimits
 from magnoliacove.platform.client import HttpObjectApi
 from magnoliacove.routing.paths import Path
 from magnoliacove.routing.paths import PathStage
 from tests.gateway import stubs
 
 _MB = 1024 * 1024
+# What all answers together may hold, without settings that say otherwise.
+_ALL_ANSWERS = 32 * _MB
 # What the sockets of both ends may hold besides.
 _BUFFERED = 8 * _MB
 _CHUNKED = stubs.OK + b"transfer-encoding: chunked\r\n\r\n"
@@ -126,13 +129,13 @@
             for _ in range(100):
                 most = max(most, memory.used)
                 await trio.sleep(0.01)
-        assert 0 < most <= MAX_BODIES
+        assert 0 < most <= _ALL_ANSWERS
         assert memory.used == 0
 
 
-def test_short_answers_fit_beside_long_ones():
+async def test_short_answers_fit_beside_long_ones():
     """Endless answers must stop each other before they take all memory."""
-    memory = AnswerMemory(1000)
+    memory = AnswerMemory(CallerMemory(MemoryLimits(1000, 1)))
     endless = [memory.open() for _ in range(9)]
     while endless:
         for buffer in tuple(endless):
