Shorten callers' texts in events, and bound the bytes of waiting lines

Callers choose the ids and paths that events name, each up to the limit of a head.

Ids in events have 128 characters at most, other texts 1,024, tracebacks 8,192; lines that wait have 8 MB together. Nothing else reads an id from an event; what is forwarded and matched is the header itself. Red before: the two new tests of tests/test_logs.py, and the new crowd.

--- a/magnoliacove/logs.py
+++ b/magnoliacove/logs.py
@@ -31,8 +31,9 @@
 LINES_PER_SECOND = 300
 # Lines that may exceed the budget after a quiet period.
 BURST_LINES = 1500
-# Lines that are queued while the reader does not read; 8 MB at 1 KB each.
+# Lines, and their bytes, that are queued while the reader does not read.
 _MAX_QUEUED_LINES = 8000
+_MAX_QUEUED_BYTES = 8 * 1024 * 1024
 # Seconds between writes.
 _FLUSH_INTERVAL = 0.2
 # Seconds that the last write waits for a reader that is behind, within the
@@ -140,6 +141,7 @@
         self._tokens = burst
         self._refilled_at: float | None = None
         self._lines: deque[bytes] = deque()
+        self._queued_bytes = 0
         self._buffer = b""
         self._reported_dropped = 0
         os.set_blocking(descriptor, False)
@@ -152,13 +154,17 @@
         :param kind: by which dropped lines are counted.
         """
         self._refill()
-        full = len(self._lines) >= _MAX_QUEUED_LINES
+        data = line.encode() + b"\n"
+        full = (
+            len(self._lines) >= _MAX_QUEUED_LINES
+            or self._queued_bytes + len(data) > _MAX_QUEUED_BYTES
+        )
         if full or (self._tokens < 1 and not keep):
             self.dropped += 1
             self._dropped_kinds[kind] += 1
             return
         self._tokens = max(0.0, self._tokens - 1)
-        self._lines.append(line.encode() + b"\n")
+        self._queue(data)
 
     def flush(self) -> None:
         """Write queued lines until the descriptor would block."""
@@ -178,6 +184,7 @@
                 # place to report that.
                 self._buffer = b""
                 self._lines.clear()
+                self._queued_bytes = 0
                 return
             self._buffer = self._buffer[written:]
 
@@ -189,7 +196,11 @@
             "lines": self.dropped,
             "kinds": dict(self._dropped_kinds.most_common()),
         }
-        self._lines.append(json.dumps(report).encode() + b"\n")
+        self._queue(json.dumps(report).encode() + b"\n")
+
+    def _queue(self, data: bytes) -> None:
+        self._lines.append(data)
+        self._queued_bytes += len(data)
 
     def _fill_buffer(self) -> None:
         """Move queued lines into the buffer for the next write.
@@ -201,7 +212,9 @@
             size = len(self._buffer) + len(self._lines[0])
             if self._buffer and size > _ATOMIC_WRITE:
                 return
-            self._buffer += self._lines.popleft()
+            line = self._lines.popleft()
+            self._queued_bytes -= len(line)
+            self._buffer += line
 
     async def run(self) -> None:
         """Write queued lines until cancelled."""
--- a/magnoliacove/timeline/events.py
+++ b/magnoliacove/timeline/events.py
@@ -18,6 +18,12 @@
 
 __all__ = ["Event", "Recorder"]
 
+# Characters of an event's texts at most.  Some are a caller's, as long as the
+# limit of a head, and thousands of events are kept and wait to be written.
+_MAX_REQUEST = 128
+_MAX_TEXT = 1024
+_MAX_TRACEBACK = 8192
+
 _log = logbook.Logger("magnoliacove")
 
 
@@ -102,11 +108,11 @@
             self.clock.now(),
             self.process,
             kind,
-            name,
+            name[:_MAX_REQUEST],
             target,
             self.version,
-            why,
-            detail,
+            why[:_MAX_TEXT],
+            {key: _shorten(key, value) for key, value in detail.items()},
         )
         self._ring.append(event)
         _log.info(kind, extra={"event": event})
@@ -143,3 +149,10 @@
             if send.statistics().open_receive_channels == 0:
                 self._followers.discard(send)
                 send.close()
+
+
+def _shorten(key: str, value: Any) -> Any:
+    """Return a detail, of which only texts are shortened."""
+    if not isinstance(value, str):
+        return value
+    return value[: _MAX_TRACEBACK if key == "traceback" else _MAX_TEXT]
--- a/tests/gateway/crowds.py
+++ b/tests/gateway/crowds.py
@@ -48,6 +48,7 @@
 
     :param act: what each one does on its connection.
     :param leaves: whether a client closes its connection once it has acted.
+    :param probes: whether it comes to the address of the balancer's probes.
     """
 
     act: _Client
@@ -55,6 +56,7 @@
     memory_mb: int = 128
     max_descriptors: int = 1000
     leaves: bool = False
+    probes: bool = False
 
 
 @dataclass
@@ -155,13 +157,14 @@
         self.gateway.write_settings(f"127.0.0.1:{port}", [self.gateway.host])
         self.gateway.start()
 
-    async def _connect(self) -> trio.SocketStream:
+    async def _connect(self, *, probes: bool = False) -> trio.SocketStream:
         gateway = self.gateway
-        return await trio.open_tcp_stream(gateway.host, gateway.callers_port)
+        port = gateway.ready_port if probes else gateway.callers_port
+        return await trio.open_tcp_stream(gateway.host, port)
 
     async def _visit(self) -> None:
         with contextlib.suppress(OSError, trio.BrokenResourceError):
-            stream = await self._connect()
+            stream = await self._connect(probes=self._crowd.probes)
             async with stream:
                 await self._crowd.act(stream)
                 if not self._crowd.leaves:
--- a/tests/gateway/test_crowds.py
+++ b/tests/gateway/test_crowds.py
@@ -18,6 +18,7 @@
 _ENDLESS = 4 * BODY_LIMIT
 _PART = b"x" * 65536
 _LEGAL = b"x" * BODY_LIMIT
+_ID = "i" * 15_000
 _CHUNKED = {"transfer_encoding": "chunked"}
 
 
@@ -92,6 +93,18 @@
     await stream.send_all(head[:-1])
 
 
+async def _send_many_headers(stream):
+    head = make_head("/get/slow", "GET")
+    await stream.send_all(head[:-2] + b"a:b\r\n" * 3000 + b"\r\n")
+
+
+async def _send_long_ids(stream):
+    for _ in range(60):
+        await stream.send_all(make_head("/get/ok", "GET", x_request_id=_ID))
+        while not (await stream.receive_some(65536)).endswith(b"ok"):
+            continue
+
+
 async def _send_further_requests(stream):
     further = make_head("/get/ok", "GET") * 400
     await stream.send_all(make_head("/get/slow", "GET") + further[:60_000])
@@ -119,6 +132,13 @@
     "requests-behind-a-slow-one": Crowd(
         _send_further_requests, count=400, memory_mb=72
     ),
+    "heads-of-many-headers": Crowd(
+        _send_many_headers, count=150, memory_mb=96
+    ),
+    "long-request-ids": Crowd(_send_long_ids, memory_mb=60),
+    "idle-connections-of-probes": Crowd(
+        _stay_idle, count=600, max_descriptors=400, probes=True
+    ),
 }
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -222,3 +222,23 @@
     began = trio.current_time()
     await writer.finish()
     assert trio.current_time() - began <= 0.3
+
+
+def test_lines_that_nobody_reads_take_bounded_memory(pipe):
+    """Guards against long lines of callers' texts in a full queue."""
+    _, descriptor = pipe
+    writer = logs.LineWriter(descriptor, burst=1e9, read_time=lambda: 0.0)
+    for _ in range(4000):
+        writer.add("x" * 6000, keep=True)
+    assert sum(map(len, writer._lines)) <= 8 * 1024 * 1024
+    assert writer.dropped > 0
+
+
+def test_texts_of_callers_are_shortened():
+    """Guards against thousands of events with ids as long as a head."""
+    recorder = Recorder("g")
+    recorder.record("k", request="i" * 20_000, why="w" * 20_000, last="l" * 99)
+    recorder.record("k", resumes="r" * 20_000)
+    for event in recorder.list_events():
+        assert len(event.to_json()) < 4000
+    assert recorder.list_events()[0].detail["last"] == "l" * 99
