--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -220,7 +220,7 @@
 
     async def connect(self):
         """Return the caller's end of a new connection, and the gateway's."""
-        ours, theirs = await _open_pair()
+        ours, theirs = await open_pair()
         connection = CallerConnection(
             theirs,
             lambda: routes.CallerLimits(header_timeout=0.3),
@@ -270,7 +270,7 @@
     return data
 
 
-async def _open_pair():
+async def open_pair():
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     port = listeners[0].socket.getsockname()[1]
     ours = await trio.open_tcp_stream("127.0.0.1", port)
