Let the bodies of an entry's callers draw on one account too

The same fault in our own interface: an entry bounds each body (1 MB) and not all of them.

Reports of engines and answers to orders keep a memory of their own: a crowd of callers must not make engines that answer look as if they did not.

--- a/magnoliacove/commands/entry.py
+++ b/magnoliacove/commands/entry.py
@@ -6,6 +6,7 @@
 import trio
 
 from magnoliacove import configuration
+from magnoliacove import defaults
 from magnoliacove import entry
 from magnoliacove import errors
 from magnoliacove import flags
@@ -50,6 +51,15 @@
     show_envvar=True,
     help="Maximum number of requests that run concurrently.",
 )
+@click.option(
+    "--memory-mb",
+    type=click.IntRange(64, 1_000_000),
+    default=defaults.ENTRY_MEMORY // 1024 // 1024,
+    show_default=True,
+    show_envvar=True,
+    help="Memory that this process may use.  Callers whose bodies find none "
+    "are refused with a time to come back.",
+)
 def _command(**options: Any) -> None:
     """Serve callers' requests and operators' calls."""
     running.show_user_errors(lambda: _run(options))
@@ -88,6 +98,7 @@
             settings.bind("--metrics", metrics) if metrics else None,
             tls=tls,
             max_running=options["room"],
+            memory=options["memory_mb"] * 1024 * 1024,
         )
     )
 
--- a/magnoliacove/entry/callers.py
+++ b/magnoliacove/entry/callers.py
@@ -13,6 +13,7 @@
 import trio
 
 from magnoliacove import configuration
+from magnoliacove import defaults
 from magnoliacove import errors
 from magnoliacove import web
 from magnoliacove.directory import View
@@ -24,6 +25,9 @@
 from magnoliacove.entry.pipelines import Pipelines
 from magnoliacove.entry.pool import TargetPool
 from magnoliacove.entry.service_runner import ServiceRunner
+from magnoliacove.limits.caller_memory import CallerMemory
+from magnoliacove.limits.caller_memory import Content
+from magnoliacove.limits.caller_memory import divide_limits
 from magnoliacove.metrics import Meters
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire import messages
@@ -48,6 +52,7 @@
     """Serves requests to models, plain services and pipelines.
 
     :param is_leaving: returns whether the entry is draining.
+    :param memory: bytes that the process may use.
     """
 
     def __init__(
@@ -58,8 +63,11 @@
         recorder: Recorder,
         meters: Meters,
         is_leaving: Callable[[], bool],
+        memory: int = defaults.ENTRY_MEMORY,
     ) -> None:
         self.in_progress = 0
+        limits, _ = divide_limits(memory, defaults.RUNNING_PER_ENTRY)
+        self.memory = CallerMemory(limits)
         self.start_soon: Callable[..., object] = (
             trio.lowlevel.spawn_system_task
         )
@@ -80,7 +88,12 @@
             return
         if scope["type"] != "http":
             return
-        exchange = Exchange(scope, receive, send, make_request_id())
+        with self.memory.allocate(Content.REQUESTS) as allocation:
+            await self._serve_counted(
+                Exchange(scope, receive, send, make_request_id(), allocation)
+            )
+
+    async def _serve_counted(self, exchange: Exchange) -> None:
         self.in_progress += 1
         began = trio.current_time()
         try:
--- a/magnoliacove/entry/exchange.py
+++ b/magnoliacove/entry/exchange.py
@@ -10,11 +10,14 @@
 
 from magnoliacove import defaults
 from magnoliacove import errors
+from magnoliacove.limits.caller_memory import Allocation
 
 __all__ = ["Exchange", "read_key", "run_while_connected"]
 
 _JSON = (b"content-type", b"application/json")
 _MAX_KEY_LENGTH = 255
+# Seconds after which a caller may retry whose request found no memory.
+_NO_MEMORY_RETRY = 1.0
 
 
 @dataclass
@@ -23,6 +26,7 @@
 
     :param request_id: 16 bytes.
     :param started: whether the status has been sent.
+    :param memory: what is held for the request's body.
     :param disconnected: whether the caller has disconnected; nothing more
         is sent then.
     """
@@ -31,6 +35,7 @@
     receive: Callable[[], Awaitable[Mapping[str, Any]]]
     send: Callable[[Mapping[str, Any]], Awaitable[None]]
     request_id: bytes
+    memory: Allocation
     started: bool = False
     disconnected: bool = False
 
@@ -80,7 +85,7 @@
         """Return the request's body.
 
         :raises magnoliacove.errors.RequestError: when the body is too
-            large or the caller disconnects.
+            large, there is no memory for it, or the caller disconnects.
         """
         body = bytearray()
         while True:
@@ -94,6 +99,13 @@
                     f"the body is over {defaults.MAX_REQUEST_BODY} bytes",
                     status=413,
                 )
+            if not await self.memory.resize(len(body)):
+                raise errors.RequestError(
+                    "no_memory",
+                    "this entry holds too much for its callers; the request "
+                    "did not run",
+                    retry_after=_NO_MEMORY_RETRY,
+                )
             if not message.get("more_body"):
                 return bytes(body)
 
--- a/magnoliacove/entry/pipelines.py
+++ b/magnoliacove/entry/pipelines.py
@@ -111,7 +111,11 @@
             parts.append(part.body)
 
         inner = Exchange(
-            exchange.scope, exchange.receive, exchange.send, request_id
+            exchange.scope,
+            exchange.receive,
+            exchange.send,
+            request_id,
+            exchange.memory,
         )
         await self._runner.run_plain(inner, account, service, "/", value, send)
         return b"".join(parts)
--- a/magnoliacove/entry/process.py
+++ b/magnoliacove/entry/process.py
@@ -41,6 +41,7 @@
     :param seeds: peers to ask when the platform's store is down.
     :param meters: a listening socket for metrics, or None.
     :param max_running: the number of requests that may run at the same time.
+    :param memory: bytes that the process may use.
     """
 
     identity: Identity
@@ -55,6 +56,7 @@
     clock: Clock | None = None
     tls: web.ServerTls | None = None
     max_running: int = defaults.RUNNING_PER_ENTRY
+    memory: int = defaults.ENTRY_MEMORY
 
 
 class Entry:
@@ -87,6 +89,7 @@
             self.process.recorder,
             self._meters,
             lambda: self.process.leaving,
+            parts.memory,
         )
 
     async def run(self, *, task_status: trio.TaskStatus[wire.Address]) -> None:
@@ -186,6 +189,8 @@
             "retries_spent": self.runner.budget.spent,
             "retries_denied": self.runner.budget.denied,
             "requests_in_progress": self.app.in_progress,
+            "caller_memory_used_bytes": self.app.memory.used,
+            "callers_refused_for_memory": self.app.memory.refused,
             **limits.describe_admission(self.admission),
         }
 
--- a/magnoliacove/gateway/engines.py
+++ b/magnoliacove/gateway/engines.py
@@ -37,18 +37,15 @@
 
 
 class EngineCalls:
-    """Requests reports from engines and sends them orders.
+    """Requests reports from engines and sends them orders."""
 
-    :param memory: bounds the answers that are read whole.
-    """
-
-    def __init__(
-        self, pool: ChannelPool, memory: AnswerMemory | None = None
-    ) -> None:
+    def __init__(self, pool: ChannelPool) -> None:
         self.reports = 0
         self.orders = 0
         self._pool = pool
-        self._memory = memory or AnswerMemory()
+        # Apart from that of callers, whose crowds must not make engines that
+        # answer look as if they did not.
+        self._memory = AnswerMemory()
 
     async def is_reachable(self, target: ListedTarget) -> bool:
         """Return whether an engine accepts a connection.
--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -128,7 +128,7 @@
             )
         )
         state = self.state
-        self._calls = EngineCalls(state.pool, state.answer_memory)
+        self._calls = EngineCalls(state.pool)
         self._quarantines = QuarantineRecords(api, state.quarantine, recorder)
         self._attribution = CrashAttribution(
             state,
