--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -7,12 +7,15 @@
 
 from magnoliacove.gateway import Gateway
 from magnoliacove.gateway import draining
+from magnoliacove.gateway import process
 from magnoliacove.platform import settings
 from magnoliacove.sockets import bind_socket
 from magnoliacove.standins import object_api
 from tests.gateway import stubs
 from tests.platform import samples
 
+_MB = 1024 * 1024
+
 
 async def _free_port():
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
@@ -163,3 +166,31 @@
         assert line.detail["sent"]
         assert line.detail["targets"] == ("d-1",)
     nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ("allowed", "connections"), [(10_000, 380), (400, 87)]
+)
+async def test_limits_for_callers_follow_from_settings_and_process(
+    tmp_path, monkeypatch, allowed, connections
+):
+    """Guards against callers that take the descriptors of all else: a process
+    that is allowed less than its settings say answered nobody.
+    """
+    monkeypatch.setattr(
+        process.resource, "getrlimit", lambda _: (allowed, allowed)
+    )
+    async with trio.open_nursery() as nursery:
+        script = stubs.answer_with(stubs.make_answer(b"ok"))
+        gateway, _ = await _start(nursery, tmp_path, script)
+        limits = gateway.state.answer_memory.memory.limits
+        assert connections * 0.9 <= limits.connections <= connections * 1.1
+        assert 100 * _MB <= limits.memory <= 200 * _MB
+        path = tmp_path / "s.json"
+        changed = {**json.loads(path.read_text())}
+        changed["limits"] = {"memory_mb": 100, "max_fds": 400}
+        path.write_text(json.dumps(changed))
+        gateway.reload(settings.read_settings(str(path)))
+        limits = gateway.state.answer_memory.memory.limits
+        assert limits.memory <= 30 * _MB
+        nursery.cancel_scope.cancel()
