--- a/magnoliacove/gateway/process.py
+++ b/magnoliacove/gateway/process.py
@@ -1,26 +1,21 @@
 """A gateway process, assembled from its parts."""
 
 import random
-import resource
 import socket
 import time
-import traceback
 
 import trio
 
 from magnoliacove import limits
 from magnoliacove import platform
-from magnoliacove import wire
-from magnoliacove.configuration.routes import CallerLimits
 from magnoliacove.configuration.routes import ModelShape
 from magnoliacove.directory import Lease
 from magnoliacove.directory import Membership
 from magnoliacove.gateway.assembly import StateInputs
 from magnoliacove.gateway.assembly import make_state
 from magnoliacove.gateway.attribution import CrashAttribution
-from magnoliacove.gateway.callers import CallerConnection
-from magnoliacove.gateway.callers import CallerResources
-from magnoliacove.gateway.callers import Exchange
+from magnoliacove.gateway.caller_listeners import CallerListeners
+from magnoliacove.gateway.caller_listeners import CallerMemories
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.draining import Drain
 from magnoliacove.gateway.engines import EngineCalls
@@ -31,9 +26,6 @@
 from magnoliacove.gateway.stalls import StallWatch
 from magnoliacove.gateway.store import StoreFollower
 from magnoliacove.gateway.supervision import run_supervised
-from magnoliacove.limits.caller_memory import CallerMemory
-from magnoliacove.limits.caller_memory import MemoryLimits
-from magnoliacove.limits.caller_memory import divide_limits
 from magnoliacove.metrics import Meters
 from magnoliacove.metrics import serve_meters
 from magnoliacove.placement import controller
@@ -57,11 +49,6 @@
 _TIDY_INTERVAL = 1.0
 # Seconds after the start until metrics are served.
 _METERS_DELAY = 2.0
-# Bytes that wait in the kernel until a caller reads them; without a limit they
-# grow to megabytes.
-_SEND_BUFFER = 64 * 1024
-# Limits of the balancer's probes, which have no body.
-_PROBE_LIMITS = CallerLimits(body_bytes=0)
 # Maximum seconds in the metric of the store's outage, reported when the store
 # was never reached.
 _MAX_STORE_OUTAGE = 1e6
@@ -95,13 +82,7 @@
         recorder = Recorder(settings.name)
         self.recorder = recorder
         bounds = settings.bounds
-        callers, probes = _read_memory_limits(settings)
-        self._callers = CallerResources(
-            CallerMemory(callers), record=recorder.record
-        )
-        self._probes = CallerResources(
-            CallerMemory(probes), record=recorder.record
-        )
+        self._memories = CallerMemories(settings)
         grace = min(_EXPIRY_GRACE, bounds.drain - _REMOVAL_DELAY)
         expects_peers = any(
             seed.host != settings.host for seed in settings.seeds
@@ -124,7 +105,7 @@
                 owns=lambda fingerprint: self._peers.owns(fingerprint),
                 shares_waiting=shares_waiting,
                 expects_peers=expects_peers,
-                memory=self._callers.memory,
+                memory=self._memories.callers,
             )
         )
         state = self.state
@@ -208,6 +189,13 @@
             self._leadership.release,
             self._peers.has_staying_peer,
         )
+        self._listeners = CallerListeners(
+            state,
+            self._memories,
+            self._drain,
+            self._relay.serve,
+            self._is_ready,
+        )
         state.targets.listen(state.capacity_queue.fill)
 
     async def run(self) -> None:
@@ -227,7 +215,7 @@
                 "room": self.state.capacity_queue.run,
                 "tidy": self._tidy,
                 "catch-up": self._peers.catch_up,
-                "readiness": self._serve_readiness,
+                "probes": self._serve_probes,
                 "meters": self._serve_meters,
                 "callers": self._serve_callers,
             }
@@ -256,9 +244,7 @@
         for seed in settings.seeds:
             self._peers.heartbeats.add_address(seed)
         self._settings = settings
-        callers, probes = _read_memory_limits(settings)
-        self._callers.memory.limits = callers
-        self._probes.memory.limits = probes
+        self._memories.apply(settings)
         self.recorder.record(
             "reloaded",
             why="a name or an address changed; it applies after a restart"
@@ -269,63 +255,12 @@
     # Listening.
 
     async def _serve_callers(self) -> None:
-        listener = _listen(self._settings.callers, self._listener)
-        # Accepted connections inherit both.
-        listener.socket.setsockopt(
-            socket.SOL_SOCKET,
-            socket.SO_RCVBUF,
-            self._callers.memory.limits.receive_buffer,
-        )
-        listener.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER
+        await self._listeners.serve_callers(
+            self._settings.callers, self._listener
         )
-        async with trio.open_nursery() as nursery:
-            with self._drain.accepting:
-                await trio.serve_listeners(
-                    self._serve_caller, [listener], handler_nursery=nursery
-                )
-            # The gateway no longer listens.  Open connections continue.
-            await trio.sleep_forever()
-
-    async def _serve_caller(self, stream: trio.SocketStream) -> None:
-        connection = CallerConnection(
-            stream,
-            self._read_limits,
-            self._relay.serve,
-            lambda: self.state.leaving,
-            lambda: self._drain.accepting.cancel_called,
-            self._callers,
-        )
-        self._drain.connections.add(connection)
-        try:
-            await connection.run()
-        except Exception as error:
-            # A fault in one caller's connection must not end all others.
-            self.recorder.record(
-                "connection-failed",
-                why=repr(error),
-                traceback=traceback.format_exc(),
-            )
-        finally:
-            self._drain.connections.discard(connection)
-
-    async def _serve_readiness(self) -> None:
-        async def answer(stream: trio.SocketStream) -> None:
-            connection = CallerConnection(
-                stream,
-                lambda: _PROBE_LIMITS,
-                self._answer_readiness,
-                lambda: False,
-                resources=self._probes,
-            )
-            await connection.run()
 
-        listener = _listen(self._settings.readiness)
-        await trio.serve_listeners(answer, [listener])
-
-    async def _answer_readiness(self, exchange: Exchange) -> None:
-        ready = self._is_ready()
-        await exchange.answer(200 if ready else 503, [], b"")
+    async def _serve_probes(self) -> None:
+        await self._listeners.serve_probes(self._settings.readiness)
 
     async def _serve_meters(self) -> None:
         if not self._meters_port:
@@ -338,10 +273,6 @@
     def _is_ready(self) -> bool:
         return self.state.routes is not None and not self.state.leaving
 
-    def _read_limits(self) -> CallerLimits:
-        table = self.state.routes
-        return table.limits if table else CallerLimits()
-
     # Housekeeping.
 
     def _list_models(self) -> dict[str, ModelShape]:
@@ -386,31 +317,3 @@
             "placement_duty": float(self._leadership.acting),
             "placement_reliefs": self._placement.reliefs,
         }
-
-
-def _read_memory_limits(
-    settings: NodeSettings,
-) -> tuple[MemoryLimits, MemoryLimits]:
-    """Return the limits for callers and for probes of this process."""
-    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    descriptors = settings.descriptors
-    if allowed != resource.RLIM_INFINITY:
-        descriptors = min(descriptors, allowed)
-    return divide_limits(settings.memory, descriptors)
-
-
-def _listen(
-    address: wire.Address, listener: socket.socket | None = None
-) -> trio.SocketListener:
-    """Return a listener at an address.
-
-    :param listener: used if it is bound to the address, else closed: then the
-        settings name another address than the process was started with.
-    """
-    wanted = (address.host, address.port)
-    if listener is not None and listener.getsockname()[:2] != wanted:
-        listener.close()
-        listener = None
-    if listener is None:
-        listener = bind_socket(*wanted)
-    return trio.SocketListener(trio.socket.from_stdlib_socket(listener))
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -6,8 +6,8 @@
 import trio
 
 from magnoliacove.gateway import Gateway
+from magnoliacove.gateway import caller_listeners
 from magnoliacove.gateway import draining
-from magnoliacove.gateway import process
 from magnoliacove.platform import settings
 from magnoliacove.sockets import bind_socket
 from magnoliacove.standins import object_api
@@ -178,7 +178,7 @@
     that is allowed less than its settings say answered nobody.
     """
     monkeypatch.setattr(
-        process.resource, "getrlimit", lambda _: (allowed, allowed)
+        caller_listeners.resource, "getrlimit", lambda _: (allowed, allowed)
     )
     async with trio.open_nursery() as nursery:
         script = stubs.answer_with(stubs.make_answer(b"ok"))
