Close connections with requests behind each answer when memory is short

Ordinary callers got 503 for as long as a crowd stayed whose connections always had a further request behind the one that was answered: such a connection is never idle, so it never gave way. Its next answer is its last now, while there was no memory for somebody within the last second; a refusal of a connection's first bytes counts as such, too.

--- a/magnoliacove/gateway/callers.py
+++ b/magnoliacove/gateway/callers.py
@@ -254,9 +254,7 @@
             request,
             self._parser,
             self._write,
-            lambda: (
-                self._late or self._is_leaving() or request.refusal is not None
-            ),
+            lambda: self._must_close(request, reader),
             late=self._late,
         )
         if not await self._answer(exchange, reader):
@@ -278,6 +276,14 @@
         self._parser.start_next_cycle()
         return True
 
+    def _must_close(self, request: Request, reader: RequestReader) -> bool:
+        """Return whether the answer to a request is the connection's last."""
+        if self._late or self._is_leaving() or request.refusal is not None:
+            return True
+        # With further requests behind each answer it would never be idle, and
+        # keep its memory from others for as long as its caller likes.
+        return reader.has_unread and self._resources.memory.is_short()
+
     async def _answer(self, exchange: Exchange, reader: RequestReader) -> bool:
         """Call the handler; return whether it sent a complete answer."""
 
--- a/magnoliacove/limits/caller_memory.py
+++ b/magnoliacove/limits/caller_memory.py
@@ -18,6 +18,7 @@
 import contextlib
 from dataclasses import dataclass
 import enum
+import math
 
 import trio
 
@@ -63,6 +64,8 @@
 # before; and between two attempts.
 _MAX_WAIT = 3.0
 _RETRY_INTERVAL = 0.1
+# Seconds after a refusal for which memory counts as short.
+_SHORTAGE_TIME = 1.0
 
 
 class Content(enum.Enum):
@@ -163,7 +166,10 @@
 
     def try_resize(self, size: int) -> bool:
         """Change the size, if there is memory; return whether there is."""
-        return self._memory.try_resize(self, size)
+        fits = self._memory.try_resize(self, size)
+        if not fits:
+            self._memory.note_refused()
+        return fits
 
     async def resize(self, size: int) -> bool:
         """Change the size, and wait for memory; return whether there is.
@@ -172,9 +178,9 @@
         """
         possible = self._memory.may_ever_fit(size)
         deadline = trio.current_time() + _MAX_WAIT
-        while not self.try_resize(size):
+        while not self._memory.try_resize(self, size):
             if not possible or trio.current_time() >= deadline:
-                self._memory.refused += 1
+                self._memory.note_refused()
                 return False
             await trio.sleep(_RETRY_INTERVAL)
         return True
@@ -216,6 +222,7 @@
         self.connections = 0
         self.evicted = 0
         self.refused = 0
+        self._refused_at = -math.inf
         self._used = dict.fromkeys(Content, 0)
         # In the order in which they began.
         self._evictable: dict[Use, dict[Allocation, _Evictable]] = {
@@ -259,6 +266,15 @@
         self._used[allocation.content] += size - allocation.size
         allocation.size = size
 
+    def note_refused(self) -> None:
+        """Note that there was no memory for something."""
+        self.refused += 1
+        self._refused_at = trio.current_time()
+
+    def is_short(self) -> bool:
+        """Return whether there was no memory for something a moment ago."""
+        return trio.current_time() - self._refused_at < _SHORTAGE_TIME
+
     def add_evictable(
         self, allocation: Allocation, use: Use, scope: trio.CancelScope
     ) -> None:
@@ -277,7 +293,8 @@
         admitted = (
             excess <= 0 or self._evict_next(order, allocation)
         ) and self._make_room(allocation, IDLE_CONNECTION_BYTES, order)
-        self.refused += not admitted
+        if not admitted:
+            self.note_refused()
         return admitted
 
     def _make_room(
--- a/tests/gateway/test_misbehaving_callers.py
+++ b/tests/gateway/test_misbehaving_callers.py
@@ -195,3 +195,18 @@
         assert answer.count(b"HTTP/1.1 200") == len(requests)
         bodies = [received.body for received in stub.requests]
         assert bodies == [b"one", b"two", b"", b"", b""]
+
+
+async def test_requests_behind_each_other_give_way_when_memory_is_short():
+    """Guards against connections that are never idle and keep out others."""
+    async with stubs.open_harness() as harness:
+        stub = await harness.add("i-1", _ANSWER)
+        resources = CallerResources()
+        kept = stubs.make_request("/get/1", connection="keep-alive")
+        resources.memory.note_refused()
+        stream = await _connect(harness, resources)
+        await stream.send_all(kept * 5)
+        answer = await stubs.read_all(stream)
+        assert answer.count(b"HTTP/1.1 200") == 1
+        assert b"\r\nconnection: close\r\n" in answer.lower()
+        assert len(stub.requests) == 1
