Say in the log why a caller was refused

The line named the status twice and no reason: not which limit, nor whose memory. Names and comments of the reader that a newcomer would stop at are plainer.

--- a/magnoliacove/gateway/callers.py
+++ b/magnoliacove/gateway/callers.py
@@ -157,7 +157,7 @@
 class CallerResources:
     """What the connections of all callers share.
 
-    :param turns: held while a part of a long body is decoded.
+    :param turns: held while a read of a chunked body is decoded.
     :param record: records an event.
     """
 
--- a/magnoliacove/gateway/request_reader.py
+++ b/magnoliacove/gateway/request_reader.py
@@ -29,7 +29,7 @@
 # Bytes that one read of a connection returns at most.  What it returns is
 # decoded at a stretch.
 _READ_SIZE = 16384
-# Bytes of further requests from which no more are read while one is answered.
+# Bytes of further requests that are read while one is answered.
 _MAX_PIPELINED = 16384
 # Bytes of a body that an active connection holds in any case, and by which
 # the memory for one of unknown length grows.
@@ -56,8 +56,8 @@
     :param status: the status of the answer to it.
     """
 
-    def __init__(self, status: int) -> None:
-        super().__init__(f"refused with {status}")
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
         self.status = status
 
 
@@ -96,8 +96,8 @@
 
     :param parser: keeps the state of the connection.
     :param allocation: the memory of the connection.
-    :param turns: one body at a time is decoded in this process, so that many
-        long ones delay nobody else for more than one read.
+    :param turns: held while a read of a chunked body is decoded, so that many
+        of them delay nobody else for more than one read.
     :param send_continue: tells the caller to send the body.
     """
 
@@ -163,11 +163,11 @@
             return None
         # Without waiting, in which more would arrive than is counted.
         if not allocation.try_resize(ACTIVE_CONNECTION_BYTES):
-            raise ReadError(_NO_MEMORY_STATUS)
+            raise ReadError(_NO_MEMORY_STATUS, "no memory for a request")
         with allocation.evictable(Use.HEAD) as scope:
             head = await self._read_head(limits.header_timeout)
         if scope.cancelled_caught:
-            raise ReadError(_NO_MEMORY_STATUS)
+            raise ReadError(_NO_MEMORY_STATUS, "others need the head's memory")
         if head is None:
             return None
         return await self._read_whole(head, limits)
@@ -244,7 +244,7 @@
         length = int(fields.get(b"content-length", b"0"))
         chunked = b"transfer-encoding" in fields
         if not chunked and length > limits.body_bytes:
-            raise ReadError(_TOO_LARGE_STATUS)
+            raise _make_too_large(limits)
         size = ACTIVE_CONNECTION_BYTES + _HEADER_BYTES * len(headers)
         announced = 0 if chunked else max(0, length - _SHORT_BODY)
         if not await self._allocation.resize(size + announced):
@@ -284,7 +284,7 @@
                 part = _decode(decoder, data)
             length = len(body) + len(part)
             if length > limits.body_bytes:
-                raise ReadError(_TOO_LARGE_STATUS)
+                raise _make_too_large(limits)
             if length > reserved:
                 reserved += _BODY_STEP
                 if not await self._allocation.resize(size + reserved):
@@ -307,7 +307,7 @@
         data, self._unread = self._unread, b""
         data = data or await self._receive()
         if not data:
-            raise ReadError(_INVALID_STATUS)
+            raise ReadError(_INVALID_STATUS, "the body is not complete")
         return data
 
     async def _receive(self) -> bytes:
@@ -318,6 +318,12 @@
     """There is no memory for a body, or others need it."""
 
 
+def _make_too_large(limits: CallerLimits) -> ReadError:
+    return ReadError(
+        _TOO_LARGE_STATUS, f"the body is over {limits.body_bytes} bytes"
+    )
+
+
 def _make_refusal() -> errors.RequestError:
     return errors.RequestError(
         "no_memory",
@@ -330,4 +336,4 @@
     try:
         return decoder.decode(data)
     except ChunkError as exc:
-        raise ReadError(_INVALID_STATUS) from exc
+        raise ReadError(_INVALID_STATUS, str(exc)) from exc
