--- a/magnoliacove/limits/caller_memory.py
+++ b/magnoliacove/limits/caller_memory.py
@@ -337,8 +337,8 @@
         self, allocation: Allocation, use: Use, found: _Evictable
     ) -> None:
         del self._evictable[use][allocation]
-        # The task that uses it returns the bytes as it is cancelled, before
-        # it runs again.
+        # The bytes count as free at once; the cancelled task drops them in the
+        # next round of the scheduler.
         allocation.shrink(0)
         found.scope.cancel()
         self.evicted += 1
