Let the account of callers' memory cost a request less

Scopes around each wait, twice where a timeout was one already, and generators for each of them.

Now one class is scope, timeout and entry in the account; what was read whole opens none; sums are kept instead of added up. The time for a body begins after the wait for its memory.

--- a/magnoliacove/gateway/callers.py
+++ b/magnoliacove/gateway/callers.py
@@ -312,18 +312,19 @@
         await self._write([self._parser.send(response) or b""])
 
     async def _write(self, parts: Sequence[Buffer]) -> None:
-        with trio.move_on_after(_WRITE_TIMEOUT) as scope:
-            for piece in _split(parts):
-                await self._write_piece(piece)
-        if scope.cancelled_caught:
-            raise trio.BrokenResourceError("the write to the caller timed out")
-
-    async def _write_piece(self, piece: Buffer) -> None:
-        with self._allocation.evictable(Use.WRITING) as scope:
+        deadline = trio.current_time() + _WRITE_TIMEOUT
+        for piece in _split(parts):
+            await self._write_piece(piece, deadline - trio.current_time())
+
+    async def _write_piece(self, piece: Buffer, timeout: float) -> None:
+        with self._allocation.evictable(Use.WRITING, timeout) as block:
             await self._stream.send_all(piece)
-        if scope.cancelled_caught:
+        if not block.cancelled_caught:
+            return
+        if block.evicted:
             self._record_refusal("the answer was not read, memory is short")
             raise trio.BrokenResourceError("others need the answer's memory")
+        raise trio.BrokenResourceError("the write to the caller timed out")
 
     async def _refuse(self, status: int, why: str) -> None:
         """Answer an invalid request and close the connection."""
--- a/magnoliacove/gateway/request_reader.py
+++ b/magnoliacove/gateway/request_reader.py
@@ -164,10 +164,7 @@
         # Without waiting, in which more would arrive than is counted.
         if not allocation.try_resize(ACTIVE_CONNECTION_BYTES):
             raise ReadError(_NO_MEMORY_STATUS, "no memory for a request")
-        with allocation.evictable(Use.HEAD) as scope:
-            head = await self._read_head(limits.header_timeout)
-        if scope.cancelled_caught:
-            raise ReadError(_NO_MEMORY_STATUS, "others need the head's memory")
+        head = await self._read_head(limits.header_timeout)
         if head is None:
             return None
         return await self._read_whole(head, limits)
@@ -176,10 +173,8 @@
         """Wait for the first bytes of a request; return whether any came."""
         if self._unread:
             return True
-        with (
-            self._allocation.evictable(Use.IDLE) as self._idle_scope,
-            trio.move_on_after(timeout),
-        ):
+        with self._allocation.evictable(Use.IDLE, timeout) as block:
+            self._idle_scope = block.scope
             try:
                 self._unread = await self._receive()
             finally:
@@ -187,13 +182,23 @@
         return bool(self._unread)
 
     async def _read_head(self, timeout: float) -> h11.Request | None:
-        """Return the head, None if the caller is too slow or is gone."""
+        """Return the head, None if the caller is too slow or is gone.
+
+        :raises ReadError: when others need its memory.
+        """
         self._head_tail = b""
-        with trio.move_on_after(timeout):
-            while (event := self._parser.next_event()) is h11.NEED_DATA:
-                self._feed_head(self._unread or await self._receive())
-            return event if isinstance(event, h11.Request) else None
-        return None
+        self._feed_head(self._unread)
+        event = self._parser.next_event()
+        if event is h11.NEED_DATA:
+            with self._allocation.evictable(Use.HEAD, timeout) as block:
+                while event is h11.NEED_DATA:
+                    self._feed_head(await self._receive())
+                    event = self._parser.next_event()
+            if block.evicted:
+                raise ReadError(
+                    _NO_MEMORY_STATUS, "others need the head's memory"
+                )
+        return event if isinstance(event, h11.Request) else None
 
     def _feed_head(self, data: bytes) -> None:
         """Give the parser what belongs to the head, and keep the rest."""
@@ -214,8 +219,7 @@
         del head
         body = Body()
         try:
-            with trio.move_on_after(limits.idle_timeout) as timeout:
-                await self._read_body(headers, body, limits)
+            complete = await self._read_body(headers, body, limits)
         except _NoMemoryError:
             body.clear()
             self._allocation.shrink(IDLE_CONNECTION_BYTES)
@@ -224,7 +228,7 @@
         except BaseException:
             body.clear()
             raise
-        if timeout.cancelled_caught:
+        if not complete:
             body.clear()
             return None
         return Request(method, target, headers, body, arrived)
@@ -234,8 +238,8 @@
         headers: Sequence[tuple[bytes, bytes]],
         body: Body,
         limits: CallerLimits,
-    ) -> None:
-        """Read a body to its end.
+    ) -> bool:
+        """Read a body; return whether its end came in time.
 
         :raises ReadError: when it is invalid or too long.
         :raises _NoMemoryError: when there is no memory for it.
@@ -249,15 +253,20 @@
         announced = 0 if chunked else max(0, length - _SHORT_BODY)
         if not await self._allocation.resize(size + announced):
             raise _NoMemoryError
-        with self._allocation.evictable(Use.BODY) as scope:
+        if not chunked and length <= len(self._unread):
+            await self._read_length(body, length)
+            return True
+        timeout = limits.idle_timeout
+        with self._allocation.evictable(Use.BODY, timeout) as block:
             if self._parser.they_are_waiting_for_100_continue:
                 await self._send_continue()
             if chunked:
                 await self._read_chunks(body, size, limits)
             else:
                 await self._read_length(body, length)
-        if scope.cancelled_caught:
+        if block.evicted and block.cancelled_caught:
             raise _NoMemoryError
+        return not block.cancelled_caught
 
     async def _read_length(self, body: Body, length: int) -> None:
         self._skip_data()
--- a/magnoliacove/limits/answer_memory.py
+++ b/magnoliacove/limits/answer_memory.py
@@ -6,10 +6,9 @@
 early without taking the memory of short ones.
 """
 
-import contextlib
-
 from magnoliacove import errors
 from magnoliacove.bodies import Body
+from magnoliacove.limits.caller_memory import Allocation
 from magnoliacove.limits.caller_memory import CallerMemory
 from magnoliacove.limits.caller_memory import Content
 
@@ -65,10 +64,7 @@
         self._answers = answers
         self._max_bytes = max_bytes
         self._short_parts_left = max_short_parts
-        self._resources = contextlib.ExitStack()
-        self._allocation = self._resources.enter_context(
-            answers.memory.allocate(Content.ANSWERS)
-        )
+        self._allocation = Allocation(answers.memory, Content.ANSWERS)
 
     async def reserve(self, length: int) -> None:
         """Wait until there is memory for a body of a known length.
@@ -101,7 +97,7 @@
         """Return the memory."""
         self._answers.used -= len(self.body)
         self.body.clear()
-        self._resources.close()
+        self._allocation.shrink(0)
 
     def _check_length(self, length: int) -> None:
         if length > self._max_bytes:
--- a/magnoliacove/limits/caller_memory.py
+++ b/magnoliacove/limits/caller_memory.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass
 import enum
 import math
+import types
 
 import trio
 
@@ -28,6 +29,7 @@
     "Allocation",
     "CallerMemory",
     "Content",
+    "EvictableBlock",
     "MemoryLimits",
     "Use",
     "divide_limits",
@@ -79,6 +81,10 @@
 # progress would wait for each other's end, as none could read its answer, and
 # answers that nobody reads would keep out all requests.
 _SHARES = {Content.REQUESTS: 0.25, Content.ANSWERS: 0.25}
+_OTHERS = {
+    Content.REQUESTS: Content.ANSWERS,
+    Content.ANSWERS: Content.REQUESTS,
+}
 
 
 class Use(enum.Enum):
@@ -176,42 +182,85 @@
 
         What can never fit is refused at once.
         """
-        possible = self._memory.may_ever_fit(size)
-        deadline = trio.current_time() + _MAX_WAIT
-        while not self._memory.try_resize(self, size):
-            if not possible or trio.current_time() >= deadline:
-                self._memory.note_refused()
-                return False
-            await trio.sleep(_RETRY_INTERVAL)
-        return True
+        if self._memory.try_resize(self, size):
+            return True
+        if self._memory.may_ever_fit(size):
+            deadline = trio.current_time() + _MAX_WAIT
+            while trio.current_time() < deadline:
+                await trio.sleep(_RETRY_INTERVAL)
+                if self._memory.try_resize(self, size):
+                    return True
+        self._memory.note_refused()
+        return False
 
     def shrink(self, size: int) -> None:
         """Return the memory beyond a size."""
         if size < self.size:
             self._memory.set_size(self, size)
 
-    @contextlib.contextmanager
-    def evictable(self, use: Use) -> Iterator[trio.CancelScope]:
-        """Allow that the block is cancelled to make room for others."""
-        with trio.CancelScope() as scope:
-            self._memory.add_evictable(self, use, scope)
-            try:
-                yield scope
-            finally:
-                self._memory.remove_evictable(self, use)
+    def evictable(
+        self, use: Use, timeout: float = math.inf
+    ) -> "EvictableBlock":
+        """Allow that a block is cancelled to make room for others.
 
+        :param timeout: seconds after which it is cancelled in any case.
+        """
+        return EvictableBlock(self._memory, self, use, timeout)
 
-@dataclass(frozen=True)
-class _Evictable:
-    """A use that may end; `since` by trio's clock."""
 
-    scope: trio.CancelScope
-    since: float
+class EvictableBlock:
+    """A block that may be cancelled, as a context of its cancel scope.
+
+    Several surround each request, so it is no generator, which would cost a
+    multiple.
+
+    :param since: when it began, by trio's clock.
+    :param evicted: whether it was cancelled to make room for others.
+    """
+
+    def __init__(
+        self,
+        memory: "CallerMemory",
+        allocation: Allocation,
+        use: Use,
+        timeout: float,
+    ) -> None:
+        self.since = trio.current_time()
+        self.evicted = False
+        self.allocation = allocation
+        self.use = use
+        self.scope = trio.CancelScope(deadline=self.since + timeout)
+        self._memory = memory
+
+    @property
+    def cancelled_caught(self) -> bool:
+        """Whether the block ended early."""
+        return self.scope.cancelled_caught
+
+    def evict(self) -> None:
+        """End the block for others."""
+        self.evicted = True
+        self.scope.cancel()
+
+    def __enter__(self) -> "EvictableBlock":
+        self.scope.__enter__()
+        self._memory.add_evictable(self)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> bool | None:
+        self._memory.remove_evictable(self)
+        return self.scope.__exit__(kind, error, traceback)
 
 
 class CallerMemory:
     """The account of one process.
 
+    :param used: bytes that are held now.
     :param connections: number of open connections.
     :param evicted: how often a use was ended for others.
     :param refused: how often there was no memory.
@@ -223,17 +272,13 @@
         self.evicted = 0
         self.refused = 0
         self._refused_at = -math.inf
+        self.used = 0
         self._used = dict.fromkeys(Content, 0)
         # In the order in which they began.
-        self._evictable: dict[Use, dict[Allocation, _Evictable]] = {
+        self._evictable: dict[Use, dict[EvictableBlock, None]] = {
             use: {} for use in Use
         }
 
-    @property
-    def used(self) -> int:
-        """The bytes that are held now."""
-        return sum(self._used.values())
-
     @contextlib.contextmanager
     def allocate(self, content: Content) -> Iterator[Allocation]:
         """Provide an allocation, which is returned at the end of the block."""
@@ -263,6 +308,7 @@
 
     def set_size(self, allocation: Allocation, size: int) -> None:
         """Change the size of an allocation, whether it fits or not."""
+        self.used += size - allocation.size
         self._used[allocation.content] += size - allocation.size
         allocation.size = size
 
@@ -275,16 +321,13 @@
         """Return whether there was no memory for something a moment ago."""
         return trio.current_time() - self._refused_at < _SHORTAGE_TIME
 
-    def add_evictable(
-        self, allocation: Allocation, use: Use, scope: trio.CancelScope
-    ) -> None:
-        """Let a use end when others need its memory."""
-        now = trio.current_time()
-        self._evictable[use][allocation] = _Evictable(scope, now)
+    def add_evictable(self, block: EvictableBlock) -> None:
+        """Let a block end when others need its memory."""
+        self._evictable[block.use][block] = None
 
-    def remove_evictable(self, allocation: Allocation, use: Use) -> None:
-        """Let a use go on."""
-        self._evictable[use].pop(allocation, None)
+    def remove_evictable(self, block: EvictableBlock) -> None:
+        """Forget a block that has ended."""
+        self._evictable[block.use].pop(block, None)
 
     def _admit(self, allocation: Allocation) -> bool:
         """Return whether a new connection may stay."""
@@ -310,35 +353,27 @@
         if size <= allocation.size:
             return True
         free = self.limits.memory - self.used + allocation.size - size
-        return free - self._count_left(allocation.content) >= size
-
-    def _count_left(self, content: Content) -> int:
-        """Return the bytes that one content leaves to the other."""
-        return sum(
-            max(0, int(share * self.limits.memory) - self._used[other])
-            for other, share in _SHARES.items()
-            if other is not content
-        )
+        other = _OTHERS[allocation.content]
+        left = int(_SHARES[other] * self.limits.memory) - self._used[other]
+        return free - max(0, left) >= size
 
     def _evict_next(self, order: Sequence[Use], needs: Allocation) -> bool:
         """End one use for an allocation; return whether there was any."""
         now = trio.current_time()
         for use in order:
-            for allocation, found in self._evictable[use].items():
-                if found.since > now - _STALE_TIMES[use]:
+            for block in self._evictable[use]:
+                if block.since > now - _STALE_TIMES[use]:
                     break
-                if allocation is needs:
+                if block.allocation is needs:
                     continue
-                self._evict(allocation, use, found)
+                self._evict(block)
                 return True
         return False
 
-    def _evict(
-        self, allocation: Allocation, use: Use, found: _Evictable
-    ) -> None:
-        del self._evictable[use][allocation]
+    def _evict(self, block: EvictableBlock) -> None:
+        self.remove_evictable(block)
         # The bytes count as free at once; the cancelled task drops them in the
         # next round of the scheduler.
-        allocation.shrink(0)
-        found.scope.cancel()
+        block.allocation.shrink(0)
+        block.evict()
         self.evicted += 1
