Say in one place that there is no memory, and what a process may use

The refusal, its text and its time to come back stood in the gateway's reader and in the entry; they stand beside the account now. The default memory of a process stood in the settings and in the defaults, once in bytes and once in megabytes.

--- a/magnoliacove/bodies.py
+++ b/magnoliacove/bodies.py
@@ -4,13 +4,13 @@
 
 import h11
 
-__all__ = ["BLOCK_BYTES", "Body", "Buffer", "encode_body"]
+__all__ = ["Body", "Buffer", "encode_body"]
 
 Buffer = bytes | memoryview
 
 # Blocks of one size leave no gaps in the heap that the next ones do not fit,
 # and growing one copies little.
-BLOCK_BYTES = 64 * 1024
+_BLOCK_BYTES = 64 * 1024
 
 
 class Body:
@@ -32,10 +32,10 @@
         rest = memoryview(data)
         self._size += len(rest)
         while rest:
-            if not self._blocks or len(self._blocks[-1]) == BLOCK_BYTES:
+            if not self._blocks or len(self._blocks[-1]) == _BLOCK_BYTES:
                 self._blocks.append(bytearray())
             block = self._blocks[-1]
-            free = BLOCK_BYTES - len(block)
+            free = _BLOCK_BYTES - len(block)
             block += rest[:free]
             rest = rest[free:]
 
--- a/magnoliacove/commands/entry.py
+++ b/magnoliacove/commands/entry.py
@@ -54,7 +54,7 @@
 @click.option(
     "--memory-mb",
     type=click.IntRange(64, 1_000_000),
-    default=defaults.ENTRY_MEMORY // 1024 // 1024,
+    default=defaults.PROCESS_MEMORY_MB,
     show_default=True,
     show_envvar=True,
     help="Memory that this process may use.  Callers whose bodies find none "
@@ -98,7 +98,7 @@
             settings.bind("--metrics", metrics) if metrics else None,
             tls=tls,
             max_running=options["room"],
-            memory=options["memory_mb"] * 1024 * 1024,
+            memory_mb=options["memory_mb"],
         )
     )
 
--- a/magnoliacove/defaults.py
+++ b/magnoliacove/defaults.py
@@ -3,6 +3,10 @@
 Times are in seconds and sizes in bytes unless the name states otherwise.
 """
 
+# Limits of a process whose settings state none.
+PROCESS_MEMORY_MB = 300
+PROCESS_DESCRIPTORS = 1024
+
 # Connections between magnoliacove processes.
 PROTOCOL_VERSION = 1
 MAX_FRAME = 4 * 1024 * 1024
@@ -31,8 +35,6 @@
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS_LIMIT = 16_384
 RUNNING_PER_ENTRY = 512
-# Bytes that an entry may use.
-ENTRY_MEMORY = 300 * 1024 * 1024
 QUEUED_PER_ACCOUNT = 256
 STALL_TIMEOUT = 2.0
 ENGINE_TIMEOUT = 1.5
--- a/magnoliacove/entry/callers.py
+++ b/magnoliacove/entry/callers.py
@@ -52,7 +52,7 @@
     """Serves requests to models, plain services and pipelines.
 
     :param is_leaving: returns whether the entry is draining.
-    :param memory: bytes that the process may use.
+    :param memory_mb: memory that the process may use.
     """
 
     def __init__(
@@ -63,10 +63,13 @@
         recorder: Recorder,
         meters: Meters,
         is_leaving: Callable[[], bool],
-        memory: int = defaults.ENTRY_MEMORY,
+        memory_mb: int = defaults.PROCESS_MEMORY_MB,
     ) -> None:
         self.in_progress = 0
-        limits, _ = divide_limits(memory, defaults.RUNNING_PER_ENTRY)
+        # The server keeps the connections; only bodies are counted.
+        limits, _ = divide_limits(
+            memory_mb * 1024 * 1024, defaults.PROCESS_DESCRIPTORS
+        )
         self.memory = CallerMemory(limits)
         self.start_soon: Callable[..., object] = (
             trio.lowlevel.spawn_system_task
--- a/magnoliacove/entry/exchange.py
+++ b/magnoliacove/entry/exchange.py
@@ -11,13 +11,12 @@
 from magnoliacove import defaults
 from magnoliacove import errors
 from magnoliacove.limits.caller_memory import Allocation
+from magnoliacove.limits.caller_memory import make_no_memory
 
 __all__ = ["Exchange", "read_key", "run_while_connected"]
 
 _JSON = (b"content-type", b"application/json")
 _MAX_KEY_LENGTH = 255
-# Seconds after which a caller may retry whose request found no memory.
-_NO_MEMORY_RETRY = 1.0
 
 
 @dataclass
@@ -100,12 +99,7 @@
                     status=413,
                 )
             if not await self.memory.resize(len(body)):
-                raise errors.RequestError(
-                    "no_memory",
-                    "this entry holds too much for its callers; the request "
-                    "did not run",
-                    retry_after=_NO_MEMORY_RETRY,
-                )
+                raise make_no_memory()
             if not message.get("more_body"):
                 return bytes(body)
 
--- a/magnoliacove/entry/process.py
+++ b/magnoliacove/entry/process.py
@@ -41,7 +41,7 @@
     :param seeds: peers to ask when the platform's store is down.
     :param meters: a listening socket for metrics, or None.
     :param max_running: the number of requests that may run at the same time.
-    :param memory: bytes that the process may use.
+    :param memory_mb: memory that the process may use.
     """
 
     identity: Identity
@@ -56,7 +56,7 @@
     clock: Clock | None = None
     tls: web.ServerTls | None = None
     max_running: int = defaults.RUNNING_PER_ENTRY
-    memory: int = defaults.ENTRY_MEMORY
+    memory_mb: int = defaults.PROCESS_MEMORY_MB
 
 
 class Entry:
@@ -89,7 +89,7 @@
             self.process.recorder,
             self._meters,
             lambda: self.process.leaving,
-            parts.memory,
+            parts.memory_mb,
         )
 
     async def run(self, *, task_status: trio.TaskStatus[wire.Address]) -> None:
--- a/magnoliacove/gateway/callers.py
+++ b/magnoliacove/gateway/callers.py
@@ -24,11 +24,11 @@
 from magnoliacove.bodies import encode_body
 from magnoliacove.configuration.routes import CallerLimits
 from magnoliacove.gateway.discarding import Discarder
-from magnoliacove.gateway.request_reader import NO_MEMORY_RETRY
 from magnoliacove.gateway.request_reader import ReadError
 from magnoliacove.gateway.request_reader import Request
 from magnoliacove.gateway.request_reader import RequestReader
 from magnoliacove.limits.caller_memory import IDLE_CONNECTION_BYTES
+from magnoliacove.limits.caller_memory import NO_MEMORY_RETRY
 from magnoliacove.limits.caller_memory import Allocation
 from magnoliacove.limits.caller_memory import CallerMemory
 from magnoliacove.limits.caller_memory import Use
@@ -38,7 +38,6 @@
     "CallerLeftError",
     "CallerResources",
     "Exchange",
-    "Request",
 ]
 
 Headers = Sequence[tuple[bytes, bytes]]
--- a/magnoliacove/gateway/request_reader.py
+++ b/magnoliacove/gateway/request_reader.py
@@ -23,8 +23,9 @@
 from magnoliacove.limits.caller_memory import IDLE_CONNECTION_BYTES
 from magnoliacove.limits.caller_memory import Allocation
 from magnoliacove.limits.caller_memory import Use
+from magnoliacove.limits.caller_memory import make_no_memory
 
-__all__ = ["NO_MEMORY_RETRY", "ReadError", "Request", "RequestReader"]
+__all__ = ["ReadError", "Request", "RequestReader"]
 
 # Bytes that one read of a connection returns at most.  What it returns is
 # decoded at a stretch.
@@ -38,8 +39,6 @@
 # Bytes that one header of a request takes besides its own, here and in the
 # request to the target.
 _HEADER_BYTES = 512
-# Seconds after which a caller may retry whose request found no memory.
-NO_MEMORY_RETRY = 1.0
 # The end of a head, as h11 finds it.
 _HEAD_END = re.compile(rb"\n\r?\n")
 _HEAD_TAIL_LENGTH = 2
@@ -223,7 +222,7 @@
         except _NoMemoryError:
             body.clear()
             self._allocation.shrink(IDLE_CONNECTION_BYTES)
-            refusal = _make_refusal()
+            refusal = make_no_memory()
             return Request(method, target, headers, body, arrived, refusal)
         except BaseException:
             body.clear()
@@ -333,14 +332,6 @@
     )
 
 
-def _make_refusal() -> errors.RequestError:
-    return errors.RequestError(
-        "no_memory",
-        "this entry holds too much for its callers; the request did not run",
-        retry_after=NO_MEMORY_RETRY,
-    )
-
-
 def _decode(decoder: ChunkDecoder, data: bytes) -> bytes:
     try:
         return decoder.decode(data)
--- a/magnoliacove/gateway/requests.py
+++ b/magnoliacove/gateway/requests.py
@@ -9,7 +9,7 @@
 from magnoliacove.bodies import Body
 from magnoliacove.configuration.routes import Route
 from magnoliacove.configuration.routes import ServiceSpec
-from magnoliacove.gateway.callers import Request
+from magnoliacove.gateway.request_reader import Request
 from magnoliacove.platform.headers import CallerHeaders
 
 __all__ = [
--- a/magnoliacove/limits/caller_memory.py
+++ b/magnoliacove/limits/caller_memory.py
@@ -23,9 +23,12 @@
 
 import trio
 
+from magnoliacove import errors
+
 __all__ = [
     "ACTIVE_CONNECTION_BYTES",
     "IDLE_CONNECTION_BYTES",
+    "NO_MEMORY_RETRY",
     "Allocation",
     "CallerMemory",
     "Content",
@@ -33,6 +36,7 @@
     "MemoryLimits",
     "Use",
     "divide_limits",
+    "make_no_memory",
 ]
 
 _MB = 1024 * 1024
@@ -66,6 +70,8 @@
 # before; and between two attempts.
 _MAX_WAIT = 3.0
 _RETRY_INTERVAL = 0.1
+# Seconds after which a caller may retry whose request found no memory.
+NO_MEMORY_RETRY = 1.0
 # Seconds after a refusal for which memory counts as short.
 _SHORTAGE_TIME = 1.0
 
@@ -159,6 +165,15 @@
     return callers, probes
 
 
+def make_no_memory() -> errors.RequestError:
+    """Return the error for a request for which there is no memory."""
+    return errors.RequestError(
+        "no_memory",
+        "this entry holds too much for its callers; the request did not run",
+        retry_after=NO_MEMORY_RETRY,
+    )
+
+
 class Allocation:
     """What is held for one connection or one message.
 
--- a/magnoliacove/platform/settings.py
+++ b/magnoliacove/platform/settings.py
@@ -8,6 +8,7 @@
 import json
 import pathlib
 
+from magnoliacove import defaults
 from magnoliacove import errors
 from magnoliacove.platform.fields import Fields
 from magnoliacove.wire.network import Address
@@ -15,9 +16,6 @@
 __all__ = ["Bounds", "NodeSettings", "read_settings"]
 
 _MB = 1024 * 1024
-# Limits of a process whose settings state none.
-_DEFAULT_MEMORY_MB = 300
-_DEFAULT_DESCRIPTORS = 1024
 
 
 @dataclass(frozen=True)
@@ -68,8 +66,8 @@
     store: Address
     bounds: Bounds
     first_start: bool
-    memory: int = _DEFAULT_MEMORY_MB * _MB
-    descriptors: int = _DEFAULT_DESCRIPTORS
+    memory: int = defaults.PROCESS_MEMORY_MB * _MB
+    descriptors: int = defaults.PROCESS_DESCRIPTORS
 
 
 def read_settings(path: str) -> NodeSettings:
@@ -123,8 +121,8 @@
         store=Address.parse(store.text("address")),
         bounds=_decode_bounds(_require(fields, "bounds")),
         first_start=fields.flag("bootstrap"),
-        memory=_MB * limits.count("memory_mb", _DEFAULT_MEMORY_MB),
-        descriptors=limits.count("max_fds", _DEFAULT_DESCRIPTORS),
+        memory=_MB * limits.count("memory_mb", defaults.PROCESS_MEMORY_MB),
+        descriptors=limits.count("max_fds", defaults.PROCESS_DESCRIPTORS),
     )
 
 
