Let the memory of answers be a view of the account

It kept a sum of its own beside the one by content in the account, which says the same; an allocation names its account, so a block that may be cancelled need not be given both.

--- a/magnoliacove/limits/answer_memory.py
+++ b/magnoliacove/limits/answer_memory.py
@@ -35,12 +35,15 @@
     """The memory that the bodies of one process share.
 
     :param memory: the account of all that is held for callers.
-    :param used: bytes of the bodies that are held now.
     """
 
     def __init__(self, memory: CallerMemory | None = None) -> None:
         self.memory = memory or CallerMemory()
-        self.used = 0
+
+    @property
+    def used(self) -> int:
+        """The bytes of the bodies that are held now."""
+        return self.memory.used_by[Content.ANSWERS]
 
     def open(
         self,
@@ -48,7 +51,8 @@
         max_short_parts: int = MAX_SHORT_PARTS,
     ) -> "BodyBuffer":
         """Return a buffer for one body."""
-        return BodyBuffer(self, max_bytes, max_short_parts)
+        allocation = Allocation(self.memory, Content.ANSWERS)
+        return BodyBuffer(allocation, max_bytes, max_short_parts)
 
 
 class BodyBuffer:
@@ -58,13 +62,12 @@
     """
 
     def __init__(
-        self, answers: AnswerMemory, max_bytes: int, max_short_parts: int
+        self, allocation: Allocation, max_bytes: int, max_short_parts: int
     ) -> None:
         self.body = Body()
-        self._answers = answers
         self._max_bytes = max_bytes
         self._short_parts_left = max_short_parts
-        self._allocation = Allocation(answers.memory, Content.ANSWERS)
+        self._allocation = allocation
 
     async def reserve(self, length: int) -> None:
         """Wait until there is memory for a body of a known length.
@@ -91,11 +94,9 @@
         if not reserved and not self._allocation.try_resize(size):
             raise self._make_error(size)
         self.body.append(part)
-        self._answers.used += len(part)
 
     def release(self) -> None:
         """Return the memory."""
-        self._answers.used -= len(self.body)
         self.body.clear()
         self._allocation.shrink(0)
 
--- a/magnoliacove/limits/caller_memory.py
+++ b/magnoliacove/limits/caller_memory.py
@@ -177,19 +177,20 @@
 class Allocation:
     """What is held for one connection or one message.
 
+    :param memory: the account that it draws on.
     :param size: in bytes.
     """
 
     def __init__(self, memory: "CallerMemory", content: Content) -> None:
         self.size = 0
         self.content = content
-        self._memory = memory
+        self.memory = memory
 
     def try_resize(self, size: int) -> bool:
         """Change the size, if there is memory; return whether there is."""
-        fits = self._memory.try_resize(self, size)
+        fits = self.memory.try_resize(self, size)
         if not fits:
-            self._memory.note_refused()
+            self.memory.note_refused()
         return fits
 
     async def resize(self, size: int) -> bool:
@@ -197,21 +198,21 @@
 
         What can never fit is refused at once.
         """
-        if self._memory.try_resize(self, size):
+        if self.memory.try_resize(self, size):
             return True
-        if self._memory.may_ever_fit(size):
+        if self.memory.may_ever_fit(size):
             deadline = trio.current_time() + _MAX_WAIT
             while trio.current_time() < deadline:
                 await trio.sleep(_RETRY_INTERVAL)
-                if self._memory.try_resize(self, size):
+                if self.memory.try_resize(self, size):
                     return True
-        self._memory.note_refused()
+        self.memory.note_refused()
         return False
 
     def shrink(self, size: int) -> None:
         """Return the memory beyond a size."""
         if size < self.size:
-            self._memory.set_size(self, size)
+            self.memory.set_size(self, size)
 
     def evictable(
         self, use: Use, timeout: float = math.inf
@@ -220,7 +221,7 @@
 
         :param timeout: seconds after which it is cancelled in any case.
         """
-        return EvictableBlock(self._memory, self, use, timeout)
+        return EvictableBlock(self, use, timeout)
 
 
 class EvictableBlock:
@@ -234,18 +235,13 @@
     """
 
     def __init__(
-        self,
-        memory: "CallerMemory",
-        allocation: Allocation,
-        use: Use,
-        timeout: float,
+        self, allocation: Allocation, use: Use, timeout: float
     ) -> None:
         self.since = trio.current_time()
         self.evicted = False
         self.allocation = allocation
         self.use = use
         self.scope = trio.CancelScope(deadline=self.since + timeout)
-        self._memory = memory
 
     @property
     def cancelled_caught(self) -> bool:
@@ -259,7 +255,7 @@
 
     def __enter__(self) -> "EvictableBlock":
         self.scope.__enter__()
-        self._memory.add_evictable(self)
+        self.allocation.memory.add_evictable(self)
         return self
 
     def __exit__(
@@ -268,14 +264,14 @@
         error: BaseException | None,
         traceback: types.TracebackType | None,
     ) -> bool | None:
-        self._memory.remove_evictable(self)
+        self.allocation.memory.remove_evictable(self)
         return self.scope.__exit__(kind, error, traceback)
 
 
 class CallerMemory:
     """The account of one process.
 
-    :param used: bytes that are held now.
+    :param used: bytes that are held now; `used_by` has them by content.
     :param connections: number of open connections.
     :param evicted: how often a use was ended for others.
     :param refused: how often there was no memory.
@@ -288,7 +284,7 @@
         self.refused = 0
         self._refused_at = -math.inf
         self.used = 0
-        self._used = dict.fromkeys(Content, 0)
+        self.used_by = dict.fromkeys(Content, 0)
         # In the order in which they began.
         self._evictable: dict[Use, dict[EvictableBlock, None]] = {
             use: {} for use in Use
@@ -324,7 +320,7 @@
     def set_size(self, allocation: Allocation, size: int) -> None:
         """Change the size of an allocation, whether it fits or not."""
         self.used += size - allocation.size
-        self._used[allocation.content] += size - allocation.size
+        self.used_by[allocation.content] += size - allocation.size
         allocation.size = size
 
     def note_refused(self) -> None:
@@ -369,7 +365,7 @@
             return True
         free = self.limits.memory - self.used + allocation.size - size
         other = _OTHERS[allocation.content]
-        left = int(_SHARES[other] * self.limits.memory) - self._used[other]
+        left = int(_SHARES[other] * self.limits.memory) - self.used_by[other]
         return free - max(0, left) >= size
 
     def _evict_next(self, order: Sequence[Use], needs: Allocation) -> bool:
