Read the length of an answer only where its body is read whole, and tidy

Each answer's headers were copied into a map for a length that streams do not use. The reader of requests cleared a body in three places and dropped a head that its caller still held; it clears it in one. The lock is named for what it guards, and comments that a newcomer would stop at are plainer.

--- a/magnoliacove/bodies.py
+++ b/magnoliacove/bodies.py
@@ -8,8 +8,7 @@
 
 Buffer = bytes | memoryview
 
-# Blocks of one size leave no gaps in the heap that the next ones do not fit,
-# and growing one copies little.
+# Blocks of one size do not fragment the heap, and growing one copies little.
 _BLOCK_BYTES = 64 * 1024
 
 
@@ -48,7 +47,7 @@
         return b"".join(self._blocks)
 
     def clear(self) -> None:
-        """Drop the bytes at once, whoever still refers to the body."""
+        """Drop the bytes, also where the body is still referred to."""
         self._blocks.clear()
         self._size = 0
 
--- a/magnoliacove/gateway/callers.py
+++ b/magnoliacove/gateway/callers.py
@@ -42,8 +42,8 @@
 
 Headers = Sequence[tuple[bytes, bytes]]
 
-# Bytes that one write of a long answer sends, so that it is seen whether its
-# caller reads on.
+# Maximum number of bytes of one write of a long answer, so that the gateway
+# notices whether its caller continues to read.
 _WRITE_SIZE = 16384
 # Seconds that a write to a caller may take before the connection counts as
 # broken.
@@ -156,12 +156,12 @@
 class CallerResources:
     """What the connections of all callers share.
 
-    :param turns: held while a read of a chunked body is decoded.
+    :param decode_lock: held while a part of a chunked body is decoded.
     :param record: records an event.
     """
 
     memory: CallerMemory = field(default_factory=CallerMemory)
-    turns: trio.Lock = field(default_factory=trio.Lock)
+    decode_lock: trio.Lock = field(default_factory=trio.Lock)
     discarder: Discarder = field(default_factory=Discarder)
     record: Callable[..., object] = _ignore
 
@@ -231,7 +231,7 @@
             self._stream,
             self._parser,
             allocation,
-            self._resources.turns,
+            self._resources.decode_lock,
             self._send_continue,
         )
         while await self._serve_request(reader):
--- a/magnoliacove/gateway/channels.py
+++ b/magnoliacove/gateway/channels.py
@@ -103,8 +103,7 @@
         self._request: h11.Request | None = None
         self._idle_timeout = _MAX_IDLE
         self._reusable = True
-        # Bytes of the answer's body that were announced.
-        self._body_length = 0
+        self._response: h11.Response | None = None
 
     @property
     def has_no_input(self) -> bool:
@@ -187,7 +186,7 @@
         :raises TargetError: when the answer breaks off or is too long.
         """
         try:
-            await buffer.reserve(self._body_length)
+            await buffer.reserve(self._read_length())
             while (part := await self.read_body()) is not None:
                 buffer.add(part)
         except AnswerTooLongError as exc:
@@ -254,7 +253,7 @@
             if isinstance(event, h11.Response):
                 headers = tuple((bytes(n), bytes(v)) for n, v in event.headers)
                 self._read_keep_alive(headers)
-                self._body_length = self._read_length(event)
+                self._response = event
                 return Answer(event.status_code, headers)
         raise TargetError(
             "the target sends interim answers without end",
@@ -316,10 +315,10 @@
             )
         return event
 
-    def _read_length(self, response: h11.Response) -> int:
-        """Return the length of an answer's body, 0 if it is not announced."""
-        request = self._request
-        if request is not None and request.method == b"HEAD":
+    def _read_length(self) -> int:
+        """Return the length of the answer's body, 0 if it is not announced."""
+        request, response = self._request, self._response
+        if request is None or response is None or request.method == b"HEAD":
             return 0
         return int(dict(response.headers).get(b"content-length", b"0"))
 
--- a/magnoliacove/gateway/request_reader.py
+++ b/magnoliacove/gateway/request_reader.py
@@ -27,8 +27,8 @@
 
 __all__ = ["ReadError", "Request", "RequestReader"]
 
-# Bytes that one read of a connection returns at most.  What it returns is
-# decoded at a stretch.
+# Maximum number of bytes that one read of a connection returns.  They are
+# decoded without a pause for other requests.
 _READ_SIZE = 16384
 # Bytes of further requests that are read while one is answered.
 _MAX_PIPELINED = 16384
@@ -95,8 +95,8 @@
 
     :param parser: keeps the state of the connection.
     :param allocation: the memory of the connection.
-    :param turns: held while a read of a chunked body is decoded, so that many
-        of them delay nobody else for more than one read.
+    :param decode_lock: held while a part of a chunked body is decoded, so that
+        other requests wait for one part at most, however many bodies arrive.
     :param send_continue: tells the caller to send the body.
     """
 
@@ -105,15 +105,15 @@
         stream: trio.SocketStream,
         parser: h11.Connection,
         allocation: Allocation,
-        turns: trio.Lock,
+        decode_lock: trio.Lock,
         send_continue: Callable[[], Awaitable[None]],
     ) -> None:
         self._stream = stream
         self._parser = parser
         self._allocation = allocation
-        self._turns = turns
+        self._decode_lock = decode_lock
         self._send_continue = send_continue
-        # What was read and not parsed yet.
+        # Bytes that were received and not parsed yet.
         self._unread = b""
         # The last bytes of the head that were given to the parser.
         self._head_tail = b""
@@ -215,22 +215,19 @@
         arrived = trio.current_time()
         headers = tuple((bytes(n), bytes(v)) for n, v in head.headers)
         method, target = bytes(head.method), bytes(head.target)
-        del head
-        body = Body()
+        body, complete, refusal = Body(), False, None
         try:
             complete = await self._read_body(headers, body, limits)
         except _NoMemoryError:
-            body.clear()
-            self._allocation.shrink(IDLE_CONNECTION_BYTES)
             refusal = make_no_memory()
-            return Request(method, target, headers, body, arrived, refusal)
-        except BaseException:
-            body.clear()
-            raise
-        if not complete:
-            body.clear()
+            self._allocation.shrink(IDLE_CONNECTION_BYTES)
+        finally:
+            if not complete:
+                # An error refers to this frame, and may outlive it.
+                body.clear()
+        if not complete and refusal is None:
             return None
-        return Request(method, target, headers, body, arrived)
+        return Request(method, target, headers, body, arrived, refusal)
 
     async def _read_body(
         self,
@@ -288,7 +285,7 @@
         reserved = _SHORT_BODY
         while not decoder.complete:
             data = await self._read_part()
-            async with self._turns:
+            async with self._decode_lock:
                 part = _decode(decoder, data)
             length = len(body) + len(part)
             if length > limits.body_bytes:
--- a/magnoliacove/limits/caller_memory.py
+++ b/magnoliacove/limits/caller_memory.py
@@ -8,9 +8,9 @@
 What one caller holds may grow only while at least as much stays free (a
 dynamic threshold).  So large bodies stop while there is memory for smaller
 ones, and a few large ones fit where many do not.  Requests and answers each
-leave the other a share.  What is held for nothing gives way to what needs it:
-connections that close or are idle, and requests and answers that take long to
-be sent or read.
+leave the other a share.  When memory is short, the oldest of these are
+evicted: connections that close or are idle, and requests and answers that take
+long to be sent or read.
 """
 
 from collections.abc import Iterator
@@ -56,8 +56,8 @@
 # callers.
 _PROBES_BYTES = 4 * _MB
 _PROBE_CONNECTIONS = 32
-# Share of the memory for what callers sent and nobody has read, and bounds of
-# the bytes for one connection.
+# Share of the memory for received bytes that wait in the kernel, and bounds of
+# these bytes for one connection.
 _UNREAD_SHARE = 0.1
 _MIN_RECEIVE_BUFFER = 8 * 1024
 _MAX_RECEIVE_BUFFER = 64 * 1024
@@ -83,9 +83,9 @@
     ANSWERS = enum.auto()
 
 
-# Share of the memory that is left to each content.  Without it requests in
-# progress would wait for each other's end, as none could read its answer, and
-# answers that nobody reads would keep out all requests.
+# Share of the memory that is reserved for each content.  Without it requests
+# in progress would wait for each other's end, as none could read its answer,
+# and unread answers would keep out all requests.
 _SHARES = {Content.REQUESTS: 0.25, Content.ANSWERS: 0.25}
 _OTHERS = {
     Content.REQUESTS: Content.ANSWERS,
