Let crowds use the stub target and reader that other tests have

The tests of crowds had an HTTP server and a reader of their own beside those of tests/gateway/stubs.py. The stub takes long bodies without copying them with each part, and ends when its peer closes in the middle of one, where it would have waited for ever. Crowds, bounds and checks are as they were.

--- a/tests/gateway/crowds.py
+++ b/tests/gateway/crowds.py
@@ -92,13 +92,12 @@
         self.gateway.max_descriptors = crowd.max_descriptors
         self.usage = Usage()
         self._crowd = crowd
-        self._nursery: trio.Nursery | None = None
+        self._target = stubs.StubTarget(self._answer)
 
     @contextlib.asynccontextmanager
     async def open(self):
         """Start everything; end the process with the block."""
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
             await self._start(nursery)
             try:
                 await self.gateway.wait_ready()
@@ -135,7 +134,7 @@
         stream = await self._connect()
         async with stream, trio.open_nursery() as nursery:
             nursery.start_soon(send_until_refused, stream, data)
-            answer = await _read_to_end(stream)
+            answer = await stubs.read_all(stream, _LONGEST)
             nursery.cancel_scope.cancel()
         return answer
 
@@ -145,18 +144,25 @@
         port = listener.getsockname()[1]
         app = object_api.make_app(store)
         await nursery.start(serve_app, app, listener)
-        target = bind_socket("127.0.0.1", 0)
-        address = f"127.0.0.1:{target.getsockname()[1]}"
-        nursery.start_soon(
-            trio.serve_listeners,
-            _serve_target,
-            [trio.SocketListener(trio.socket.from_stdlib_socket(target))],
-        )
-        await store.put("servers/desk-0", json.dumps(_entry(address)).encode())
+        await nursery.start(self._target.listen)
+        entry = _entry(str(self._target.address))
+        await store.put("servers/desk-0", json.dumps(entry).encode())
         await store.put("config/main", json.dumps(_CONFIGURATION).encode())
         self.gateway.write_settings(f"127.0.0.1:{port}", [self.gateway.host])
         self.gateway.start()
 
+    async def _answer(self, received: stubs.Received, stream) -> None:
+        """Answer a request as the last part of its path says."""
+        # The bodies of a crowd would fill the memory of the tests.
+        self._target.requests.clear()
+        how = received.target.rpartition("/")[2]
+        if how == "slow":
+            await trio.sleep(_SLOW)
+        answers = {"echo": received.body, "big": bytes(BODY_LIMIT)}
+        request = received.headers.get("x-request-id", "")
+        head = stubs.OK + f"x-request-id: {request}\r\n".encode()
+        await stream.send_all(stubs.make_answer(answers.get(how, b"ok"), head))
+
     async def _connect(self, *, probes: bool = False) -> trio.SocketStream:
         gateway = self.gateway
         port = gateway.ready_port if probes else gateway.callers_port
@@ -209,17 +215,6 @@
         await stream.send_all(data)
 
 
-async def _read_to_end(stream: trio.SocketStream) -> bytes:
-    data = bytearray()
-    with (
-        trio.move_on_after(_LONGEST),
-        contextlib.suppress(trio.BrokenResourceError),
-    ):
-        while part := await stream.receive_some(65536):
-            data += part
-    return bytes(data)
-
-
 def _entry(address: str) -> dict[str, object]:
     return {
         "service": "desk",
@@ -260,39 +255,3 @@
         "idle_timeout_ms": 15_000,
     },
 }
-
-
-async def _serve_target(stream: trio.SocketStream) -> None:
-    """Answer requests; the last part of the path says how."""
-    with contextlib.suppress(trio.BrokenResourceError):
-        async with stream:
-            data = bytearray()
-            while await _serve_request(stream, data):
-                continue
-
-
-async def _serve_request(stream: trio.SocketStream, data: bytearray) -> bool:
-    while (end := data.find(b"\r\n\r\n")) < 0:
-        part = await stream.receive_some(65536)
-        if not part:
-            return False
-        data += part
-    lines = bytes(data[:end]).decode().lower().split("\r\n")
-    del data[: end + 4]
-    fields = dict(line.split(": ", 1) for line in lines[1:])
-    length = int(fields.get("content-length", 0))
-    while len(data) < length:
-        part = await stream.receive_some(65536)
-        if not part:
-            return False
-        data += part
-    body = bytes(data[:length])
-    del data[:length]
-    how = lines[0].split()[1].rpartition("/")[2]
-    if how == "slow":
-        await trio.sleep(_SLOW)
-    answers = {"echo": body, "big": bytes(BODY_LIMIT)}
-    request = fields.get("x-request-id", "")
-    head = stubs.OK + f"x-request-id: {request}\r\n".encode()
-    await stream.send_all(stubs.make_answer(answers.get(how, b"ok"), head))
-    return True
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -94,7 +94,7 @@
 
     async def _serve(self, stream):
         try:
-            data = b""
+            data = bytearray()
             while True:
                 while b"\r\n\r\n" not in data:
                     part = await stream.receive_some()
@@ -109,8 +109,12 @@
                 }
                 length = int(headers.get("content-length", 0))
                 while len(data) < length:
-                    data += await stream.receive_some()
-                body, data = data[:length], data[length:]
+                    part = await stream.receive_some()
+                    if not part:
+                        return
+                    data += part
+                body = bytes(data[:length])
+                del data[:length]
                 method, target, _ = lines[0].split(" ")
                 received = Received(method, target, headers, body)
                 self.requests.append(received)
@@ -258,16 +262,16 @@
     return f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body
 
 
-async def read_all(stream):
-    """Return all data until the other end closes."""
-    data = b""
+async def read_all(stream, timeout=20.0):
+    """Return all data until the other end closes, or the time is over."""
+    data = bytearray()
     with (
-        trio.move_on_after(20.0),
+        trio.move_on_after(timeout),
         contextlib.suppress(trio.BrokenResourceError),
     ):
         while part := await stream.receive_some():
             data += part
-    return data
+    return bytes(data)
 
 
 async def open_pair():
--- a/tests/gateway/test_chunks.py
+++ b/tests/gateway/test_chunks.py
@@ -1,4 +1,4 @@
-"""Chunked bodies are decoded as by h11, whatever the sizes and the reads."""
+"""Chunked bodies are decoded as by h11, for any chunk sizes and reads."""
 
 import h11
 from hypothesis import given
--- a/tests/gateway/test_crowds.py
+++ b/tests/gateway/test_crowds.py
@@ -14,7 +14,7 @@
 from tests.gateway.crowds import make_head
 
 _GB = 1024 * 1024 * 1024
-# Bytes that a client sends at most that goes on for as long as it is read.
+# Maximum number of bytes of a client whose body has no end.
 _ENDLESS = 4 * BODY_LIMIT
 _PART = b"x" * 65536
 _LEGAL = b"x" * BODY_LIMIT
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -174,8 +174,8 @@
 async def test_limits_for_callers_follow_from_settings_and_process(
     tmp_path, monkeypatch, allowed, connections
 ):
-    """Guards against callers that take the descriptors of all else: a process
-    that is allowed less than its settings say answered nobody.
+    """Guards against callers that use up all descriptors: a process whose own
+    limit was below that of its settings answered no caller.
     """
     monkeypatch.setattr(
         caller_listeners.resource, "getrlimit", lambda _: (allowed, allowed)
--- a/tests/limits/test_caller_memory.py
+++ b/tests/limits/test_caller_memory.py
@@ -48,7 +48,7 @@
 
 async def test_requests_and_answers_leave_each_other_a_share(resources, clock):
     """Requests in progress waited for memory that only their own answers
-    would have freed; answers that nobody read kept out all requests.
+    would have freed; unread answers kept out all requests.
     """
     for first, second in (
         (Content.REQUESTS, Content.ANSWERS),
