--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -222,15 +222,19 @@
         )
         return stub
 
-    async def connect(self):
-        """Return the caller's end of a new connection, and the gateway's."""
-        ours, theirs = await open_pair()
+    async def connect(self, resources=None):
+        """Return the caller's end of a new connection, and the gateway's.
+
+        :param resources: what it shares with other connections.
+        """
+        ours, theirs = await _open_pair()
         connection = CallerConnection(
             theirs,
             lambda: routes.CallerLimits(header_timeout=0.3),
             self.relay.serve,
             lambda: self.state.leaving,
             lambda: self.closing,
+            resources,
         )
         self.nursery.start_soon(connection.run)
         return ours, connection
@@ -274,7 +278,7 @@
     return bytes(data)
 
 
-async def open_pair():
+async def _open_pair():
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     port = listeners[0].socket.getsockname()[1]
     ours = await trio.open_tcp_stream("127.0.0.1", port)
--- a/tests/gateway/test_misbehaving_callers.py
+++ b/tests/gateway/test_misbehaving_callers.py
@@ -4,7 +4,6 @@
 import trio
 
 from magnoliacove.configuration.routes import CallerLimits
-from magnoliacove.gateway.callers import CallerConnection
 from magnoliacove.gateway.callers import CallerResources
 from magnoliacove.limits.caller_memory import Allocation
 from magnoliacove.limits.caller_memory import CallerMemory
@@ -23,20 +22,6 @@
     )
 
 
-async def _connect(harness, resources):
-    """Return the caller's end of a connection with shared resources."""
-    ours, theirs = await stubs.open_pair()
-    connection = CallerConnection(
-        theirs,
-        lambda: CallerLimits(header_timeout=0.3),
-        harness.relay.serve,
-        lambda: False,
-        resources=resources,
-    )
-    harness.nursery.start_soon(connection.run)
-    return ours
-
-
 def _make_full():
     """Return resources whose memory answers in progress hold but for 1 MB."""
     memory = CallerMemory(MemoryLimits(8 * _MB, 100))
@@ -82,7 +67,7 @@
     async with stubs.open_harness() as harness:
         stub = await harness.add("i-1", _ANSWER)
         resources = _make_full()
-        stream = await _connect(harness, resources)
+        stream, _ = await harness.connect(resources)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(stream.send_all, _post(_MB) + b"x" * _MB)
             answer = await stubs.read_all(stream)
@@ -96,7 +81,7 @@
     async with stubs.open_harness() as harness:
         await harness.add("i-1", _ANSWER)
         memory = CallerMemory(MemoryLimits(8 * _MB, 100))
-        stream = await _connect(harness, CallerResources(memory))
+        stream, _ = await harness.connect(CallerResources(memory))
         with memory.allocate(Content.REQUESTS) as held:
             assert held.try_resize(3 * _MB)
             await stream.send_all(_post(2 * _MB, x_deadline_ms="9000"))
@@ -113,7 +98,7 @@
     """A caller that asks first must not send a body that is refused."""
     async with stubs.open_harness() as harness:
         resources = _make_full()
-        stream = await _connect(harness, resources)
+        stream, _ = await harness.connect(resources)
         await stream.send_all(_post(_MB, expect="100-continue"))
         answer = await stubs.read_all(stream)
         assert answer.startswith(b"HTTP/1.1 503")
@@ -124,10 +109,10 @@
         await harness.add("i-1", _ANSWER)
         memory = CallerMemory(MemoryLimits(8 * _MB, 100))
         resources = CallerResources(memory)
-        stale = await _connect(harness, resources)
+        stale, _ = await harness.connect(resources)
         await stale.send_all(_post(2 * _MB) + b"x")
         await trio.sleep(2.1)
-        other = await _connect(harness, resources)
+        other, _ = await harness.connect(resources)
         await other.send_all(_post(2 * _MB) + b"x" * 2 * _MB)
         assert (await stubs.read_all(other)).endswith(b"ok")
         assert (await stubs.read_all(stale)).startswith(b"HTTP/1.1 503")
@@ -152,7 +137,7 @@
             stubs.make_request("/post/1", "POST", transfer_encoding="chunked")
             + b"zz\r\n",
         ):
-            stream = await _connect(harness, resources)
+            stream, _ = await harness.connect(resources)
             await stream.send_all(data)
             await trio.sleep(0.02)
             await stream.aclose()
@@ -204,7 +189,7 @@
         resources = CallerResources()
         kept = stubs.make_request("/get/1", connection="keep-alive")
         resources.memory.note_refused()
-        stream = await _connect(harness, resources)
+        stream, _ = await harness.connect(resources)
         await stream.send_all(kept * 5)
         answer = await stubs.read_all(stream)
         assert answer.count(b"HTTP/1.1 200") == 1
