Take no answer for whole whose connection broke while its request was sent

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was being written. The caller got the part as a whole answer, with a length or chunks of ours. A stream whose engine was reset between two events ended there, whole in looks, with events missing, where another engine would have gone on.

Cause: a body without a length ends with its connection. The kernel reports a reset once, to whichever call comes next. A long request is sent by a task of its own; if its write is told, the read afterwards returns a plain end, which the parser takes for the regular end of the body. The sending task only marked the connection as not reusable.

Change: an answer that ends with its connection is whole only if its request was sent whole, the peer's kernel acknowledged all of it, and the connection was not reset. The end of the body waits for the sending task, whatever that is told, and asks the kernel whether bytes are unacknowledged and whether the connection still has a peer; a reset after an end in order is seen that way too. Answers with a length or chunks need none of this and are as before.

An engine that answers early and closes without reading on cannot be told from one that crashed; RFC 9112 (8) calls such an answer incomplete, and so does this. A refusal ("not run") stands by its head: its body is not forwarded. Before, it depended on who was told of the reset.

--- a/magnoliacove/gateway/calls.py
+++ b/magnoliacove/gateway/calls.py
@@ -296,7 +296,10 @@
             body = await channel.read_whole_body(buffer)
         except TargetError:
             buffer.release()
-            raise
+            # The head of a refusal is enough: its body is not forwarded.
+            if not decoded.not_run:
+                raise
+            body = Body()
         if answer.status < 300 and not is_genuine(answer, decoded):
             raise TargetError(
                 "the answer is not one of the service's targets",
--- a/magnoliacove/gateway/channels.py
+++ b/magnoliacove/gateway/channels.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+import contextlib
 from dataclasses import dataclass
 import select
 
@@ -18,6 +19,7 @@
 from magnoliacove.bodies import Body
 from magnoliacove.bodies import Buffer
 from magnoliacove.bodies import encode_body
+from magnoliacove.connection_ends import ended_in_order
 from magnoliacove.limits.answer_memory import AnswerMemory
 from magnoliacove.limits.answer_memory import AnswerTooLongError
 from magnoliacove.limits.answer_memory import BodyBuffer
@@ -98,7 +100,9 @@
         self._stream = stream
         self._start_soon = start_soon
         self._on_answer = on_answer
-        self._sending = False
+        # Set once nothing more of the request is sent, whole or not.
+        self._sending_ended = trio.Event()
+        self._sent_whole = False
         self._parser = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
         self._idle_timeout = _MAX_IDLE
@@ -134,12 +138,13 @@
             method=method, target=target, headers=list(headers)
         )
         parts = self._encode_request(body)
+        self._sending_ended = trio.Event()
+        self._sent_whole = False
         if sum(map(len, parts)) <= _SMALL_REQUEST:
             await self._send_all([b"".join(parts)])
             return
         # A target may stop reading a long body and answer early.  Sending
         # concurrently with reading the answer cannot deadlock.
-        self._sending = True
         self._start_soon(self._send_long, parts)
 
     async def read_head(
@@ -177,6 +182,7 @@
             if isinstance(event, h11.Data):
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
+                await self._check_end()
                 return None
 
     async def read_whole_body(self, buffer: BodyBuffer) -> Body:
@@ -205,7 +211,7 @@
         # the next request as that part, so the connection is not reused.
         clean = (
             self._reusable
-            and not self._sending
+            and self._sent_whole
             and parser.our_state is h11.DONE
             and parser.their_state is h11.DONE
             and not parser.trailing_data[0]
@@ -232,20 +238,19 @@
         try:
             for part in parts:
                 await self._stream.send_all(part)
+            self._sent_whole = True
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise TargetError(
                 "the connection broke while the request was sent",
                 errors.Outcome.MAY_HAVE_RUN,
             ) from exc
+        finally:
+            self._sending_ended.set()
 
     async def _send_long(self, parts: Sequence[Buffer]) -> None:
-        try:
+        # The task that reads the answer reports the broken connection.
+        with contextlib.suppress(TargetError):
             await self._send_all(parts)
-        except TargetError:
-            # The task that reads the answer reports the broken connection;
-            # here it is only marked as not reusable.
-            self._reusable = False
-        self._sending = False
 
     async def _read_head(self) -> Answer:
         for _ in range(_MAX_INTERIM_ANSWERS):
@@ -315,6 +320,25 @@
             )
         return event
 
+    async def _check_end(self) -> None:
+        """Check an answer whose end is that of its connection.
+
+        Only a target that received the whole request and closed in order has
+        sent its whole answer.
+
+        :raises TargetError: when the connection broke.
+        """
+        _, closed = self._parser.trailing_data
+        if not closed:
+            return
+        await self._sending_ended.wait()
+        if self._sent_whole and await ended_in_order(self._stream.socket):
+            return
+        raise TargetError(
+            "the connection broke before the end of the answer",
+            errors.Outcome.MAY_HAVE_RUN,
+        )
+
     def _read_length(self) -> int:
         """Return the length of the answer's body, 0 if it is not announced."""
         request, response = self._request, self._response
--- a/magnoliacove/gateway/path_runs.py
+++ b/magnoliacove/gateway/path_runs.py
@@ -158,8 +158,14 @@
 
         :raises BrokenRunError: always.
         """
-        with self._state.answer_memory.open() as buffer:
-            body = (await channel.read_whole_body(buffer)).join()
+        body = b""
+        try:
+            with self._state.answer_memory.open() as buffer:
+                body = (await channel.read_whole_body(buffer)).join()
+        except TargetError:
+            # The head of a refusal is enough: its body is not forwarded.
+            if not decoded.not_run:
+                raise
         if decoded.not_run:
             self._handle_refusal(answer.status, decoded.faulty)
             raise BrokenRunError(
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -70,10 +70,15 @@
 
 
 class StubTarget:
-    """Answers requests with a script: a coroutine of request and stream."""
+    """Answers requests with a script: a coroutine of request and stream.
 
-    def __init__(self, script):
+    :param early: whether the script runs while the request's body is still
+        being sent.
+    """
+
+    def __init__(self, script, *, early=False):
         self.script = script
+        self._early = early
         self.requests = []
         self.closed = trio.Event()
         self.address = None
@@ -108,6 +113,8 @@
                     for name, _, value in (x.partition(":") for x in lines[1:])
                 }
                 length = int(headers.get("content-length", 0))
+                if self._early:
+                    length = min(length, len(data))
                 while len(data) < length:
                     part = await stream.receive_some()
                     if not part:
@@ -203,9 +210,21 @@
         nursery.start_soon(self.crash_watch.run)
         nursery.start_soon(self.attribution.run)
 
-    async def add(self, name, script, *, layers=None, service="", **changes):
-        """Start a stub target and list it."""
-        stub = StubTarget(script)
+    async def add(
+        self,
+        name,
+        script,
+        *,
+        layers=None,
+        service="",
+        early=False,
+        **changes,
+    ):
+        """Start a stub target and list it.
+
+        :param early: as for :class:`StubTarget`.
+        """
+        stub = StubTarget(script, early=early)
         await self.nursery.start(stub.listen)
         kind = {"accelerator": "h100"} if layers else {}
         self.state.targets.apply(
--- /dev/null
+++ b/tests/gateway/test_broken_answers.py
@@ -0,0 +1,203 @@
+"""Targets in trouble send answers that are broken off or are no answers.
+
+A caller that gets one as a whole answer uses it: it cannot see any more what
+the target did.
+"""
+
+import pytest
+
+from tests import broken_ends
+from tests.gateway import stubs
+
+# More than the socket buffers of both ends take.
+_LONG_UPLOAD = b"u" * 3_000_000
+# A prompt that is still being sent when its answer begins.
+_LONG_PROMPT = b"p" * 900_000
+# How often a request is sent.  Who is told of a reset, the task that sends or
+# the one that reads, changes from one to the next.
+_ROUNDS = 8
+_PART = b"the first part"
+_REFUSAL = stubs.NOT_RUN.replace(b"content-length: 0\r\n", b"")
+_NO_LENGTH_STREAM = stubs.OK + b"content-type: text/event-stream\r\n\r\n"
+_STATUS = slice(9, 12)
+
+
+def _answer_early(data, end):
+    """Return a script that answers long uploads before they have come.
+
+    :param end: ends the connection after the answer.
+    """
+
+    async def script(received, stream):
+        if received.method == "GET":
+            await stream.send_all(stubs.make_answer(b"{}"))
+            return
+        await stream.send_all(data)
+        await end(stream)
+
+    return script
+
+
+async def _serve_early(received, stream):
+    """Answer at once, whole, and read on."""
+    answer = stubs.make_answer(b"whole")
+    script = _answer_early(answer, broken_ends.close_in_order)
+    await script(received, stream)
+
+
+async def _post(harness, path, **headers):
+    return await harness.ask(
+        path,
+        method="POST",
+        body=_LONG_UPLOAD,
+        x_deadline_ms="5000",
+        **headers,
+    )
+
+
+_each_break = pytest.mark.parametrize("end", broken_ends.BREAKS)
+_each_head = pytest.mark.parametrize(
+    "head",
+    [
+        stubs.OK + b"\r\n",
+        stubs.OK + b"connection: close\r\n\r\n",
+        stubs.OK.replace(b"HTTP/1.1", b"HTTP/1.0") + b"\r\n",
+        _NO_LENGTH_STREAM,
+    ],
+    ids=["plain", "close", "HTTP/1.0", "event-stream"],
+)
+
+
+@_each_break
+@_each_head
+async def test_a_part_is_not_a_whole_answer(end, head):
+    """Guards against a part of an answer that reaches its caller as whole.
+
+    The target answers an upload at once with no length, sends a part and
+    resets the connection while the upload is being written.  The write is
+    told of the reset, so the read sees a plain end.
+    """
+    async with stubs.open_harness() as harness:
+        script = _answer_early(head + _PART, end)
+        await harness.add("d-1", script, early=True)
+        for _ in range(_ROUNDS):
+            answer = await _post(harness, "/post/1")
+            assert answer[_STATUS] == b"502"
+
+
+async def test_a_part_is_replaced_by_another_targets_answer():
+    """Guards against a repeatable request that ends with a part."""
+    async with stubs.open_harness() as harness:
+        script = _answer_early(stubs.OK + b"\r\n" + _PART, broken_ends.reset)
+        await harness.add("d-1", script, early=True)
+        await harness.add("d-2", _serve_early, early=True)
+        for _ in range(_ROUNDS):
+            answer = await _post(harness, "/get/1")
+            assert answer.endswith(b"\r\n\r\nwhole")
+
+
+async def test_a_crash_after_a_part_of_the_upload_is_no_whole_answer():
+    """Guards against a part of an answer by a process lost in an upload."""
+
+    async def read_a_part(stream):
+        left = 200_000
+        while left > 0:
+            left -= len(await stream.receive_some(min(left, 65536)))
+        await broken_ends.reset(stream)
+
+    async with stubs.open_harness() as harness:
+        script = _answer_early(stubs.OK + b"\r\n" + _PART, read_a_part)
+        await harness.add("d-1", script, early=True)
+        for _ in range(_ROUNDS):
+            answer = await _post(harness, "/post/1")
+            assert answer[_STATUS] == b"502"
+
+
+@_each_break
+async def test_an_early_answer_with_a_length_is_whole(end):
+    """Guards against giving up an answer that came whole before a reset."""
+    async with stubs.open_harness() as harness:
+        script = _answer_early(stubs.make_answer(b"whole"), end)
+        await harness.add("d-1", script, early=True)
+        for _ in range(_ROUNDS):
+            answer = await _post(harness, "/post/1")
+            assert answer.endswith(b"\r\n\r\nwhole")
+
+
+async def test_an_early_answer_that_closes_in_order_is_whole():
+    """Guards against giving up an answer whose upload was still read."""
+    async with stubs.open_harness() as harness:
+        script = _answer_early(
+            stubs.OK + b"\r\nwhole", broken_ends.close_in_order
+        )
+        await harness.add("d-1", script, early=True)
+        for _ in range(_ROUNDS):
+            answer = await _post(harness, "/post/1")
+            assert answer.endswith(b"\r\n\r\nwhole")
+
+
+async def test_an_answer_that_closes_after_the_upload_is_whole():
+    """Guards against giving up an answer whose end is its connection's."""
+
+    async def script(_, stream):
+        await stream.send_all(stubs.OK + b"\r\nwhole")
+        await stream.aclose()
+
+    async with stubs.open_harness() as harness:
+        await harness.add("d-1", script)
+        for _ in range(_ROUNDS):
+            answer = await _post(harness, "/post/1")
+            assert answer.endswith(b"\r\n\r\nwhole")
+
+
+@_each_break
+async def test_a_refusal_stands_without_its_body(end):
+    """Guards against doubt whether a request ran that was refused early."""
+    async with stubs.open_harness() as harness:
+        refuse = _answer_early(_REFUSAL + b"no room", end)
+        await harness.add("d-1", refuse, early=True)
+        for _ in range(_ROUNDS):
+            answer = await _post(harness, "/post/1")
+            assert answer[_STATUS] == b"503"
+
+
+@_each_break
+async def test_a_stream_goes_on_after_a_reset_between_events(end):
+    """Guards against a stream that ends between two events and looks whole."""
+    broken = _answer_early(_NO_LENGTH_STREAM + stubs.make_events(1, 3), end)
+    for _ in range(_ROUNDS // 2):
+        async with stubs.open_harness() as harness:
+            await harness.add("i-1", broken, layers=(0, 80), early=True)
+            await harness.add("i-2", stubs.serve_whole, layers=(0, 80))
+            answer = await stubs.ask_stream(harness, body=_LONG_PROMPT)
+            assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
+
+
+@_each_break
+async def test_a_stream_that_may_not_go_on_does_not_look_whole(end):
+    """Guards against an end of a stream that no engine sent."""
+    broken = _answer_early(_NO_LENGTH_STREAM + stubs.make_events(1, 3), end)
+    for _ in range(_ROUNDS // 2):
+        async with stubs.open_harness() as harness:
+            await harness.add("i-1", broken, layers=(0, 80), early=True)
+            answer = await stubs.ask_stream(
+                harness, "/once/1", body=_LONG_PROMPT
+            )
+            assert stubs.END not in answer
+
+
+async def test_a_stream_that_closes_in_order_is_whole():
+    """Guards against running a stream again that its engine has ended."""
+
+    async def script(received, stream):
+        if received.method == "GET":
+            await stream.send_all(stubs.make_answer(b"{}"))
+            return
+        await stream.send_all(_NO_LENGTH_STREAM + stubs.make_events(1, 6))
+        await stream.aclose()
+
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", script, layers=(0, 80))
+        answer = await stubs.ask_stream(harness, "/once/1", body=_LONG_PROMPT)
+        assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
+        assert answer.endswith(stubs.END)
