Take no answer of httpcore's for whole whose connection broke

What callers saw: the same on our own interface. A plain service that answered an upload of 3 MB at once and broke off was forwarded as whole, by the agent and the entry; a KV cache whose import was answered with a head and broken off counted as imported, and so did a value that the store had not confirmed.

Cause: httpcore passes over a failed write on purpose, to read an early answer. The failed write is told of the reset, so the read returns a plain end, which ends an answer without a length. HttpEngine takes an empty body for null.

Answers with a length or chunks never read that end.

--- a/magnoliacove/targets/engine.py
+++ b/magnoliacove/targets/engine.py
@@ -11,6 +11,7 @@
 
 from magnoliacove import defaults
 from magnoliacove import errors
+from magnoliacove.http_pools import make_pool
 
 __all__ = [
     "Engine",
@@ -117,7 +118,7 @@
     def __init__(self, url: str, *, timeout: float = 10.0) -> None:
         self._url = url.rstrip("/")
         self._timeout = timeout
-        self._pool = httpcore.AsyncConnectionPool(
+        self._pool = make_pool(
             max_connections=8, keepalive_expiry=defaults.KEEP_ALIVE / 2
         )
 
--- a/magnoliacove/targets/plain.py
+++ b/magnoliacove/targets/plain.py
@@ -9,6 +9,7 @@
 import httpcore
 
 from magnoliacove import errors
+from magnoliacove.http_pools import make_pool
 
 __all__ = ["HttpPlainTarget", "PlainAnswer", "PlainTarget"]
 
@@ -68,7 +69,7 @@
         # either: the target may close an idle connection while a request
         # is being sent, and it would be unknown whether a request that
         # must not be repeated has run.
-        self._pool = httpcore.AsyncConnectionPool(
+        self._pool = make_pool(
             max_connections=256, max_keepalive_connections=0, retries=0
         )
 
