Let a cut answer without chunks end with a reset

What callers saw: a caller that speaks HTTP/1.0 got a stream that was cut, by its engine, its deadline or a stop of the gateway, as a whole answer.

Cause: such a caller takes no chunks, so the end of its answer is that of its connection, and the gateway ended a cut answer with a plain close.

Evidence: four tests in tests/gateway/test_broken_answers.py, red on the code before: three ways to cut a stream, and a stop. The fifth, a whole answer that ends in order, held.

Change: while an answer without chunks is being sent, closing its connection resets it; its end takes that back. The kernel does so too when the process is lost in the middle of the answer. Answers with chunks are cut as before: what was sent is still delivered, and the missing end tells.

--- a/magnoliacove/connection_ends.py
+++ b/magnoliacove/connection_ends.py
@@ -7,15 +7,20 @@
 
 import errno
 import fcntl
+import socket
+import struct
 import sys
 import termios
 
 import trio
 
-__all__ = ["ended_in_order"]
+__all__ = ["ended_in_order", "reset_on_close"]
 
 # Seconds between two looks at what the peer has not acknowledged yet.
 _INTERVAL = 0.01
+# Values of SO_LINGER: whether close waits, and for how many seconds.
+_RESET = struct.pack("ii", 1, 0)
+_IN_ORDER = struct.pack("ii", 0, 0)
 
 
 async def ended_in_order(connection: trio.socket.SocketType) -> bool:
@@ -32,6 +37,20 @@
     return _is_connected(connection)
 
 
+def reset_on_close(
+    connection: trio.socket.SocketType, *, enabled: bool
+) -> None:
+    """Choose whether the end of a connection looks broken off to its peer.
+
+    It applies to each end, also to that of this process.
+    """
+    connection.setsockopt(
+        socket.SOL_SOCKET,
+        socket.SO_LINGER,
+        _RESET if enabled else _IN_ORDER,
+    )
+
+
 def _is_connected(connection: trio.socket.SocketType) -> bool:
     """Return whether a connection was not reset."""
     try:
--- a/magnoliacove/gateway/callers.py
+++ b/magnoliacove/gateway/callers.py
@@ -23,6 +23,7 @@
 from magnoliacove.bodies import Buffer
 from magnoliacove.bodies import encode_body
 from magnoliacove.configuration.routes import CallerLimits
+from magnoliacove.connection_ends import reset_on_close
 from magnoliacove.gateway.discarding import Discarder
 from magnoliacove.gateway.request_reader import ReadError
 from magnoliacove.gateway.request_reader import Request
@@ -52,6 +53,7 @@
 # breaks.
 _UNACKNOWLEDGED_TIMEOUT_MS = 5000
 _CONTINUE_STATUS = 100
+_FIRST_CHUNKED_VERSION = b"1.1"
 
 
 class CallerLeftError(Exception):
@@ -61,6 +63,8 @@
 class Exchange:
     """A request and its answer.
 
+    :param mark_partial: tells whether the connection must not end in order, as
+        the answer would look whole.
     :param started: whether the answer has been started.
     :param ended: whether the whole answer has been sent.
     :param caller_left: whether the caller closed the connection, or stopped
@@ -75,6 +79,7 @@
         parser: h11.Connection,
         send: Callable[[Sequence[Buffer]], Awaitable[None]],
         must_close: Callable[[], bool],
+        mark_partial: Callable[[bool], None],
         *,
         late: bool = False,
     ) -> None:
@@ -86,6 +91,7 @@
         self._parser = parser
         self._send = send
         self._must_close = must_close
+        self._mark_partial = mark_partial
         self._written_at = request.arrived
 
     def read_silence(self) -> float:
@@ -102,7 +108,12 @@
         when the caller can no longer be reached.
         """
         self.started = True
-        await self._send_part(self._write_head(status, headers))
+        head = self._write_head(status, headers)
+        # A caller without chunks takes the end of the connection for that of
+        # the answer, also when the answer is cut or this process is lost.
+        version = self._parser.their_http_version or b""
+        self._mark_partial(version < _FIRST_CHUNKED_VERSION)
+        await self._send_part(head)
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
@@ -112,6 +123,7 @@
     async def end(self) -> None:
         """Send the end of the body, which marks the answer as complete."""
         await self._send_part(self._parser.send(h11.EndOfMessage()) or b"")
+        self._mark_partial(False)
         self.ended = True
 
     async def answer(
@@ -254,6 +266,7 @@
             self._parser,
             self._write,
             lambda: self._must_close(request, reader),
+            self._mark_partial,
             late=self._late,
         )
         if not await self._answer(exchange, reader):
@@ -283,6 +296,9 @@
         # keep its memory from others for as long as its caller likes.
         return reader.has_unread and self._resources.memory.is_short()
 
+    def _mark_partial(self, partial: bool) -> None:
+        reset_on_close(self._stream.socket, enabled=partial)
+
     async def _answer(self, exchange: Exchange, reader: RequestReader) -> bool:
         """Call the handler; return whether it sent a complete answer."""
 
--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -5,6 +5,7 @@
 """
 
 import pytest
+import trio
 
 from tests import broken_ends
 from tests.gateway import stubs
@@ -201,3 +202,55 @@
         answer = await stubs.ask_stream(harness, "/once/1", body=_LONG_PROMPT)
         assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
         assert answer.endswith(stubs.END)
+
+
+async def _ask_without_chunks(harness):
+    """Begin a stream as a caller of HTTP/1.0; return its connection."""
+    stream, _ = await harness.connect()
+    headers = {**stubs.STREAM_HEADERS, "x_deadline_ms": "1000"}
+    request = stubs.make_request("/once/1", "POST", **headers)
+    await stream.send_all(request.replace(b"HTTP/1.1", b"HTTP/1.0"))
+    data = b""
+    while b"id: 3" not in data:
+        data += await stream.receive_some()
+    return stream
+
+
+@pytest.mark.parametrize(
+    "act", [broken_ends.reset, trio.aclose_forcefully, stubs.pause_for_ever]
+)
+async def test_a_cut_answer_does_not_look_whole_without_chunks(act):
+    """Guards against a cut answer whose caller sees its connection end."""
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", stubs.begin_then(act), layers=(0, 80))
+        stream = await _ask_without_chunks(harness)
+        with pytest.raises(trio.BrokenResourceError):
+            while await stream.receive_some():
+                continue
+
+
+async def test_a_stopped_process_leaves_no_answer_that_looks_whole():
+    """Guards against an answer without chunks that ends with its process."""
+    async with stubs.open_harness() as harness:
+        script = stubs.begin_then(stubs.pause_for_ever)
+        await harness.add("i-1", script, layers=(0, 80))
+        stream = await _ask_without_chunks(harness)
+        harness.nursery.cancel_scope.cancel()
+    with pytest.raises(trio.BrokenResourceError):
+        await stream.receive_some()
+
+
+async def test_a_whole_answer_without_chunks_ends_in_order():
+    """Guards against whole answers that look cut to callers of HTTP/1.0."""
+
+    async def end(stream):
+        await trio.sleep(0.05)
+        await stream.send_all(stubs.chunk(stubs.make_events(4, 6)) + stubs.END)
+
+    async with stubs.open_harness() as harness:
+        await harness.add("i-1", stubs.begin_then(end), layers=(0, 80))
+        stream = await _ask_without_chunks(harness)
+        rest = b""
+        while part := await stream.receive_some():
+            rest += part
+        assert rest == stubs.make_events(4, 6)
