Let an entry close the connection of an answer that is whole

What callers saw: a caller of HTTP/1.0, or one that asked for the connection to be closed, got its whole answer from an entry and then waited: the connection did not end, which for HTTP/1.0 is the end of the answer.

Cause: hypercorn reports the end of its own response as a disconnect, before it closes the connection. The task that watches for callers that leave then cancelled the call that was closing it, and logged the answered request as given up by its caller.

Evidence: tests/entry/test_broken_answers.py waited for over 60 s before.

Change: the watch does nothing once the end of the response is being sent; nothing is left to be cancelled then.

--- a/magnoliacove/entry/exchange.py
+++ b/magnoliacove/entry/exchange.py
@@ -25,6 +25,8 @@
 
     :param request_id: 16 bytes.
     :param started: whether the status has been sent.
+    :param ended: whether the end of the response has been sent, or is being
+        sent.
     :param memory: what is held for the request's body.
     :param disconnected: whether the caller has disconnected; nothing more
         is sent then.
@@ -36,6 +38,7 @@
     request_id: bytes
     memory: Allocation
     started: bool = False
+    ended: bool = False
     disconnected: bool = False
 
     @property
@@ -65,6 +68,7 @@
         """Send a part of the body."""
         if self.disconnected:
             return
+        self.ended = not more
         await self.send(
             {"type": "http.response.body", "body": body, "more_body": more}
         )
@@ -128,6 +132,10 @@
     async def watch(scope: trio.CancelScope) -> None:
         while (await exchange.receive())["type"] != "http.disconnect":
             continue
+        if exchange.ended:
+            # The server reports the end of its response this way too, before
+            # it has closed the connection.
+            return
         exchange.disconnected = True
         scope.cancel()
 
