Let entries give answers of plain services whole to callers without chunks

What callers saw: a plain service broke off its answer, and a caller of HTTP/1.0 of an entry got the part as a whole answer.

Cause: as at the gateway: without chunks the end of the connection is that of the answer, and the server that entries use closes it in order after a failure too.

Evidence: tests/entry/test_broken_answers.py, the answer that is broken off: 200 with a part before, 502 now.

Change: such callers get these answers once they are whole, with a length. They are held in the account of callers' memory, like all that is held for callers. The server's sockets are out of reach, so a reset as at the gateway was ruled out. Streams of models go on as they come: their last event tells the end. On HTTP/2 the server neither ends nor resets the stream of a cut answer; it does not look whole there.

--- a/magnoliacove/entry/callers.py
+++ b/magnoliacove/entry/callers.py
@@ -23,8 +23,10 @@
 from magnoliacove.entry.exchange import read_key
 from magnoliacove.entry.exchange import run_while_connected
 from magnoliacove.entry.pipelines import Pipelines
+from magnoliacove.entry.plain_answers import AnswerForwarder
 from magnoliacove.entry.pool import TargetPool
 from magnoliacove.entry.service_runner import ServiceRunner
+from magnoliacove.limits.answer_memory import AnswerMemory
 from magnoliacove.limits.caller_memory import CallerMemory
 from magnoliacove.limits.caller_memory import Content
 from magnoliacove.limits.caller_memory import divide_limits
@@ -387,17 +389,16 @@
         full_path = quote("/" + path) + (f"?{query}" if query else "")
         body = await exchange.read_body()
 
-        async def send(part: messages.Answer) -> None:
-            if part.status:
-                headers = [(h.name, h.value) for h in part.headers]
-                if part.replayed:
-                    headers.append((b"idempotency-replayed", b"true"))
-                await exchange.start(part.status, headers)
-            await exchange.write(part.body, more=part.more)
-
         async def run() -> None:
-            await self._runner.run_plain(
-                exchange, account, service, full_path, body, send
-            )
+            with AnswerMemory(self.memory).open() as buffer:
+                forwarder = AnswerForwarder(exchange, buffer)
+                await self._runner.run_plain(
+                    exchange,
+                    account,
+                    service,
+                    full_path,
+                    body,
+                    forwarder.forward,
+                )
 
         await run_while_connected(exchange, run)
--- a/tests/entry/test_broken_answers.py
+++ b/tests/entry/test_broken_answers.py
@@ -29,6 +29,12 @@
     await send(part)
 
 
+async def _break_off(send):
+    await _send_part(send)
+    await trio.sleep(0.1)
+    raise ConnectionAbortedError
+
+
 async def _answer_in_parts(send):
     await _send_part(send)
     await trio.sleep(0.1)
@@ -51,6 +57,7 @@
 @pytest.mark.parametrize(
     ("answer_request", "status", "end"),
     [
+        (_break_off, b"502", b"}"),
         (_answer_in_parts, b"200", b"\r\n\r\npart, rest"),
     ],
 )
