Refuse heads of answers that strict callers refuse

What callers saw: answers with the status 600 or 999, of version HTTP/9.9, or with control characters or DEL in a field's value, as an engine in trouble had sent them. Strict parsers of callers refuse such a head whole; others take a status that is none.

Cause: h11 accepts these. RFC 9110 knows the statuses 100 to 599 (15) and calls control characters in values invalid (5.5); a major version that is not known says nothing about the rest (RFC 9112, 2.3).

Change: both check the head beside the parser, in one place, and take what is not valid for no answer: the request may have run, so only what may be repeated is sent on. Text in other languages in values (bytes over 127) passes as before.

Left as it was: a length beside chunks (the chunks count, the length is not passed on), chunks in HTTP/1.0, a folded line (joined).

--- a/magnoliacove/gateway/channels.py
+++ b/magnoliacove/gateway/channels.py
@@ -15,6 +15,7 @@
 import h11
 import trio
 
+from magnoliacove import answer_heads
 from magnoliacove import errors
 from magnoliacove.bodies import Body
 from magnoliacove.bodies import Buffer
@@ -257,6 +258,7 @@
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 headers = tuple((bytes(n), bytes(v)) for n, v in event.headers)
+                _check_head(event, headers)
                 self._read_keep_alive(headers)
                 self._response = event
                 return Answer(event.status_code, headers)
@@ -356,3 +358,18 @@
                     self._idle_timeout = min(
                         _MAX_IDLE, int(seconds) - _IDLE_MARGIN
                     )
+
+
+def _check_head(response: h11.Response, headers: Headers) -> None:
+    """Check what the parser leaves out.
+
+    :raises TargetError: when the head is not valid.
+    """
+    fault = answer_heads.find_fault(
+        response.status_code, response.http_version, headers
+    )
+    if fault:
+        raise TargetError(
+            f"the target sent no proper answer: {fault}",
+            errors.Outcome.MAY_HAVE_RUN,
+        )
--- a/magnoliacove/targets/plain.py
+++ b/magnoliacove/targets/plain.py
@@ -8,6 +8,7 @@
 
 import httpcore
 
+from magnoliacove import answer_heads
 from magnoliacove import errors
 from magnoliacove.http_pools import make_pool
 
@@ -98,6 +99,7 @@
                 extensions={"timeout": {**limits, "pool": timeout}},
             ) as response:
                 sent = True
+                _check_head(response)
                 kept = tuple(
                     (name, value)
                     for name, value in response.headers
@@ -129,3 +131,20 @@
                 else 502,
                 outcome=errors.Outcome.MAY_HAVE_RUN,
             ) from exc
+
+
+def _check_head(response: httpcore.Response) -> None:
+    """Check what the client's parser leaves out.
+
+    :raises magnoliacove.errors.RequestError: when the head is not valid.
+    """
+    fault = answer_heads.find_fault(
+        response.status, response.extensions["http_version"], response.headers
+    )
+    if fault:
+        raise errors.RequestError(
+            "target_failed",
+            f"the service's instance gave no proper answer: {fault}",
+            status=502,
+            outcome=errors.Outcome.MAY_HAVE_RUN,
+        )
--- /dev/null
+++ b/tests/test_answer_heads.py
@@ -0,0 +1,61 @@
+"""Targets in trouble send answers whose heads are none.
+
+A caller would get them as answers, with a line that its own parser refuses or
+with a body that is not the target's.
+"""
+
+import pytest
+import trio
+
+from magnoliacove import answer_heads
+from magnoliacove import errors
+from magnoliacove.targets import HttpPlainTarget
+from tests import broken_heads
+from tests.gateway import stubs
+
+_each_head = pytest.mark.parametrize("head", broken_heads.HEADS)
+
+
+@_each_head
+async def test_a_gateway_forwards_no_broken_head(head):
+    """Guards against bytes that are no answer and reach a caller as one."""
+    script = stubs.answer_with(broken_heads.HEADS[head])
+    async with stubs.open_harness() as harness:
+        await harness.add("d-1", script)
+        answer = await harness.ask("/post/1", method="POST")
+        assert answer.split(b" ")[1] == b"502"
+
+
+@_each_head
+async def test_a_broken_head_is_replaced_by_another_targets_answer(head):
+    """Guards against giving up a request that another target answers."""
+    script = stubs.answer_with(broken_heads.HEADS[head])
+    sound = stubs.answer_with(stubs.make_answer(b"whole"))
+    async with stubs.open_harness() as harness:
+        await harness.add("d-1", script)
+        await harness.add("d-2", sound)
+        for _ in range(2):
+            answer = await harness.ask("/get/1")
+            assert answer.endswith(b"\r\n\r\nwhole")
+
+
+@_each_head
+async def test_an_agent_forwards_no_broken_head(head):
+    """Guards against the same at our own interface."""
+    async with trio.open_nursery() as nursery:
+        script = stubs.answer_with(broken_heads.HEADS[head])
+        stub = stubs.StubTarget(script)
+        await nursery.start(stub.listen)
+        target = HttpPlainTarget(f"http://{stub.address}")
+        with pytest.raises(errors.RequestError) as caught:
+            async with target.call("POST", "/", [], b"", 1.0) as answer:
+                pytest.fail(f"it is taken for an answer: {answer}")
+        assert caught.value.outcome is errors.Outcome.MAY_HAVE_RUN
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("status", [200, 418, 599])
+def test_heads_with_text_in_other_languages_are_valid(status):
+    """Guards against refusing values that any caller reads."""
+    headers = [(b"x", "é\tü".encode()), (b"y", b"")]
+    assert not answer_heads.find_fault(status, b"1.0", headers)
