Bound what an agent reads of an engine's answers

What operators reported of systems like ours: a faulty engine sent bytes without end until its caller closed; the machine that had called it kept them all, ran out of memory, and the requests of others ended with it. Here an agent did so: HttpEngine read each answer whole, whatever its length.

Heads without end were bounded by the client already.

Change: the answers of an engine draw on one account of 96 MB, of which one answer may take what others leave, at most a third. What is longer is no answer: the call may have run.

--- a/magnoliacove/targets/engine.py
+++ b/magnoliacove/targets/engine.py
@@ -12,6 +12,10 @@
 from magnoliacove import defaults
 from magnoliacove import errors
 from magnoliacove.http_pools import make_pool
+from magnoliacove.limits.answer_memory import AnswerMemory
+from magnoliacove.limits.answer_memory import AnswerTooLongError
+from magnoliacove.limits.caller_memory import CallerMemory
+from magnoliacove.limits.caller_memory import MemoryLimits
 
 __all__ = [
     "Engine",
@@ -22,6 +26,10 @@
     "StepOutput",
 ]
 
+# Bytes of all answers of an engine that are read at a time.  One of them, a
+# KV cache that is exported, may take a third.
+_ANSWERS_BYTES = 96 * 1024 * 1024
+
 
 class EngineError(errors.Error):
     """A call to an engine failed.
@@ -118,6 +126,9 @@
     def __init__(self, url: str, *, timeout: float = 10.0) -> None:
         self._url = url.rstrip("/")
         self._timeout = timeout
+        self._answers = AnswerMemory(
+            CallerMemory(MemoryLimits(_ANSWERS_BYTES))
+        )
         self._pool = make_pool(
             max_connections=8, keepalive_expiry=defaults.KEEP_ALIVE / 2
         )
@@ -189,21 +200,8 @@
 
     async def _call(self, path: str, data: dict[str, Any]) -> Any:
         try:
-            response = await self._pool.request(
-                "POST",
-                self._url + path,
-                content=json.dumps(data).encode(),
-                headers=[(b"content-type", b"application/json")],
-                extensions={
-                    "timeout": {
-                        "connect": 1.0,
-                        "read": self._timeout,
-                        "write": self._timeout,
-                        "pool": self._timeout,
-                    }
-                },
-            )
-            answer = json.loads(response.content or b"null")
+            status, content = await self._exchange(path, data)
+            answer = json.loads(content or b"null")
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise EngineError(
                 f"the engine at {self._url} cannot be reached; check that "
@@ -214,17 +212,40 @@
             httpcore.NetworkError,
             httpcore.TimeoutException,
             httpcore.ProtocolError,
+            AnswerTooLongError,
             ValueError,
         ) as exc:
             raise EngineError(
                 f"the engine at {self._url} gave no answer to {path}",
                 errors.Outcome.MAY_HAVE_RUN,
             ) from exc
-        if response.status == 409:
+        if status == 409:
             raise errors.StaleOrderError(answer["error"])
-        if response.status != 200:
+        if status != 200:
             raise EngineError(
-                f"the engine answered {response.status} to {path}",
+                f"the engine answered {status} to {path}",
                 errors.Outcome.MAY_HAVE_RUN,
             )
         return answer
+
+    async def _exchange(
+        self, path: str, data: dict[str, Any]
+    ) -> tuple[int, bytes]:
+        """Send a request and return the status and the body of the answer."""
+        timeouts = {
+            "connect": 1.0,
+            "read": self._timeout,
+            "write": self._timeout,
+            "pool": self._timeout,
+        }
+        async with self._pool.stream(
+            "POST",
+            self._url + path,
+            content=json.dumps(data).encode(),
+            headers=[(b"content-type", b"application/json")],
+            extensions={"timeout": timeouts},
+        ) as response:
+            with self._answers.open(_ANSWERS_BYTES) as buffer:
+                async for part in response.aiter_stream():
+                    buffer.add(part)
+                return response.status, buffer.body.join()
