Bound what agents and entries hold of plain services' answers

An agent collected the answer to a request with an idempotency key; an entry queued the parts that its caller had not read, and collected the output of a pipeline's step. Each without a bound.

Change: the parts count in the account of callers' memory: the entry's own, and one of the same kind at the agent. A part for which there is no memory ends the call there: the target is told, and the caller gets 502 (the request may have run), or an answer that visibly breaks off if it had begun. Queued parts are returned to the account as the caller takes them.

--- a/magnoliacove/agent/calls.py
+++ b/magnoliacove/agent/calls.py
@@ -17,6 +17,10 @@
 from magnoliacove.agent.key_registry import KeyRequest
 from magnoliacove.agent.key_registry import make_refusal
 from magnoliacove.agent.keys import KeyUse
+from magnoliacove.limits.caller_memory import Allocation
+from magnoliacove.limits.caller_memory import Content
+from magnoliacove.limits.caller_memory import hold_part
+from magnoliacove.limits.caller_memory import make_caller_memory
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire import messages
 
@@ -56,6 +60,7 @@
         self._recorder = recorder
         self._is_leaving = is_leaving
         self._max_calls = max_calls
+        self._memory = make_caller_memory()
         self._running: dict[bytes, trio.CancelScope] = {}
 
     @property
@@ -154,28 +159,40 @@
         a bid, and the caller's next attempt must find the whole answer.
         """
         self._running[call.request] = trio.CancelScope()
+        with self._memory.allocate(Content.ANSWERS) as allocation:
+            try:
+                status, parts = await self._collect(call, allocation)
+            except errors.RequestError as exc:
+                if exc.outcome is errors.Outcome.NOT_RUN:
+                    self._keys.cancel(use)
+                else:
+                    self._keys.finish(use, None, 0)
+                raise
+            finally:
+                del self._running[call.request]
+            size = sum(len(part.body) for part in parts)
+            self._keys.finish(use, parts, size)
+            self._recorder.record(
+                "call-ran", request=call.request, status=status, key=call.key
+            )
+            for part in parts:
+                await connection.send(part)
+
+    async def _collect(
+        self, call: messages.Call, allocation: Allocation
+    ) -> tuple[int, tuple[messages.Answer, ...]]:
+        """Run a call and return its status and the parts of its answer.
+
+        :param allocation: the memory of the parts.
+        """
         parts: list[messages.Answer] = []
 
         async def collect(part: messages.Answer) -> None:
+            hold_part(allocation, part.body)
             parts.append(part)
 
-        try:
-            status = await self._forward(call, collect)
-        except errors.RequestError as exc:
-            if exc.outcome is errors.Outcome.NOT_RUN:
-                self._keys.cancel(use)
-            else:
-                self._keys.finish(use, None, 0)
-            raise
-        finally:
-            del self._running[call.request]
-        size = sum(len(part.body) for part in parts)
-        self._keys.finish(use, tuple(parts), size)
-        self._recorder.record(
-            "call-ran", request=call.request, status=status, key=call.key
-        )
-        for part in parts:
-            await connection.send(part)
+        status = await self._forward(call, collect)
+        return status, tuple(parts)
 
     def _admit(self) -> None:
         if self._is_leaving():
--- a/magnoliacove/entry/callers.py
+++ b/magnoliacove/entry/callers.py
@@ -26,10 +26,8 @@
 from magnoliacove.entry.plain_answers import AnswerForwarder
 from magnoliacove.entry.pool import TargetPool
 from magnoliacove.entry.service_runner import ServiceRunner
-from magnoliacove.limits.answer_memory import AnswerMemory
-from magnoliacove.limits.caller_memory import CallerMemory
 from magnoliacove.limits.caller_memory import Content
-from magnoliacove.limits.caller_memory import divide_limits
+from magnoliacove.limits.caller_memory import make_caller_memory
 from magnoliacove.metrics import Meters
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire import messages
@@ -69,10 +67,7 @@
     ) -> None:
         self.in_progress = 0
         # The server keeps the connections; only bodies are counted.
-        limits, _ = divide_limits(
-            memory_mb * 1024 * 1024, defaults.PROCESS_DESCRIPTORS
-        )
-        self.memory = CallerMemory(limits)
+        self.memory = make_caller_memory(memory_mb)
         self.start_soon: Callable[..., object] = (
             trio.lowlevel.spawn_system_task
         )
@@ -390,8 +385,8 @@
         body = await exchange.read_body()
 
         async def run() -> None:
-            with AnswerMemory(self.memory).open() as buffer:
-                forwarder = AnswerForwarder(exchange, buffer)
+            with self.memory.allocate(Content.ANSWERS) as allocation:
+                forwarder = AnswerForwarder(exchange, allocation)
                 await self._runner.run_plain(
                     exchange,
                     account,
--- a/magnoliacove/entry/calls.py
+++ b/magnoliacove/entry/calls.py
@@ -16,6 +16,9 @@
 from magnoliacove.entry.claims import read_refusal
 from magnoliacove.entry.pool import PeerChanged
 from magnoliacove.entry.pool import TargetPool
+from magnoliacove.limits.caller_memory import Allocation
+from magnoliacove.limits.caller_memory import hold_part
+from magnoliacove.limits.caller_memory import release_part
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire import messages
 
@@ -28,12 +31,15 @@
     """Runs one call, and retries it on another target if that is safe.
 
     :param deadline: in seconds of trio's clock.
+    :param allocation: the memory of the parts of its answer that its caller
+        has not taken yet.
     """
 
     def __init__(
         self,
         call: messages.Call,
         deadline: float,
+        allocation: Allocation,
         pool: TargetPool,
         view: View,
         budget: limits.RetryBudget,
@@ -41,6 +47,9 @@
     ) -> None:
         self._call = call
         self._deadline = deadline
+        self._allocation = allocation
+        # Why the rest of the answer is not queued.
+        self._overflow: errors.RequestError | None = None
         self._pool = pool
         self._view = view
         self._budget = budget
@@ -56,9 +65,22 @@
 
     def receive(self, source: str, message: object) -> None:
         """Queue a message without waiting."""
-        self._inbox.append((source, message))
+        if self._overflow is not None:
+            return
+        try:
+            if isinstance(message, messages.Answer):
+                hold_part(self._allocation, message.body)
+            self._inbox.append((source, message))
+        except errors.RequestError as exc:
+            self._overflow = exc
+            self._drop_queued()
+            self._cancel()
         self._arrived.set()
 
+    def _drop_queued(self) -> None:
+        self._inbox.clear()
+        self._allocation.shrink(0)
+
     def depends_on(self, name: str) -> bool:
         """Return whether the call depends on an agent."""
         return name == self._target
@@ -120,7 +142,8 @@
         # earlier attempt is never taken for the answer to this one.
         request_id = self._request_id = call.request[:-1] + bytes([attempt])
         remaining = self._deadline - trio.current_time()
-        self._inbox.clear()
+        self._drop_queued()
+        self._overflow = None
         self._target = self._choose_target()
         self._tried_targets.add(self._target)
         message = replace(
@@ -228,6 +251,11 @@
 
     async def _next(self) -> tuple[str, object]:
         while not self._inbox:
+            if self._overflow is not None:
+                raise self._overflow
             self._arrived = trio.Event()
             await self._arrived.wait()
-        return self._inbox.popleft()
+        source, message = self._inbox.popleft()
+        if isinstance(message, messages.Answer):
+            release_part(self._allocation, message.body)
+        return source, message
--- a/magnoliacove/entry/pipelines.py
+++ b/magnoliacove/entry/pipelines.py
@@ -10,6 +10,9 @@
 from magnoliacove.entry.exchange import Exchange
 from magnoliacove.entry.exchange import run_while_connected
 from magnoliacove.entry.service_runner import ServiceRunner
+from magnoliacove.limits.caller_memory import Allocation
+from magnoliacove.limits.caller_memory import Content
+from magnoliacove.limits.caller_memory import hold_part
 from magnoliacove.wire import messages
 
 __all__ = ["Pipelines"]
@@ -60,11 +63,12 @@
                 # Each step has its own request ID in the event log.
                 step_id = exchange.request_id[:-2] + bytes([index + 1, 0])
                 value = await self._run_step(
-                    step_id, exchange, account, service, value
+                    step_id, exchange, account, service, value, allocation
                 )
 
-        await run_while_connected(exchange, run)
-        await exchange.answer(200, value)
+        with exchange.memory.memory.allocate(Content.ANSWERS) as allocation:
+            await run_while_connected(exchange, run)
+            await exchange.answer(200, value)
 
     def _find_step(
         self, account: configuration.ClientAccount, step: str
@@ -80,7 +84,12 @@
         account: configuration.ClientAccount,
         service: configuration.Service,
         value: bytes,
+        allocation: Allocation,
     ) -> bytes:
+        """Run one step and return its output.
+
+        :param allocation: the memory of the outputs of all steps.
+        """
         parts: list[bytes] = []
         if service.form == "model":
 
@@ -108,6 +117,7 @@
                     status=502,
                     outcome=errors.Outcome.RAN,
                 )
+            hold_part(allocation, part.body)
             parts.append(part.body)
 
         inner = Exchange(
--- a/magnoliacove/entry/plain_answers.py
+++ b/magnoliacove/entry/plain_answers.py
@@ -1,45 +1,29 @@
 """Forwarding of a plain service's answer to its caller."""
 
-from magnoliacove import errors
 from magnoliacove.entry.exchange import Exchange
-from magnoliacove.limits.answer_memory import AnswerTooLongError
-from magnoliacove.limits.answer_memory import BodyBuffer
+from magnoliacove.limits.caller_memory import Allocation
+from magnoliacove.limits.caller_memory import hold_part
 from magnoliacove.wire import messages
 
-__all__ = ["AnswerForwarder", "add_part"]
+__all__ = ["AnswerForwarder"]
 
 _VERSION_WITHOUT_CHUNKS = "1.0"
 
 
-def add_part(buffer: BodyBuffer, part: bytes) -> None:
-    """Add a part to an answer that is held until it is whole.
-
-    :raises magnoliacove.errors.RequestError: when there is no memory for it.
-    """
-    try:
-        buffer.add(part)
-    except AnswerTooLongError as exc:
-        raise errors.RequestError(
-            "target_failed",
-            f"{exc}; the request may have run",
-            status=502,
-            outcome=errors.Outcome.MAY_HAVE_RUN,
-        ) from exc
-
-
 class AnswerForwarder:
     """Forwards an answer part by part, or whole to a caller without chunks.
 
     Such a caller takes the end of its connection for that of an answer without
     a length, also where the answer was cut.
 
-    :param buffer: holds the answer until it is whole.
+    :param allocation: the memory of an answer that is held until it is whole.
     """
 
-    def __init__(self, exchange: Exchange, buffer: BodyBuffer) -> None:
+    def __init__(self, exchange: Exchange, allocation: Allocation) -> None:
         version = exchange.scope.get("http_version")
         self._exchange = exchange
-        self._buffer = buffer
+        self._allocation = allocation
+        self._held: list[bytes] = []
         self._holds = version == _VERSION_WITHOUT_CHUNKS
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
@@ -63,10 +47,11 @@
         await self._exchange.write(part.body, more=part.more)
 
     async def _hold(self, part: messages.Answer) -> None:
-        add_part(self._buffer, part.body)
+        hold_part(self._allocation, part.body)
+        self._held.append(part.body)
         if part.more:
             return
-        body = self._buffer.body.join()
+        body = b"".join(self._held)
         if body:
             self._headers.append((b"content-length", b"%d" % len(body)))
         await self._exchange.start(self._status, self._headers)
--- a/magnoliacove/entry/service_runner.py
+++ b/magnoliacove/entry/service_runner.py
@@ -16,6 +16,7 @@
 from magnoliacove.entry.pool import TargetPool
 from magnoliacove.entry.stages import StreamRequest
 from magnoliacove.entry.streams import Stream
+from magnoliacove.limits.caller_memory import Content
 from magnoliacove.metrics import Meters
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire import messages
@@ -159,14 +160,18 @@
         async with self._admission.admit(
             account.name, account.weight, service.priority, service.deadline
         ):
-            await PlainCall(
-                call,
-                deadline,
-                self._pool,
-                self._view,
-                self.budget,
-                self._recorder,
-            ).run(send)
+            with exchange.memory.memory.allocate(
+                Content.ANSWERS
+            ) as allocation:
+                await PlainCall(
+                    call,
+                    deadline,
+                    allocation,
+                    self._pool,
+                    self._view,
+                    self.budget,
+                    self._recorder,
+                ).run(send)
         self._recorder.record(
             "request-answered",
             request=exchange.request_id,
--- a/magnoliacove/limits/caller_memory.py
+++ b/magnoliacove/limits/caller_memory.py
@@ -23,6 +23,7 @@
 
 import trio
 
+from magnoliacove import defaults
 from magnoliacove import errors
 
 __all__ = [
@@ -36,7 +37,10 @@
     "MemoryLimits",
     "Use",
     "divide_limits",
+    "hold_part",
+    "make_caller_memory",
     "make_no_memory",
+    "release_part",
 ]
 
 _MB = 1024 * 1024
@@ -66,6 +70,8 @@
 # Bytes of one that is used: also a head or a short body, requests that follow,
 # what waits in the kernel, and the tasks and the connection to a target.
 ACTIVE_CONNECTION_BYTES = 96 * 1024
+# Bytes of the message that holds a part of an answer, besides the part.
+_PART_BYTES = 512
 # Seconds that a caller waits for memory, so that what becomes stale is gone
 # before; and between two attempts.
 _MAX_WAIT = 3.0
@@ -165,6 +171,41 @@
     return callers, probes
 
 
+def make_caller_memory(
+    memory_mb: int = defaults.PROCESS_MEMORY_MB,
+) -> "CallerMemory":
+    """Return the account of a process whose server keeps the connections.
+
+    :param memory_mb: megabytes that the process may use.
+    """
+    limits, _ = divide_limits(memory_mb * _MB, defaults.PROCESS_DESCRIPTORS)
+    return CallerMemory(limits)
+
+
+def hold_part(allocation: "Allocation", part: bytes) -> None:
+    """Count a part of an answer that is held until others have taken it.
+
+    A target in trouble sends parts without end.
+
+    :raises magnoliacove.errors.RequestError: when there is no memory for it.
+    """
+    size = allocation.size + len(part) + _PART_BYTES
+    if allocation.try_resize(size):
+        return
+    raise errors.RequestError(
+        "target_failed",
+        f"there is no memory for {size} bytes of the answer; the request may "
+        "have run",
+        status=502,
+        outcome=errors.Outcome.MAY_HAVE_RUN,
+    )
+
+
+def release_part(allocation: "Allocation", part: bytes) -> None:
+    """Return the memory of a part that was held."""
+    allocation.shrink(allocation.size - len(part) - _PART_BYTES)
+
+
 def make_no_memory() -> errors.RequestError:
     """Return the error for a request for which there is no memory."""
     return errors.RequestError(
--- a/tests/entry/test_pipelines.py
+++ b/tests/entry/test_pipelines.py
@@ -7,7 +7,7 @@
 from tests import fakes
 
 
-async def _make_pipeline(fleet, *allowed):
+async def make_pipeline(fleet, *allowed):
     key_hash = configuration.hash_key(fleets.API_KEY)
     await fleet.configure(
         configuration.Put(
@@ -24,7 +24,7 @@
 
 async def test_each_answer_goes_to_the_next_service(autojump_clock):
     async with fakes.open_memory_fleet() as fleet:
-        await _make_pipeline(fleet)
+        await make_pipeline(fleet)
         answer = await fakes.ask(fleet, "POST", "/pipelines/describe", b"lot")
     assert answer.status == 200
     assert answer.json["body"] == fakes.compute_expected_text("lot", 256)
@@ -37,7 +37,7 @@
     operator's rights.  No step may run, not even the first.
     """
     async with fakes.open_memory_fleet() as fleet:
-        await _make_pipeline(fleet, fleets.MODEL)
+        await make_pipeline(fleet, fleets.MODEL)
         answer = await fakes.ask(fleet, "POST", "/pipelines/describe", b"lot")
         steps = [e.steps_run for e in fleet.engines.values() if e.steps_run]
     assert answer.status == 404
