Bound the bytes that wait for a peer, and wake each sender that waits

Cause: the queue of a connection between processes counted messages. Half of them, each a part of an answer, are 128 MB, and as much again while they are written: an agent whose service answers without end to an entry that reads slowly held them all. A second fault beside it: each further message of a queue that is half full replaced the event for which senders wait, so that one that waited already was never woken, and its answer stopped.

Change: bodies of answers count too, 2 MB for a queue that is half full; only senders that can wait do, as before. The event is replaced only once it was set.

--- a/magnoliacove/wire/connection.py
+++ b/magnoliacove/wire/connection.py
@@ -74,6 +74,7 @@
         self._last_posted = trio.current_time()
         self._make_pong = make_pong or (lambda n: messages.Pong(n))
         self._queue: deque[messages.Message] = deque()
+        self._queued_bytes = 0
         self._queued = trio.Event()
         self._queue_below_half = trio.Event()
         self._queue_below_half.set()
@@ -115,12 +116,22 @@
                 "was closed and its streams resume elsewhere"
             )
         self._queue.append(message)
+        if isinstance(message, messages.Answer):
+            self._queued_bytes += len(message.body)
         self._queued.set()
         if not isinstance(message, messages.Ping | messages.Pong):
             self._last_posted = trio.current_time()
-        if len(self._queue) >= defaults.MAX_QUEUED_FRAMES // 2:
+        # Those that wait for the present event must not miss its end.
+        if self._is_half_full() and self._queue_below_half.is_set():
             self._queue_below_half = trio.Event()
 
+    def _is_half_full(self) -> bool:
+        """Return whether senders that can wait should do so."""
+        return (
+            len(self._queue) >= defaults.MAX_QUEUED_FRAMES // 2
+            or self._queued_bytes >= defaults.MAX_QUEUED_BYTES // 2
+        )
+
     async def send(self, message: messages.Message) -> None:
         """Queue a message; wait first while the queue is half full or more."""
         while not self._queue_below_half.is_set() and not self._closed:
@@ -248,6 +259,7 @@
             self._queued = trio.Event()
             batch = list(self._queue)
             self._queue.clear()
+            self._queued_bytes = 0
             self._queue_below_half.set()
             await self._send_now(_coalesce(batch))
 
