Refuse odd values of other writers without ending the process

What operators reported of systems like ours: another writer left one odd entry among those of the engines, very deeply nested, with a number too large, or a port out of range; machines that read the list ended again and again, or stopped following it.

Here: a gateway's readers of entries, reports and the configuration refused a field that was nested about 960 deep with a message that shows it, and showing it failed. Entries and agents of our own interface ended for an entry that was nested deeply or had a value of another type (a list or an object in place of a number), and for changes, documents and answers of engines of another shape. What was tried before held: the platform's entries nested thousands deep, with numbers of thousands of digits, with ports out of range.

Cause: each decoder caught the errors that its author had thought of, and each one others: deep values raise RecursionError, which is no ValueError, a list in place of an object AttributeError, and values of another type failed later, where they were sorted.

Change: what decoding may raise is named in one place, magnoliacove/decoding.py, and all decoders use it; entries and engines' results are checked for the types of their fields, entries for an address that can be dialled; messages show a cut representation.

--- a/magnoliacove/configuration/document.py
+++ b/magnoliacove/configuration/document.py
@@ -21,6 +21,7 @@
 
 from magnoliacove import errors
 from magnoliacove.configuration import objects
+from magnoliacove.decoding import DECODE_ERRORS
 
 __all__ = ["Change", "Document", "VersionedObject", "Put", "Removal"]
 
@@ -97,7 +98,7 @@
             values = json.loads(data)
             operations = tuple(map(_read_operation, values.pop("operations")))
             return cls(**values, operations=operations)
-        except (ValueError, KeyError, TypeError, errors.UserError) as exc:
+        except (*DECODE_ERRORS, errors.UserError) as exc:
             raise errors.ProtocolError(
                 f"a configuration change cannot be read: {exc}; check that "
                 "all processes run the same release"
@@ -328,9 +329,7 @@
                 ids,
             )
         except (
-            ValueError,
-            KeyError,
-            TypeError,
+            *DECODE_ERRORS,
             zlib.error,
             errors.UserError,
         ) as exc:
--- a/magnoliacove/directory/instances.py
+++ b/magnoliacove/directory/instances.py
@@ -7,6 +7,8 @@
 
 from magnoliacove import errors
 from magnoliacove import wire
+from magnoliacove.decoding import DECODE_ERRORS
+from magnoliacove.decoding import check_types
 
 __all__ = [
     "PREFIX",
@@ -91,8 +93,12 @@
     """
     try:
         values = json.loads(data)
-        return _KINDS[values.pop("kind")](**values)
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        entry = _KINDS[values.pop("kind")](**values)
+        check_types(entry)
+        if isinstance(entry, Instance):
+            wire.Address.parse(entry.address)
+        return entry
+    except (*DECODE_ERRORS, errors.UserError) as exc:
         raise errors.ProtocolError(
             f"an entry of the directory cannot be read: {exc}"
         ) from exc
--- a/magnoliacove/directory/leases.py
+++ b/magnoliacove/directory/leases.py
@@ -21,6 +21,7 @@
 from magnoliacove import defaults
 from magnoliacove import errors
 from magnoliacove import platform
+from magnoliacove.decoding import DECODE_ERRORS
 from magnoliacove.platform.eras import split_revision
 from magnoliacove.timeline import Recorder
 
@@ -250,5 +251,5 @@
             # A lease that an older build wrote contains none.
             int(values.get("members", 0)),
         )
-    except (ValueError, KeyError, TypeError, AttributeError, OverflowError):
+    except DECODE_ERRORS:
         return StoredLease(_UNKNOWN_HOLDER, 0, 0)
--- a/magnoliacove/directory/store.py
+++ b/magnoliacove/directory/store.py
@@ -15,6 +15,7 @@
 from magnoliacove import defaults
 from magnoliacove import errors
 from magnoliacove import platform
+from magnoliacove.decoding import DECODE_ERRORS
 from magnoliacove.directory import instances
 from magnoliacove.directory.backoff import Backoff
 from magnoliacove.directory.view import View
@@ -148,7 +149,7 @@
             name = record.name.removeprefix(PLATFORM_PREFIX)
             try:
                 state = str(json.loads(record.value).get("state", "live"))
-            except (ValueError, AttributeError) as exc:
+            except DECODE_ERRORS as exc:
                 self._recorder.record(
                     "entry-unreadable", target=record.name, why=str(exc)
                 )
--- a/magnoliacove/gateway/quarantine_records.py
+++ b/magnoliacove/gateway/quarantine_records.py
@@ -19,6 +19,7 @@
 
 from magnoliacove import errors
 from magnoliacove import platform
+from magnoliacove.decoding import DECODE_ERRORS
 from magnoliacove.directory.backoff import Backoff
 from magnoliacove.limits.quarantine import MAX_QUARANTINE
 from magnoliacove.limits.quarantine import Quarantine
@@ -196,7 +197,7 @@
         values = orjson.loads(record.value)
         number, crashes = int(values["round"]), int(values["crashes"])
         seconds, until = float(values["seconds"]), float(values["until_ms"])
-    except (ValueError, KeyError, TypeError):
+    except DECODE_ERRORS:
         return None
     if not _FINGERPRINT.fullmatch(fingerprint):
         return None
--- a/magnoliacove/gateway/store.py
+++ b/magnoliacove/gateway/store.py
@@ -14,6 +14,7 @@
 
 from magnoliacove import errors
 from magnoliacove import platform
+from magnoliacove.decoding import DECODE_ERRORS
 from magnoliacove.directory.backoff import Backoff
 from magnoliacove.gateway.entries import EntryReader
 from magnoliacove.gateway.state import GatewayState
@@ -226,7 +227,7 @@
         """Put a configuration in force, unless it cannot be read."""
         try:
             table = read_routes(orjson.loads(value))
-        except (errors.ProtocolError, ValueError) as error:
+        except (errors.ProtocolError, *DECODE_ERRORS) as error:
             # The last good configuration stays in force.  The error is logged
             # once and not for each attempt.
             if str(error) != self._unreadable:
--- a/magnoliacove/peers/snapshots.py
+++ b/magnoliacove/peers/snapshots.py
@@ -14,6 +14,7 @@
 from magnoliacove import defaults
 from magnoliacove import errors
 from magnoliacove import wire
+from magnoliacove.decoding import DECODE_ERRORS
 from magnoliacove.directory.listed import LayerRange
 from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.timeline import Recorder
@@ -62,7 +63,7 @@
                 tuple(_read_target(item) for item in values["targets"]),
                 int(values["revision"]),
             )
-        except (ValueError, KeyError, TypeError) as exc:
+        except DECODE_ERRORS as exc:
             raise errors.ProtocolError(
                 f"a peer's snapshot cannot be decoded: {exc}"
             ) from exc
--- a/magnoliacove/platform/fields.py
+++ b/magnoliacove/platform/fields.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 import math
+import reprlib
 from typing import Any
 
 from magnoliacove import errors
@@ -81,7 +82,8 @@
 
     def texts(self, name: str) -> tuple[str, ...]:
         """Return the strings of a list; a missing list is empty."""
-        return tuple(str(item) for item in self._get(name, (list, tuple), []))
+        items = self._get(name, (list, tuple), [])
+        return tuple(map(_describe, items))
 
     def object(self, name: str) -> "Fields | None":
         """Return an object, or None if the field is missing or null."""
@@ -114,7 +116,13 @@
         return value
 
     def _reject(self, name: str, value: Any) -> errors.ProtocolError:
+        shown = _describe(value)
         return errors.ProtocolError(
-            f"{self.where} has {value!r:.60} in field {name!r}, which is not "
+            f"{self.where} has {shown:.60} in field {name!r}, which is not "
             "of the expected type or range; correct the field"
         )
+
+
+def _describe(value: Any) -> str:
+    """Return a value as text; that of what is nested deeply is cut."""
+    return value if isinstance(value, str) else reprlib.repr(value)
--- a/magnoliacove/targets/engine.py
+++ b/magnoliacove/targets/engine.py
@@ -1,16 +1,21 @@
 """The interface that an agent uses to its model engine, over HTTP."""
 
 import base64
+from collections.abc import Iterator
 from collections.abc import Sequence
+import contextlib
 from dataclasses import dataclass
 import json
 from typing import Any
 from typing import Protocol
 
 import httpcore
+import orjson
 
 from magnoliacove import defaults
 from magnoliacove import errors
+from magnoliacove.decoding import DECODE_ERRORS
+from magnoliacove.decoding import check_types
 from magnoliacove.http_pools import make_pool
 from magnoliacove.limits.answer_memory import AnswerMemory
 from magnoliacove.limits.answer_memory import AnswerTooLongError
@@ -149,17 +154,8 @@
             for item in inputs
         ]
         data = await self._call("/steps", {"steps": steps})
-        return tuple(
-            StepOutput(
-                stream,
-                step,
-                base64.b64decode(payload),
-                token.encode() if token is not None else None,
-                end,
-                error,
-            )
-            for stream, step, payload, token, end, error in data["outputs"]
-        )
+        with self._decode("/steps"):
+            return tuple(map(_read_output, data["outputs"]))
 
     async def cancel(self, streams: Sequence[str]) -> None:
         """Discard streams and free their KV cache."""
@@ -168,7 +164,8 @@
     async def export_cache(self, stream: str) -> tuple[int, bytes]:
         """Return a stream's next step number and its KV cache."""
         data = await self._call("/export", {"stream": stream})
-        return data["next_step"], base64.b64decode(data["data"])
+        with self._decode("/export"):
+            return int(data["next_step"]), base64.b64decode(data["data"])
 
     async def import_cache(
         self, stream: str, next_step: int, data: bytes
@@ -185,7 +182,11 @@
 
     async def read_load(self) -> EngineLoad:
         """Return the engine's load."""
-        return EngineLoad(**await self._call("/load", {}))
+        data = await self._call("/load", {})
+        with self._decode("/load"):
+            load = EngineLoad(**data)
+            check_types(load)
+            return load
 
     async def give_order(self, fence: int, action: str, argument: str) -> None:
         """Order the engine to load something or to change its state."""
@@ -201,7 +202,6 @@
     async def _call(self, path: str, data: dict[str, Any]) -> Any:
         try:
             status, content = await self._exchange(path, data)
-            answer = json.loads(content or b"null")
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise EngineError(
                 f"the engine at {self._url} cannot be reached; check that "
@@ -213,14 +213,15 @@
             httpcore.TimeoutException,
             httpcore.ProtocolError,
             AnswerTooLongError,
-            ValueError,
         ) as exc:
             raise EngineError(
                 f"the engine at {self._url} gave no answer to {path}",
                 errors.Outcome.MAY_HAVE_RUN,
             ) from exc
-        if status == 409:
-            raise errors.StaleOrderError(answer["error"])
+        with self._decode(path):
+            answer = orjson.loads(content or b"null")
+            if status == 409:
+                raise errors.StaleOrderError(str(answer["error"]))
         if status != 200:
             raise EngineError(
                 f"the engine answered {status} to {path}",
@@ -228,6 +229,20 @@
             )
         return answer
 
+    @contextlib.contextmanager
+    def _decode(self, path: str) -> Iterator[None]:
+        """Decode an answer within the block.
+
+        :raises EngineError: when it cannot be decoded.
+        """
+        try:
+            yield
+        except DECODE_ERRORS as exc:
+            raise EngineError(
+                f"the engine at {self._url} gave no proper answer to {path}",
+                errors.Outcome.MAY_HAVE_RUN,
+            ) from exc
+
     async def _exchange(
         self, path: str, data: dict[str, Any]
     ) -> tuple[int, bytes]:
@@ -249,3 +264,18 @@
                 async for part in response.aiter_stream():
                     buffer.add(part)
                 return response.status, buffer.body.join()
+
+
+def _read_output(values: Sequence[Any]) -> StepOutput:
+    """Return the result of a step that an engine's answer contains."""
+    stream, step, payload, token, end, error = values
+    output = StepOutput(
+        stream,
+        step,
+        base64.b64decode(payload),
+        token.encode() if token is not None else None,
+        end,
+        error,
+    )
+    check_types(output)
+    return output
--- /dev/null
+++ b/tests/test_decoding.py
@@ -0,0 +1,164 @@
+"""Odd values of other writers end no process that reads them.
+
+An entry of another writer is nested very deeply, has a number that is too
+large or a port out of range.  Processes that read the list end again and
+again, or stop following it, and the requests that they serve end with them.
+"""
+
+import contextlib
+import json
+import zlib
+
+import orjson
+import pytest
+import trio
+
+from magnoliacove import errors
+from magnoliacove import platform
+from magnoliacove.configuration.document import Change
+from magnoliacove.configuration.document import Document
+from magnoliacove.directory import instances
+from magnoliacove.gateway import quarantine_records
+from magnoliacove.peers.snapshots import PeerSnapshot
+from magnoliacove.platform import engines
+from magnoliacove.platform import routes
+from magnoliacove.platform import servers
+from magnoliacove.standins import fleet as fleets
+from magnoliacove.targets import EngineError
+from magnoliacove.targets import HttpEngine
+from tests import fakes
+from tests import odd_values
+from tests.gateway import stubs
+from tests.platform import samples
+
+_REPORT = {
+    "layers": {"from": 0, "to": 8},
+    "busy": False,
+    "sequence": 1,
+    "in_flight": 1,
+    "queued": 1,
+    "kv_used": 1,
+    "kv_total": 2,
+    "pace": 1,
+    "stalled": [{"id": "a", "address": "10.0.0.5:7000"}],
+    "born": 5,
+}
+_QUARANTINE = {"round": 1, "crashes": 1, "seconds": 5.0, "until_ms": 1e12}
+_TARGET = {
+    "name": "i-1",
+    "service": "llm",
+    "address": {"host": "10.0.0.5", "port": 7000},
+    "data_centre": "a",
+    "layers": {"first": 0, "end": 8},
+}
+_SNAPSHOT = {"configuration": "{}", "targets": [_TARGET], "revision": 5}
+_SERVICE = {"name": "desk", "form": "plain"}
+_CHANGE = {
+    "version": 1,
+    "previous_digest": "",
+    "change_id": "c",
+    "author": "ann",
+    "at": 1,
+    "operations": [{"kind": "service", "put": _SERVICE}],
+}
+_DOCUMENT = {
+    "version": 1,
+    "digest": "",
+    "items": [["service", _SERVICE, 1, 1]],
+    "change_ids": [["c", 1]],
+}
+_STEP = ["s", 1, "", "token", False, ""]
+_LOAD = {"running": 1, "queued": 0, "cache_used": 1, "cache_limit": 2}
+
+
+def _make_record(value):
+    return platform.Record("servers/a1b2c3d4e5f60718", 5, value)
+
+
+_DECODERS = {
+    "a report": (engines.read_report, _REPORT),
+    "a server": (
+        lambda data: servers.read_server(_make_record(data)),
+        samples.ENTRY,
+    ),
+    "routes": (
+        lambda data: routes.read_routes(orjson.loads(data)),
+        samples.CONFIGURATION,
+    ),
+    "a quarantine": (
+        lambda data: quarantine_records.read_record(_make_record(data)),
+        _QUARANTINE,
+    ),
+    "a peer's snapshot": (PeerSnapshot.decode, _SNAPSHOT),
+    "a change": (Change.from_bytes, _CHANGE),
+    "a document": (
+        lambda data: Document.from_bytes(zlib.compress(data)),
+        _DOCUMENT,
+    ),
+}
+_each_odd_value = pytest.mark.parametrize("odd", odd_values.VALUES)
+
+
+@_each_odd_value
+@pytest.mark.parametrize("kind", _DECODERS)
+async def test_an_odd_value_is_refused_or_read(kind, odd, autojump_clock):
+    """Guards against decoders that fail as nobody who calls them expects."""
+    decode, values = _DECODERS[kind]
+    for data in odd_values.list_variants(values, odd_values.VALUES[odd]):
+        with contextlib.suppress(errors.ProtocolError, orjson.JSONDecodeError):
+            decode(data)
+
+
+@_each_odd_value
+async def test_an_odd_entry_ends_no_process(odd, autojump_clock):
+    """Guards against entries and agents that end for another's entry."""
+    async with fakes.open_memory_fleet(replicas=1) as fleet:
+        listing = await fleet.store.list_records(instances.PREFIX)
+        entry = json.loads(listing.records[0].value)
+        variants = odd_values.list_variants(entry, odd_values.VALUES[odd])
+        for number, data in enumerate(variants):
+            await fleet.store.put(f"{instances.PREFIX}odd-{number}", data)
+            await trio.sleep(0.1)
+        await trio.sleep(5.0)
+        path = f"/services/{fleets.PLAIN}/lots"
+        answer = await fakes.ask(fleet, "POST", path, b"lot")
+        assert answer.status == 200
+
+
+async def _call_engine(url):
+    engine = HttpEngine(url)
+    calls = (
+        lambda: engine.run_steps([]),
+        lambda: engine.export_cache("s"),
+        engine.read_load,
+        lambda: engine.give_order(1, "load", "0-8"),
+    )
+    for call in calls:
+        with contextlib.suppress(EngineError, errors.StaleOrderError):
+            await call()
+
+
+@_each_odd_value
+@pytest.mark.parametrize("status", [b"200", b"409"])
+async def test_an_odd_answer_of_an_engine_ends_no_agent(status, odd):
+    """Guards against an agent that ends for an answer that it cannot read."""
+    odd_value = odd_values.VALUES[odd]
+    answers = [
+        *odd_values.list_variants({"outputs": [_STEP]}, odd_value),
+        *odd_values.list_variants({"next_step": 1, "data": ""}, odd_value),
+        *odd_values.list_variants(_LOAD, odd_value),
+        *odd_values.list_variants({"error": "stale"}, odd_value),
+    ]
+    current = [b""]
+
+    async def script(_, stream):
+        head = stubs.OK.replace(b"200", status)
+        await stream.send_all(stubs.make_answer(current[0], head))
+
+    async with trio.open_nursery() as nursery:
+        stub = stubs.StubTarget(script)
+        await nursery.start(stub.listen)
+        for answer in answers:
+            current[0] = answer
+            await _call_engine(f"http://{stub.address}")
+        nursery.cancel_scope.cancel()
