Read times and eras of thousands of digits

What would be seen: an answer with a Keep-Alive time of 5,000 digits was answered 502 as a fault of the gateway, and ended a gateway's own call to an engine with an error that nobody expects; an era of the store of that length ended whoever called the store.

Cause: Python refuses to convert thousands of digits to an integer.

Evidence: the last two tests of tests/test_decoding.py, red on the code before.

Change: both are read as floating-point numbers, for which that is infinite; the bounds that were there then apply.

--- a/magnoliacove/gateway/channels.py
+++ b/magnoliacove/gateway/channels.py
@@ -356,7 +356,7 @@
                 key, _, seconds = part.strip().partition(b"=")
                 if key.lower() == b"timeout" and seconds.isdigit():
                     self._idle_timeout = min(
-                        _MAX_IDLE, int(seconds) - _IDLE_MARGIN
+                        _MAX_IDLE, float(seconds) - _IDLE_MARGIN
                     )
 
 
--- a/magnoliacove/platform/client.py
+++ b/magnoliacove/platform/client.py
@@ -280,7 +280,9 @@
         values = [
             value for name, value in headers if name.lower() == _ERA_HEADER
         ]
-        if not values or not values[0].isdigit() or int(values[0]) > MAX_ERA:
+        if not values or not values[0].isdigit():
+            return
+        if float(values[0]) > MAX_ERA:
             return
         if not self.era.note(int(values[0]), _SOURCE):
             raise errors.PlatformError(
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -9,6 +9,7 @@
 import json
 import zlib
 
+import httpcore
 import orjson
 import pytest
 import trio
@@ -23,6 +24,7 @@
 from magnoliacove.platform import engines
 from magnoliacove.platform import routes
 from magnoliacove.platform import servers
+from magnoliacove.platform.client import HttpObjectApi
 from magnoliacove.standins import fleet as fleets
 from magnoliacove.targets import EngineError
 from magnoliacove.targets import HttpEngine
@@ -162,3 +164,29 @@
             current[0] = answer
             await _call_engine(f"http://{stub.address}")
         nursery.cancel_scope.cancel()
+
+
+async def test_a_long_keep_alive_time_ends_no_request():
+    """Guards against a header with a number that Python does not convert."""
+    head = stubs.OK + b"keep-alive: timeout=" + b"9" * 5000 + b"\r\n"
+    async with stubs.open_harness() as harness:
+        script = stubs.answer_with(stubs.make_answer(b"whole", head))
+        await harness.add("d-1", script)
+        answer = await harness.ask("/post/1", method="POST")
+        assert answer.endswith(b"\r\n\r\nwhole")
+
+
+async def test_a_long_era_of_the_store_ends_no_process(monkeypatch):
+    """Guards against the same in the store's answers."""
+
+    async def answer(*_, **options):
+        return httpcore.Response(
+            200,
+            headers=[(b"store-era", b"9" * 5000)],
+            content=b'{"metadata": {"name": "n", "revision": 5}, "spec": 1}',
+        )
+
+    api = HttpObjectApi("http://store:1")
+    monkeypatch.setattr(api._pool, "handle_async_request", answer)
+    record = await api.get("kind/n")
+    assert record.value == b"1"
