Refuse at a stopping entry what it may not finish

What operators reported of systems like ours: in a planned stop of one machine, in calm, requests that came late in the grace were taken and passed on; at its end they were cut with no answer, among them requests that may not be repeated.

Here a gateway holds (tests/gateway/test_draining.py), and an entry of our own interface did not: it took requests to the end of its drain on the connections that callers kept, and ended with those that were in progress.

Evidence: tests/entry/test_draining.py, red on the code before: eight or more requests had no answer when the entry ended.

Change: an entry that stops takes a request only if its service's deadline, or the deadlines of a pipeline's services together, pass before the entry ends. Others are refused at once as not run, with a time to come back, and the connection closes, so that the caller's next request goes elsewhere.

--- a/magnoliacove/entry/callers.py
+++ b/magnoliacove/entry/callers.py
@@ -158,6 +158,9 @@
             # the caller that the response is incomplete.
             raise ConnectionAbortedError(str(exc))
         headers = [(b"x-outcome", exc.outcome.value.encode())]
+        if self._is_leaving() and exchange.may_close:
+            # The caller's next request goes to another entry.
+            headers.append((b"connection", b"close"))
         if exc.retry_after is not None:
             seconds = str(math.ceil(exc.retry_after)).encode()
             headers.append((b"retry-after", seconds))
--- a/magnoliacove/entry/exchange.py
+++ b/magnoliacove/entry/exchange.py
@@ -46,6 +46,14 @@
         """The request's headers, with lower-case names."""
         return dict(self.scope["headers"])
 
+    @property
+    def may_close(self) -> bool:
+        """Whether a header may ask the caller to close its connection.
+
+        HTTP/2, where requests share a connection, has no such header.
+        """
+        return not self.scope.get("http_version", "").startswith("2")
+
     async def start(
         self, status: int, headers: list[tuple[bytes, bytes]]
     ) -> None:
--- a/magnoliacove/entry/pipelines.py
+++ b/magnoliacove/entry/pipelines.py
@@ -56,6 +56,7 @@
         # in vain for an account that must not use a later one.
         services = [self._find_step(account, step) for step in pipeline.steps]
         value = await exchange.read_body()
+        self._runner.require_time(sum(s.deadline for s in services))
 
         async def run() -> None:
             nonlocal value
--- a/magnoliacove/entry/process.py
+++ b/magnoliacove/entry/process.py
@@ -128,6 +128,7 @@
         process.recorder.record("draining", why="the instance is stopping")
         await self.distribution.release()
         with trio.move_on_after(defaults.DRAIN_TIMEOUT) as scope:
+            self.runner.stops_at = scope.deadline
             # The load balancer needs a moment to detect that this entry is
             # no longer ready; requests that it still sends are served.
             await trio.sleep(0.5)
--- a/magnoliacove/entry/service_runner.py
+++ b/magnoliacove/entry/service_runner.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 
 import trio
 
 from magnoliacove import configuration
+from magnoliacove import errors
 from magnoliacove import limits
 from magnoliacove import routing
 from magnoliacove.directory import View
@@ -23,6 +25,8 @@
 
 __all__ = ["ServiceRunner"]
 
+# Seconds after which a caller may retry, at another entry.
+_STOPPED_RETRY = 1.0
 _DROPPED_HEADERS = frozenset([b"authorization", b"idempotency-key"])
 
 
@@ -32,6 +36,7 @@
     ``budget`` bounds the retries of all requests together.
 
     :param chooser: chooses the chains of streams.
+    :ivar stops_at: when this process stops, by trio's clock.
     """
 
     def __init__(
@@ -45,6 +50,7 @@
         rates: limits.RateLimit,
     ) -> None:
         self.budget = limits.RetryBudget()
+        self.stops_at = math.inf
         self._view = view
         self._pool = pool
         self._chooser = chooser
@@ -53,6 +59,21 @@
         self._admission = admission
         self._rates = rates
 
+    def require_time(self, seconds: float) -> None:
+        """Refuse what may take longer than this process still runs.
+
+        Taken late in a planned stop, it would be cut with no answer.
+
+        :raises magnoliacove.errors.RequestError: when it may.
+        """
+        if trio.current_time() + seconds <= self.stops_at:
+            return
+        raise errors.RequestError(
+            "draining",
+            "this entry stops; the request did not run",
+            retry_after=_STOPPED_RETRY,
+        )
+
     async def run_model(
         self,
         request_id: bytes,
@@ -82,6 +103,7 @@
                 )
             await emit(text, end)
 
+        self.require_time(service.deadline)
         self._record_arrival(request_id, account, service)
         stream_request = StreamRequest(
             request_id,
@@ -134,6 +156,7 @@
         :param send: called with each part of the answer.
         :raises magnoliacove.errors.RequestError: when the call fails.
         """
+        self.require_time(service.deadline)
         self._record_arrival(exchange.request_id, account, service)
         began = trio.current_time()
         deadline = began + service.deadline
