--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -162,6 +162,19 @@
             assert answer[_STATUS] == b"503"
 
 
+@_each_break
+async def test_the_end_of_a_stray_answer_is_that_of_the_exchange(end):
+    """Guards against a wait for an answer on a connection that broke."""
+    stray = stubs.OK + b"x-request-id: other\r\n\r\n" + _PART
+    async with stubs.open_harness() as harness:
+        script = _answer_early(stray, end)
+        await harness.add("d-1", script, early=True)
+        for _ in range(_ROUNDS):
+            with trio.fail_after(3.0):
+                answer = await _post(harness, "/post/1")
+            assert answer[_STATUS] == b"502"
+
+
 @_each_break
 async def test_a_stream_goes_on_after_a_reset_between_events(end):
     """Guards against a stream that ends between two events and looks whole."""
