Ask the kernel of a caller's connection only where its answer has no chunks

Each stream set an option twice, also where the caller takes chunks. Values in messages are quoted again, as before the change of what shows them.

--- a/magnoliacove/connection_ends.py
+++ b/magnoliacove/connection_ends.py
@@ -62,11 +62,11 @@
 
 def _count_unacknowledged(connection: trio.socket.SocketType) -> int:
     """Return the bytes sent that the peer's kernel has not acknowledged."""
-    unsent = bytearray(4)
+    count = bytearray(4)
     try:
-        fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, unsent)
+        fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, count)
     except OSError:
         # Not every kernel tells; then a write that failed is all that is
         # known.
         return 0
-    return int.from_bytes(unsent, sys.byteorder)
+    return int.from_bytes(count, sys.byteorder)
--- a/magnoliacove/gateway/callers.py
+++ b/magnoliacove/gateway/callers.py
@@ -63,8 +63,8 @@
 class Exchange:
     """A request and its answer.
 
-    :param mark_partial: tells whether the connection must not end in order, as
-        the answer would look whole.
+    :param reset_on_close: chooses whether the connection is reset when it
+        closes.
     :param started: whether the answer has been started.
     :param ended: whether the whole answer has been sent.
     :param caller_left: whether the caller closed the connection, or stopped
@@ -79,7 +79,7 @@
         parser: h11.Connection,
         send: Callable[[Sequence[Buffer]], Awaitable[None]],
         must_close: Callable[[], bool],
-        mark_partial: Callable[[bool], None],
+        reset_on_close: Callable[[bool], None],
         *,
         late: bool = False,
     ) -> None:
@@ -91,7 +91,8 @@
         self._parser = parser
         self._send = send
         self._must_close = must_close
-        self._mark_partial = mark_partial
+        self._reset_on_close = reset_on_close
+        self._ends_by_close = False
         self._written_at = request.arrived
 
     def read_silence(self) -> float:
@@ -109,10 +110,12 @@
         """
         self.started = True
         head = self._write_head(status, headers)
-        # A caller without chunks takes the end of the connection for that of
-        # the answer, also when the answer is cut or this process is lost.
         version = self._parser.their_http_version or b""
-        self._mark_partial(version < _FIRST_CHUNKED_VERSION)
+        if version < _FIRST_CHUNKED_VERSION:
+            # The caller takes the end of the connection for that of the
+            # answer, also when the answer is cut or this process is lost.
+            self._ends_by_close = True
+            self._reset_on_close(True)
         await self._send_part(head)
 
     async def write(self, data: bytes) -> None:
@@ -123,7 +126,8 @@
     async def end(self) -> None:
         """Send the end of the body, which marks the answer as complete."""
         await self._send_part(self._parser.send(h11.EndOfMessage()) or b"")
-        self._mark_partial(False)
+        if self._ends_by_close:
+            self._reset_on_close(False)
         self.ended = True
 
     async def answer(
@@ -266,7 +270,7 @@
             self._parser,
             self._write,
             lambda: self._must_close(request, reader),
-            self._mark_partial,
+            self._reset_on_close,
             late=self._late,
         )
         if not await self._answer(exchange, reader):
@@ -296,8 +300,8 @@
         # keep its memory from others for as long as its caller likes.
         return reader.has_unread and self._resources.memory.is_short()
 
-    def _mark_partial(self, partial: bool) -> None:
-        reset_on_close(self._stream.socket, enabled=partial)
+    def _reset_on_close(self, enabled: bool) -> None:
+        reset_on_close(self._stream.socket, enabled=enabled)
 
     async def _answer(self, exchange: Exchange, reader: RequestReader) -> bool:
         """Call the handler; return whether it sent a complete answer."""
--- a/magnoliacove/platform/fields.py
+++ b/magnoliacove/platform/fields.py
@@ -83,7 +83,7 @@
     def texts(self, name: str) -> tuple[str, ...]:
         """Return the strings of a list; a missing list is empty."""
         items = self._get(name, (list, tuple), [])
-        return tuple(map(_describe, items))
+        return tuple(map(_to_text, items))
 
     def object(self, name: str) -> "Fields | None":
         """Return an object, or None if the field is missing or null."""
@@ -116,13 +116,14 @@
         return value
 
     def _reject(self, name: str, value: Any) -> errors.ProtocolError:
-        shown = _describe(value)
+        # The usual representation fails for what is nested deeply.
+        shown = reprlib.repr(value)
         return errors.ProtocolError(
             f"{self.where} has {shown:.60} in field {name!r}, which is not "
             "of the expected type or range; correct the field"
         )
 
 
-def _describe(value: Any) -> str:
-    """Return a value as text; that of what is nested deeply is cut."""
+def _to_text(value: Any) -> str:
+    """Return an item of a list as text, cut if it is nested."""
     return value if isinstance(value, str) else reprlib.repr(value)
--- a/tests/entry/test_draining.py
+++ b/tests/entry/test_draining.py
@@ -22,12 +22,12 @@
     answer, among them requests that may not be repeated.
     """
     monkeypatch.setattr(defaults, "DRAIN_TIMEOUT", _GRACE)
-    answers, cut = [], []
+    answers, unanswered = [], []
 
     async def ask(fleet):
-        cut.append(True)
+        unanswered.append(True)
         answers.append(await fakes.ask(fleet, "POST", _PATH, b"lot"))
-        cut.pop()
+        unanswered.pop()
 
     async with fakes.open_memory_fleet(replicas=1) as fleet:
         fleet.plains["desk-0"].faults.delay = _DELAY
@@ -40,7 +40,7 @@
             while True:
                 nursery.start_soon(ask, fleet)
                 await trio.sleep(0.25)
-    assert not cut
+    assert not unanswered
     served = [a for a in answers if a.status == 200]
     refused = [a for a in answers if a.status == 503]
     assert len(served) + len(refused) == len(answers)
