Read the store's era beside what else is known of eras, and share scripts of tests

Scripts that go on or break off after a pause, and the beginning of a stream, stood twice in the tests of gateways.

--- a/magnoliacove/platform/client.py
+++ b/magnoliacove/platform/client.py
@@ -19,17 +19,14 @@
 from magnoliacove.http_pools import make_pool
 from magnoliacove.platform import api
 from magnoliacove.platform import objects
-from magnoliacove.platform.eras import MAX_ERA
 from magnoliacove.platform.eras import StoreEra
+from magnoliacove.platform.eras import read_era
 from magnoliacove.platform.eras import split_revision
 from magnoliacove.platform.partial_json import decode_partially
 
 __all__ = ["HttpObjectApi"]
 
 _OBJECTS = "/v1/objects/"
-# The header with which each answer reports the store's era, the number of
-# times that the store was restored from an older snapshot.
-_ERA_HEADER = b"store-era"
 _SOURCE = "the platform's store"
 # Bytes of an answer; a page of objects takes about one megabyte.
 _MAX_ANSWER = 32 * 1024 * 1024
@@ -277,14 +274,8 @@
         :raises magnoliacove.errors.PlatformError: if it is an earlier era;
             the answer was delayed and its content is no longer valid.
         """
-        values = [
-            value for name, value in headers if name.lower() == _ERA_HEADER
-        ]
-        if not values or not values[0].isdigit():
-            return
-        if float(values[0]) > MAX_ERA:
-            return
-        if not self.era.note(int(values[0]), _SOURCE):
+        number = read_era(headers)
+        if number is not None and not self.era.note(number, _SOURCE):
             raise errors.PlatformError(
                 "the object API's answer is from before it came back from a "
                 "copy",
--- a/magnoliacove/platform/eras.py
+++ b/magnoliacove/platform/eras.py
@@ -9,14 +9,38 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
+import math
 
-__all__ = ["MAX_ERA", "StoreEra", "join_revision", "split_revision"]
+__all__ = [
+    "MAX_ERA",
+    "StoreEra",
+    "join_revision",
+    "read_era",
+    "split_revision",
+]
 
 # The store's own number takes the lower 40 bits, enough for ten years at
 # 3,000 changes a second.  The messages between peers have 63 bits for a
 # revision, which leaves 23 bits for the era.
 _NUMBERS_PER_ERA = 1 << 40
 MAX_ERA = (1 << 23) - 1
+# The header with which each answer reports the store's era, the number of
+# times that the store was restored from an older snapshot.
+_HEADER = b"store-era"
+
+
+def read_era(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
+    """Return the era that an answer reports, or None if there is no valid one.
+
+    It may have more digits than Python converts to an integer.
+    """
+    for name, value in headers:
+        if name.lower() != _HEADER:
+            continue
+        number = float(value) if value.isdigit() else math.inf
+        return int(number) if number <= MAX_ERA else None
+    return None
 
 
 def join_revision(era: int, number: int) -> int:
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -351,6 +351,26 @@
     return script
 
 
+def go_on_after(seconds):
+    """Return a script that sends three events, pauses, and sends the rest."""
+
+    async def go_on(stream):
+        await trio.sleep(seconds)
+        await stream.send_all(chunk(make_events(4, 6)) + END)
+
+    return begin_then(go_on)
+
+
+def break_after(seconds):
+    """Return a script that sends three events, pauses, and breaks off."""
+
+    async def break_off(stream):
+        await trio.sleep(seconds)
+        await trio.aclose_forcefully(stream)
+
+    return begin_then(break_off)
+
+
 async def pause_for_ever(_):
     """Never go on."""
     await trio.sleep_forever()
@@ -406,6 +426,20 @@
     harness.state.health.suspect(target, "the test says so")
 
 
+async def begin_stream(harness, *, version="1.1", events=1, **headers):
+    """Ask for a stream; return the connection after its first events.
+
+    :param version: of HTTP, that the caller speaks.
+    """
+    stream, _ = await harness.connect()
+    request = make_request("/once/1", "POST", **{**STREAM_HEADERS, **headers})
+    await stream.send_all(request.replace(b"/1.1", b"/" + version.encode()))
+    data = b""
+    while b"id: %d" % events not in data:
+        data += await stream.receive_some()
+    return stream
+
+
 async def ask_stream(harness, path="/stream/1", **headers):
     """Request a stream and return all data until the connection closes."""
     return await harness.ask(
--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -207,14 +207,9 @@
 
 async def _ask_without_chunks(harness):
     """Begin a stream as a caller of HTTP/1.0; return its connection."""
-    stream, _ = await harness.connect()
-    headers = {**stubs.STREAM_HEADERS, "x_deadline_ms": "1000"}
-    request = stubs.make_request("/once/1", "POST", **headers)
-    await stream.send_all(request.replace(b"HTTP/1.1", b"HTTP/1.0"))
-    data = b""
-    while b"id: 3" not in data:
-        data += await stream.receive_some()
-    return stream
+    return await stubs.begin_stream(
+        harness, version="1.0", events=3, x_deadline_ms="1000"
+    )
 
 
 @pytest.mark.parametrize(
@@ -244,12 +239,8 @@
 async def test_a_whole_answer_without_chunks_ends_in_order():
     """Guards against whole answers that look cut to callers of HTTP/1.0."""
 
-    async def end(stream):
-        await trio.sleep(0.05)
-        await stream.send_all(stubs.chunk(stubs.make_events(4, 6)) + stubs.END)
-
     async with stubs.open_harness() as harness:
-        await harness.add("i-1", stubs.begin_then(end), layers=(0, 80))
+        await harness.add("i-1", stubs.go_on_after(0.05), layers=(0, 80))
         stream = await _ask_without_chunks(harness)
         rest = b""
         while part := await stream.receive_some():
--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -54,13 +54,7 @@
 
 async def _begin_and_close(harness):
     """Ask for a stream and close the connection after its first event."""
-    stream, _ = await harness.connect()
-    await stream.send_all(
-        stubs.make_request("/once/1", "POST", **stubs.STREAM_HEADERS)
-    )
-    data = b""
-    while b"id: 1" not in data:
-        data += await stream.receive_some()
+    stream = await stubs.begin_stream(harness)
     await stream.aclose()
     with trio.fail_after(1.0):
         while harness.state.open_requests:
@@ -72,13 +66,7 @@
     async with stubs.open_harness() as harness:
         script = stubs.begin_then(stubs.pause_for_ever)
         await harness.add("i-1", script, layers=(0, 80))
-        stream, _ = await harness.connect()
-        await stream.send_all(
-            stubs.make_request("/once/1", "POST", **stubs.STREAM_HEADERS)
-        )
-        data = b""
-        while b"id: 1" not in data:
-            data += await stream.receive_some()
+        await stubs.begin_stream(harness)
         harness.nursery.cancel_scope.cancel()
     assert stubs.list_cuts(harness) == [("gateway", "this process stops")]
     assert "request-abandoned" in harness.list_kinds()
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -18,27 +18,6 @@
 _LAYERS = (0, 80)
 
 
-def _serve_after(seconds):
-    """Return a script that sends three events, pauses, and sends the rest."""
-
-    async def go_on(stream):
-        await trio.sleep(seconds)
-        rest = stubs.chunk(stubs.make_events(4, 6))
-        await stream.send_all(rest + stubs.END)
-
-    return stubs.begin_then(go_on)
-
-
-def _break_after(seconds):
-    """Return a script that sends three events, pauses, and breaks off."""
-
-    async def break_off(stream):
-        await trio.sleep(seconds)
-        await trio.aclose_forcefully(stream)
-
-    return stubs.begin_then(break_off)
-
-
 async def _hang(received, stream):
     """Answer reports, and never a caller's request."""
     if received.method == "GET":
@@ -98,7 +77,7 @@
     path gets free.  The engine, wrongly suspected, would finish the answer.
     """
     async with stubs.open_harness() as harness:
-        await harness.add("i-1", _serve_after(1.7), layers=_LAYERS)
+        await harness.add("i-1", stubs.go_on_after(1.7), layers=_LAYERS)
         harness.nursery.start_soon(stubs.suspect_when_begun, harness, "i-1")
 
         async def quarantine():
@@ -116,7 +95,7 @@
 async def test_a_waiting_stream_is_rerouted_at_intervals(monkeypatch):
     """Guards against 20 searches a second for each stream that waits."""
     async with stubs.open_harness() as harness:
-        await harness.add("i-1", _serve_after(2.2), layers=_LAYERS)
+        await harness.add("i-1", stubs.go_on_after(2.2), layers=_LAYERS)
         tries = []
         rerouter = harness.stalls._rerouter
         original = rerouter._try_change_path
@@ -170,7 +149,7 @@
     harness.state.capacity_queue = queue
     harness.state.targets.listen(queue.fill)
     harness.nursery.start_soon(queue.run)
-    await harness.add("i-1", _break_after(0.3), layers=_LAYERS)
+    await harness.add("i-1", stubs.break_after(0.3), layers=_LAYERS)
 
     async def fill_queue():
         await _wait_streams(harness, 1)
@@ -215,7 +194,7 @@
                 return
             await stubs.serve_whole(received, stream)
 
-        await harness.add("i-1", _break_after(0.3), layers=_LAYERS)
+        await harness.add("i-1", stubs.break_after(0.3), layers=_LAYERS)
 
         async def replace():
             await _wait_streams(harness, 1)
@@ -451,7 +430,7 @@
     original = RequestReader.wait_disconnect
     async with stubs.open_harness() as harness:
         health = harness.state.health
-        await harness.add("i-1", _serve_after(9.0), layers=_LAYERS)
+        await harness.add("i-1", stubs.go_on_after(9.0), layers=_LAYERS)
 
         async def free_a_path(self):
             await original(self)
--- a/tests/gateway/test_handovers.py
+++ b/tests/gateway/test_handovers.py
@@ -11,26 +11,6 @@
 _REST = stubs.chunk(stubs.make_events(4, 6)) + stubs.END
 
 
-def _go_on_after(seconds):
-    """Return a script that sends three events, pauses, and sends the rest."""
-
-    async def go_on(stream):
-        await trio.sleep(seconds)
-        await stream.send_all(_REST)
-
-    return stubs.begin_then(go_on)
-
-
-def _break_after(seconds):
-    """Return a script that sends three events, pauses, and breaks off."""
-
-    async def break_off(stream):
-        await trio.sleep(seconds)
-        await trio.aclose_forcefully(stream)
-
-    return stubs.begin_then(break_off)
-
-
 def _act_after(seconds, act):
     """Return a script that answers reports, and callers after a while.
 
@@ -176,7 +156,7 @@
     """
     async with stubs.open_harness() as harness:
         old, new = await _open_two(
-            harness, _go_on_after(1.5), _act_after(0.0, act)
+            harness, stubs.go_on_after(1.5), _act_after(0.0, act)
         )
         answer = await stubs.ask_stream(harness)
         assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
@@ -201,7 +181,7 @@
     async with stubs.open_harness() as harness:
         harness.state.retry_budget = SharedRetryBudget(0.0, 1.2, 30.0)
         old, new = await _open_two(
-            harness, _go_on_after(1.5), _act_after(0.0, _refuse)
+            harness, stubs.go_on_after(1.5), _act_after(0.0, _refuse)
         )
         answer = await stubs.ask_stream(harness)
         assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
@@ -283,7 +263,7 @@
     async with stubs.open_harness() as harness:
         harness.state.retry_budget = SharedRetryBudget(0.0, 1.2, 30.0)
         _, new = await _open_two(
-            harness, _break_after(0.7), _act_after(0.8, stubs.serve_whole)
+            harness, stubs.break_after(0.7), _act_after(0.8, stubs.serve_whole)
         )
         answer = await stubs.ask_stream(harness)
         assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
@@ -302,7 +282,7 @@
             await act(received, stream)
 
         _, new = await _open_two(
-            harness, _break_after(0.7), _act_after(0.8, refuse_once)
+            harness, stubs.break_after(0.7), _act_after(0.8, refuse_once)
         )
         harness.nursery.start_soon(_beat, harness)
         answer = await stubs.ask_stream(harness)
@@ -347,7 +327,7 @@
             await stubs.serve_whole(received, stream)
 
         old, _ = await _open_two(
-            harness, _go_on_after(1.5), _act_after(0.3, serve)
+            harness, stubs.go_on_after(1.5), _act_after(0.3, serve)
         )
         answer = await stubs.ask_stream(harness)
         assert stubs.read_ids(answer) == [1, 2, 3, 4, 5, 6]
@@ -379,7 +359,7 @@
     """Guards against waiting for an engine that is gone without a word."""
     async with stubs.open_harness() as harness:
         old, new = await _open_two(
-            harness, _go_on_after(1.5), _act_after(0.0, _hang)
+            harness, stubs.go_on_after(1.5), _act_after(0.0, _hang)
         )
 
         async def remove():
@@ -482,7 +462,9 @@
             script = first if len(first_runs) == 1 else stubs.serve_whole
             await script(received, stream)
 
-        _, new = await _open_two(harness, pause_then_serve, _break_after(0.3))
+        _, new = await _open_two(
+            harness, pause_then_serve, stubs.break_after(0.3)
+        )
 
         async def remove():
             await _wait_request(new)
