--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -46,13 +46,10 @@
     await script(received, stream)
 
 
-async def _post(harness, path, **headers):
+async def _post(harness, path):
+    """Send a long upload and return the answer."""
     return await harness.ask(
-        path,
-        method="POST",
-        body=_LONG_UPLOAD,
-        x_deadline_ms="5000",
-        **headers,
+        path, method="POST", body=_LONG_UPLOAD, x_deadline_ms="5000"
     )
 
 
