--- a/tests/entry/test_broken_answers.py
+++ b/tests/entry/test_broken_answers.py
@@ -42,7 +42,7 @@
 
 
 async def _ask_without_chunks(fleet):
-    """Ask as a caller of HTTP/1.0; return the answer and whether it ended."""
+    """Ask as a caller of HTTP/1.0; return all until the connection ends."""
     url = fleet.entries["entry-0"].server.callers_url
     address = Address.parse(url.removeprefix("http://"))
     stream = await trio.open_tcp_stream(address.host, address.port)
