--- a/magnoliacove/web.py
+++ b/magnoliacove/web.py
@@ -79,12 +79,7 @@
         body = response.body
         if not isinstance(body, bytes):
             body = json.dumps(body).encode()
-        headers = [
-            (b"content-type", b"application/json"),
-            # Without it a part looks whole to a caller without chunks.
-            (b"content-length", b"%d" % len(body)),
-            *response.headers,
-        ]
+        headers = [(b"content-type", b"application/json"), *response.headers]
         await send(
             {
                 "type": "http.response.start",
