--- a/magnoliacove/answer_heads.py
+++ b/magnoliacove/answer_heads.py
@@ -1,14 +1,15 @@
-"""Checks of answers' heads that the parser leaves out.
+"""Checks of the heads of answers that the parser, h11, leaves out.
 
-h11 accepts statuses that are none, versions that it does not know, and control
-characters in values.  Strict callers refuse a head that has one, and others
-take it for an answer that the target did not mean.
+h11 accepts statuses and versions that do not exist, and control characters in
+the values of headers.  Strict callers reject the whole head for one of these.
 """
 
 from collections.abc import Iterable
 import re
 
-__all__ = ["find_fault"]
+import h11
+
+__all__ = ["check_head"]
 
 # RFC 9110, section 15: other values are invalid.
 _HIGHEST_STATUS = 599
@@ -19,18 +20,20 @@
 _CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
-def find_fault(
+def check_head(
     status: int, version: bytes, headers: Iterable[tuple[bytes, bytes]]
-) -> str:
-    """Return why an answer's head is not valid, or "".
+) -> None:
+    """Check the head of an answer that was parsed.
 
     :param version: as in the status line; the protocol's name may be left out.
+    :raises h11.RemoteProtocolError: when it is not valid, as the parser does.
     """
     if status > _HIGHEST_STATUS:
-        return f"the status {status} is invalid"
+        raise h11.RemoteProtocolError(f"the status {status} is invalid")
     if not _KNOWN_VERSION.fullmatch(version):
-        return f"the version {version!r} is not known"
+        raise h11.RemoteProtocolError(f"the version {version!r} is not known")
     for name, value in headers:
         if _CONTROL_CHARACTER.search(value):
-            return f"the value of {name!r} has a control character"
-    return ""
+            raise h11.RemoteProtocolError(
+                f"the value of {name!r} has a control character"
+            )
--- a/magnoliacove/gateway/channels.py
+++ b/magnoliacove/gateway/channels.py
@@ -15,8 +15,8 @@
 import h11
 import trio
 
-from magnoliacove import answer_heads
 from magnoliacove import errors
+from magnoliacove.answer_heads import check_head
 from magnoliacove.bodies import Body
 from magnoliacove.bodies import Buffer
 from magnoliacove.bodies import encode_body
@@ -107,7 +107,6 @@
         self._parser = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
         self._idle_timeout = _MAX_IDLE
-        self._reusable = True
         self._response: h11.Response | None = None
 
     @property
@@ -202,7 +201,6 @@
 
     async def close(self) -> None:
         """Close the connection at once."""
-        self._reusable = False
         await trio.aclose_forcefully(self._stream)
 
     def finish(self, now: float) -> bool:
@@ -211,8 +209,7 @@
         # While a part of a long body is still unsent, the target would read
         # the next request as that part, so the connection is not reused.
         clean = (
-            self._reusable
-            and self._sent_whole
+            self._sent_whole
             and parser.our_state is h11.DONE
             and parser.their_state is h11.DONE
             and not parser.trailing_data[0]
@@ -258,7 +255,6 @@
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 headers = tuple((bytes(n), bytes(v)) for n, v in event.headers)
-                _check_head(event, headers)
                 self._read_keep_alive(headers)
                 self._response = event
                 return Answer(event.status_code, headers)
@@ -306,6 +302,10 @@
                 self._parser.receive_data(
                     await self._stream.receive_some(_READ_SIZE)
                 )
+            if isinstance(event, h11.Response):
+                check_head(
+                    event.status_code, event.http_version, event.headers
+                )
         except h11.RemoteProtocolError as exc:
             raise TargetError(
                 f"the target sent no proper answer: {exc}",
@@ -358,18 +358,3 @@
                     self._idle_timeout = min(
                         _MAX_IDLE, float(seconds) - _IDLE_MARGIN
                     )
-
-
-def _check_head(response: h11.Response, headers: Headers) -> None:
-    """Check what the parser leaves out.
-
-    :raises TargetError: when the head is not valid.
-    """
-    fault = answer_heads.find_fault(
-        response.status_code, response.http_version, headers
-    )
-    if fault:
-        raise TargetError(
-            f"the target sent no proper answer: {fault}",
-            errors.Outcome.MAY_HAVE_RUN,
-        )
--- a/magnoliacove/platform/client.py
+++ b/magnoliacove/platform/client.py
@@ -16,7 +16,7 @@
 
 from magnoliacove import defaults
 from magnoliacove import errors
-from magnoliacove.http_pools import make_pool
+from magnoliacove.http_pools import ConnectionPool
 from magnoliacove.platform import api
 from magnoliacove.platform import objects
 from magnoliacove.platform.eras import StoreEra
@@ -52,7 +52,7 @@
     ) -> None:
         self._url = url.rstrip("/")
         self._timeout = timeout
-        self._pool = make_pool(
+        self._pool = ConnectionPool(
             max_connections=8, keepalive_expiry=defaults.KEEP_ALIVE / 2
         )
         self.calls = 0
--- a/magnoliacove/targets/engine.py
+++ b/magnoliacove/targets/engine.py
@@ -16,7 +16,7 @@
 from magnoliacove import errors
 from magnoliacove.decoding import DECODE_ERRORS
 from magnoliacove.decoding import check_types
-from magnoliacove.http_pools import make_pool
+from magnoliacove.http_pools import ConnectionPool
 from magnoliacove.limits.answer_memory import AnswerMemory
 from magnoliacove.limits.answer_memory import AnswerTooLongError
 from magnoliacove.limits.caller_memory import CallerMemory
@@ -134,7 +134,7 @@
         self._answers = AnswerMemory(
             CallerMemory(MemoryLimits(_ANSWERS_BYTES))
         )
-        self._pool = make_pool(
+        self._pool = ConnectionPool(
             max_connections=8, keepalive_expiry=defaults.KEEP_ALIVE / 2
         )
 
--- a/magnoliacove/targets/plain.py
+++ b/magnoliacove/targets/plain.py
@@ -8,9 +8,8 @@
 
 import httpcore
 
-from magnoliacove import answer_heads
 from magnoliacove import errors
-from magnoliacove.http_pools import make_pool
+from magnoliacove.http_pools import ConnectionPool
 
 __all__ = ["HttpPlainTarget", "PlainAnswer", "PlainTarget"]
 
@@ -70,7 +69,7 @@
         # either: the target may close an idle connection while a request
         # is being sent, and it would be unknown whether a request that
         # must not be repeated has run.
-        self._pool = make_pool(
+        self._pool = ConnectionPool(
             max_connections=256, max_keepalive_connections=0, retries=0
         )
 
@@ -99,7 +98,6 @@
                 extensions={"timeout": {**limits, "pool": timeout}},
             ) as response:
                 sent = True
-                _check_head(response)
                 kept = tuple(
                     (name, value)
                     for name, value in response.headers
@@ -131,20 +129,3 @@
                 else 502,
                 outcome=errors.Outcome.MAY_HAVE_RUN,
             ) from exc
-
-
-def _check_head(response: httpcore.Response) -> None:
-    """Check what the client's parser leaves out.
-
-    :raises magnoliacove.errors.RequestError: when the head is not valid.
-    """
-    fault = answer_heads.find_fault(
-        response.status, response.extensions["http_version"], response.headers
-    )
-    if fault:
-        raise errors.RequestError(
-            "target_failed",
-            f"the service's instance gave no proper answer: {fault}",
-            status=502,
-            outcome=errors.Outcome.MAY_HAVE_RUN,
-        )
--- a/tests/test_answer_heads.py
+++ b/tests/test_answer_heads.py
@@ -58,4 +58,4 @@
 def test_heads_with_text_in_other_languages_are_valid(status):
     """Guards against refusing values that any caller reads."""
     headers = [(b"x", "é\tü".encode()), (b"y", b"")]
-    assert not answer_heads.find_fault(status, b"1.0", headers)
+    assert answer_heads.check_head(status, b"1.0", headers) is None
