Say once what the change said twice

That the head of a refusal is enough stood in plain calls and in streams; it is in gateway/exchanges.py. Whether an answer ends with its connection follows from the caller's version and needs no state. The memory of an answer at an entry is opened in one place, instead of through two objects in three.

--- a/magnoliacove/configuration/document.py
+++ b/magnoliacove/configuration/document.py
@@ -328,11 +328,7 @@
                 MappingProxyType(held),
                 ids,
             )
-        except (
-            *DECODE_ERRORS,
-            zlib.error,
-            errors.UserError,
-        ) as exc:
+        except (*DECODE_ERRORS, zlib.error, errors.UserError) as exc:
             raise errors.ProtocolError(
                 f"a configuration document cannot be read: {exc}"
             ) from exc
--- a/magnoliacove/entry/callers.py
+++ b/magnoliacove/entry/callers.py
@@ -388,7 +388,7 @@
         body = await exchange.read_body()
 
         async def run() -> None:
-            with self.memory.allocate(Content.ANSWERS) as allocation:
+            with exchange.open_answer() as allocation:
                 forwarder = AnswerForwarder(exchange, allocation)
                 await self._runner.run_plain(
                     exchange,
--- a/magnoliacove/entry/exchange.py
+++ b/magnoliacove/entry/exchange.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
+from contextlib import AbstractContextManager
 from dataclasses import dataclass
 from typing import Any
 
@@ -11,6 +12,7 @@
 from magnoliacove import defaults
 from magnoliacove import errors
 from magnoliacove.limits.caller_memory import Allocation
+from magnoliacove.limits.caller_memory import Content
 from magnoliacove.limits.caller_memory import make_no_memory
 
 __all__ = ["Exchange", "read_key", "run_while_connected"]
@@ -46,6 +48,10 @@
         """The request's headers, with lower-case names."""
         return dict(self.scope["headers"])
 
+    def open_answer(self) -> AbstractContextManager[Allocation]:
+        """Provide memory for an answer that is held."""
+        return self.memory.memory.allocate(Content.ANSWERS)
+
     @property
     def may_close(self) -> bool:
         """Whether a header may ask the caller to close its connection.
--- a/magnoliacove/entry/pipelines.py
+++ b/magnoliacove/entry/pipelines.py
@@ -11,7 +11,6 @@
 from magnoliacove.entry.exchange import run_while_connected
 from magnoliacove.entry.service_runner import ServiceRunner
 from magnoliacove.limits.caller_memory import Allocation
-from magnoliacove.limits.caller_memory import Content
 from magnoliacove.limits.caller_memory import hold_part
 from magnoliacove.wire import messages
 
@@ -67,7 +66,7 @@
                     step_id, exchange, account, service, value, allocation
                 )
 
-        with exchange.memory.memory.allocate(Content.ANSWERS) as allocation:
+        with exchange.open_answer() as allocation:
             await run_while_connected(exchange, run)
             await exchange.answer(200, value)
 
--- a/magnoliacove/entry/service_runner.py
+++ b/magnoliacove/entry/service_runner.py
@@ -18,7 +18,6 @@
 from magnoliacove.entry.pool import TargetPool
 from magnoliacove.entry.stages import StreamRequest
 from magnoliacove.entry.streams import Stream
-from magnoliacove.limits.caller_memory import Content
 from magnoliacove.metrics import Meters
 from magnoliacove.timeline import Recorder
 from magnoliacove.wire import messages
@@ -183,9 +182,7 @@
         async with self._admission.admit(
             account.name, account.weight, service.priority, service.deadline
         ):
-            with exchange.memory.memory.allocate(
-                Content.ANSWERS
-            ) as allocation:
+            with exchange.open_answer() as allocation:
                 await PlainCall(
                     call,
                     deadline,
--- a/magnoliacove/gateway/callers.py
+++ b/magnoliacove/gateway/callers.py
@@ -92,9 +92,18 @@
         self._send = send
         self._must_close = must_close
         self._reset_on_close = reset_on_close
-        self._ends_by_close = False
         self._written_at = request.arrived
 
+    @property
+    def _ends_by_close(self) -> bool:
+        """Whether the caller supports no chunks.
+
+        It takes the end of the connection for that of an answer without a
+        length, also when the answer is cut or this process is lost.
+        """
+        version = self._parser.their_http_version or b""
+        return version < _FIRST_CHUNKED_VERSION
+
     def read_silence(self) -> float:
         """Return the seconds since a part of the body was last sent.
 
@@ -110,11 +119,7 @@
         """
         self.started = True
         head = self._write_head(status, headers)
-        version = self._parser.their_http_version or b""
-        if version < _FIRST_CHUNKED_VERSION:
-            # The caller takes the end of the connection for that of the
-            # answer, also when the answer is cut or this process is lost.
-            self._ends_by_close = True
+        if self._ends_by_close:
             self._reset_on_close(True)
         await self._send_part(head)
 
--- a/magnoliacove/gateway/calls.py
+++ b/magnoliacove/gateway/calls.py
@@ -16,6 +16,7 @@
 from magnoliacove.gateway.crashes import CrashWatch
 from magnoliacove.gateway.exchanges import is_genuine
 from magnoliacove.gateway.exchanges import read_answer
+from magnoliacove.gateway.exchanges import read_body
 from magnoliacove.gateway.exchanges import send_request
 from magnoliacove.gateway.open_requests import Progress
 from magnoliacove.gateway.requests import REFUSED_RETRY
@@ -292,14 +293,7 @@
         )
         # Held until the answer is forwarded or replaced by another one.
         buffer = self._buffers.enter_context(self._state.answer_memory.open())
-        try:
-            body = await channel.read_whole_body(buffer)
-        except TargetError:
-            buffer.release()
-            # The head of a refusal is enough: its body is not forwarded.
-            if not decoded.not_run:
-                raise
-            body = Body()
+        body = await read_body(channel, decoded, buffer)
         if answer.status < 300 and not is_genuine(answer, decoded):
             raise TargetError(
                 "the answer is not one of the service's targets",
--- a/magnoliacove/gateway/exchanges.py
+++ b/magnoliacove/gateway/exchanges.py
@@ -2,14 +2,17 @@
 
 import trio
 
+from magnoliacove.bodies import Body
 from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.channels import Answer
 from magnoliacove.gateway.channels import Channel
+from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.requests import RoutedRequest
+from magnoliacove.limits.answer_memory import BodyBuffer
 from magnoliacove.platform import headers
 from magnoliacove.routing.paths import Path
 
-__all__ = ["is_genuine", "read_answer", "send_request"]
+__all__ = ["is_genuine", "read_answer", "read_body", "send_request"]
 
 
 async def send_request(
@@ -58,6 +61,25 @@
     return answer, headers.read_answer(answer.status, answer.headers)
 
 
+async def read_body(
+    channel: Channel, decoded: headers.AnswerHeaders, buffer: BodyBuffer
+) -> Body:
+    """Return the whole body of an answer.
+
+    :returns: an empty one for a refusal that broke off: its head is enough, as
+        its body is not forwarded.
+    :raises magnoliacove.gateway.channels.TargetError: when another answer
+        breaks off or is too long.
+    """
+    try:
+        return await channel.read_whole_body(buffer)
+    except TargetError:
+        buffer.release()
+        if not decoded.not_run:
+            raise
+        return buffer.body
+
+
 def is_genuine(answer: Answer, decoded: headers.AnswerHeaders) -> bool:
     """Return whether a target sent an answer, with its body unchanged."""
     encoded = any(name == b"content-encoding" for name, _ in answer.headers)
--- a/magnoliacove/gateway/path_runs.py
+++ b/magnoliacove/gateway/path_runs.py
@@ -19,6 +19,7 @@
 from magnoliacove.gateway.delivery import EventDelivery
 from magnoliacove.gateway.exchanges import is_genuine
 from magnoliacove.gateway.exchanges import read_answer
+from magnoliacove.gateway.exchanges import read_body
 from magnoliacove.gateway.exchanges import send_request
 from magnoliacove.gateway.path_reservations import PathReservation
 from magnoliacove.gateway.path_reservations import ReservedPath
@@ -158,14 +159,8 @@
 
         :raises BrokenRunError: always.
         """
-        body = b""
-        try:
-            with self._state.answer_memory.open() as buffer:
-                body = (await channel.read_whole_body(buffer)).join()
-        except TargetError:
-            # The head of a refusal is enough: its body is not forwarded.
-            if not decoded.not_run:
-                raise
+        with self._state.answer_memory.open() as buffer:
+            body = (await read_body(channel, decoded, buffer)).join()
         if decoded.not_run:
             self._handle_refusal(answer.status, decoded.faulty)
             raise BrokenRunError(
