--- a/tests/broken_heads.py
+++ b/tests/broken_heads.py
@@ -1,4 +1,4 @@
-"""Heads of answers that are none, as targets in trouble send them."""
+"""Invalid heads of answers, as faulty targets send them."""
 
 __all__ = ["HEADS"]
 
@@ -39,7 +39,7 @@
 }
 _REST = b"\r\nx-response-stamp: s\r\ncontent-length: 2\r\n\r\nok"
 
-# Whole answers, by what is wrong with their heads.
+# Complete answers, by what is invalid in their heads.
 HEADS = {name: line + _REST for name, line in _STATUSES.items()}
 HEADS |= {
     name: b"HTTP/1.1 200 OK\r\n" + line + _REST
--- a/tests/entry/test_endless_answers.py
+++ b/tests/entry/test_endless_answers.py
@@ -1,7 +1,7 @@
-"""Targets of our own interface that send bytes without end.
+"""Plain services whose answers do not end.
 
-An agent or entry that keeps them all runs out of memory, and ends the requests
-of others with it.
+An agent or entry that holds such an answer whole runs out of memory, and the
+requests of other callers end with it.
 """
 
 import contextlib
@@ -15,18 +15,18 @@
 from tests.entry import test_pipelines
 
 _MB = 1024 * 1024
-# What a target sends where nobody stops it.
+# Bytes that a target sends unless its caller closes the connection.
 _ALL = 128 * _MB
-# What an agent and an entry may hold of one answer together.
+# Bytes of one answer that an agent and an entry may hold together.
 _MAX_HELD = 96 * _MB
 _PART = b"x" * _MB
 _PATH = f"/services/{fleets.PLAIN}/lots"
 
 
 class _EndlessTarget:
-    """A plain service that sends parts of an answer until nobody reads.
+    """A plain service whose answers do not end.
 
-    :ivar sent: bytes that were read.
+    :ivar sent: bytes that its caller has read.
     """
 
     def __init__(self):
@@ -55,7 +55,7 @@
 async def test_an_agent_does_not_keep_an_answer_without_end(
     autojump_clock, monkeypatch
 ):
-    """Guards against an agent that collects an answer until it is killed.
+    """Guards against an agent that runs out of memory.
 
     A request with an idempotency key runs to its end before its answer is
     sent, as its caller's next attempt must find it whole.
@@ -77,7 +77,7 @@
 async def test_an_entry_does_not_keep_what_its_caller_does_not_read(
     autojump_clock, monkeypatch
 ):
-    """Guards against an entry that queues an answer until it is killed."""
+    """Guards against a queue without a limit for a caller that is slow."""
     async with _open_fleet(monkeypatch) as (fleet, target):
         with trio.move_on_after(4.0):
             await fakes.ask(fleet, "GET", _PATH, on_part=_stop_reading)
@@ -91,7 +91,7 @@
 async def test_a_pipeline_does_not_keep_an_answer_without_end(
     autojump_clock, monkeypatch
 ):
-    """Guards against an entry that collects the answer of a step."""
+    """Guards against the answer of a step without a limit."""
     async with _open_fleet(monkeypatch) as (fleet, target):
         await test_pipelines.make_pipeline(fleet)
         answer = await fakes.ask(fleet, "POST", "/pipelines/describe", b"lot")
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -133,6 +133,19 @@
             await trio.aclose_forcefully(stream)
 
 
+@contextlib.asynccontextmanager
+async def open_target(script, *, early=False):
+    """Provide the URL of a stub target.
+
+    :param early: as for :class:`StubTarget`.
+    """
+    async with trio.open_nursery() as nursery:
+        stub = StubTarget(script, early=early)
+        await nursery.start(stub.listen)
+        yield f"http://{stub.address}"
+        nursery.cancel_scope.cancel()
+
+
 def make_table(**changes):
     """Return a route table with one route of each kind."""
     base = {
--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -1,7 +1,7 @@
-"""Targets in trouble send answers that are broken off or are no answers.
+"""Targets reset the connection before their answer is complete.
 
-A caller that gets one as a whole answer uses it: it cannot see any more what
-the target did.
+A caller that receives the part as a complete answer uses it, as nothing in it
+tells that the rest is missing.
 """
 
 import pytest
@@ -14,8 +14,8 @@
 _LONG_UPLOAD = b"u" * 3_000_000
 # A prompt that is still being sent when its answer begins.
 _LONG_PROMPT = b"p" * 900_000
-# How often a request is sent.  Who is told of a reset, the task that sends or
-# the one that reads, changes from one to the next.
+# Number of requests in a test.  Whether the task that writes or the one that
+# reads receives the error of a reset varies from one request to the next.
 _ROUNDS = 8
 _PART = b"the first part"
 _REFUSAL = stubs.NOT_RUN.replace(b"content-length: 0\r\n", b"")
@@ -72,8 +72,8 @@
     """Guards against a part of an answer that reaches its caller as whole.
 
     The target answers an upload at once with no length, sends a part and
-    resets the connection while the upload is being written.  The write is
-    told of the reset, so the read sees a plain end.
+    resets the connection while the upload is being written.  The write
+    receives the error, so the read returns an end of file.
     """
     async with stubs.open_harness() as harness:
         script = _answer_early(head + _PART, end)
@@ -170,7 +170,8 @@
 async def test_a_reset_between_events_is_no_end_of_a_stream(end, resumable):
     """Guards against a stream that ends between two events and looks whole.
 
-    It goes on at another engine if it may, and else does not end.
+    A resumable stream continues on another engine; any other one stops
+    without its last chunk.
     """
     broken = _answer_early(_NO_LENGTH_STREAM + stubs.make_events(1, 3), end)
     path = "/stream/1" if resumable else "/once/1"
--- a/tests/targets/test_endless_answers.py
+++ b/tests/targets/test_endless_answers.py
@@ -1,21 +1,21 @@
-"""Engines that send bytes without end.
+"""Engines whose answers do not end.
 
-An agent that keeps them all runs out of memory, and ends the requests of
-others with it.
+An agent that holds such an answer whole runs out of memory, and the requests
+of other callers end with it.
 """
 
 import pytest
-import trio
 
 from magnoliacove.targets import EngineError
 from magnoliacove.targets import HttpEngine
 from tests.gateway import stubs
 
 _MB = 1024 * 1024
-# What an engine sends where nobody stops it, and what may be taken of it, with
-# what the sockets of both ends hold.
+# Bytes that an engine sends unless its caller closes the connection.
 _ALL = 128 * _MB
-_MAX_TAKEN = 96 * _MB
+# Bytes that it may send before that: those that the agent holds, and those in
+# the socket buffers.
+_MAX_SENT = 96 * _MB
 
 
 @pytest.mark.parametrize(
@@ -34,7 +34,7 @@
 async def test_an_agent_does_not_keep_an_engines_answer_without_end(
     head, part
 ):
-    """Guards against an agent that reads on until it is killed."""
+    """Guards against an agent that runs out of memory."""
     sent = 0
 
     async def script(_, stream):
@@ -45,10 +45,7 @@
             sent += len(part)
         await stream.aclose()
 
-    async with trio.open_nursery() as nursery:
-        stub = stubs.StubTarget(script)
-        await nursery.start(stub.listen)
+    async with stubs.open_target(script) as url:
         with pytest.raises(EngineError):
-            await HttpEngine(f"http://{stub.address}").read_load()
-        assert sent < _MAX_TAKEN
-        nursery.cancel_scope.cancel()
+            await HttpEngine(url).read_load()
+        assert sent < _MAX_SENT
--- a/tests/test_answer_heads.py
+++ b/tests/test_answer_heads.py
@@ -1,11 +1,10 @@
-"""Targets in trouble send answers whose heads are none.
+"""Faulty targets send answers with heads that are not valid.
 
-A caller would get them as answers, with a line that its own parser refuses or
-with a body that is not the target's.
+A caller would receive them as answers, with a line that its own parser rejects
+or with a body that is not the target's.
 """
 
 import pytest
-import trio
 
 from magnoliacove import answer_heads
 from magnoliacove import errors
@@ -18,7 +17,7 @@
 
 @_each_head
 async def test_a_gateway_forwards_no_broken_head(head):
-    """Guards against bytes that are no answer and reach a caller as one."""
+    """Guards against an invalid answer that is forwarded to a caller."""
     script = stubs.answer_with(broken_heads.HEADS[head])
     async with stubs.open_harness() as harness:
         await harness.add("d-1", script)
@@ -42,16 +41,13 @@
 @_each_head
 async def test_an_agent_forwards_no_broken_head(head):
     """Guards against the same at our own interface."""
-    async with trio.open_nursery() as nursery:
-        script = stubs.answer_with(broken_heads.HEADS[head])
-        stub = stubs.StubTarget(script)
-        await nursery.start(stub.listen)
-        target = HttpPlainTarget(f"http://{stub.address}")
+    script = stubs.answer_with(broken_heads.HEADS[head])
+    async with stubs.open_target(script) as url:
+        target = HttpPlainTarget(url)
         with pytest.raises(errors.RequestError) as caught:
             async with target.call("POST", "/", [], b"", 1.0) as answer:
-                pytest.fail(f"it is taken for an answer: {answer}")
+                pytest.fail(f"the head was accepted: {answer}")
         assert caught.value.outcome is errors.Outcome.MAY_HAVE_RUN
-        nursery.cancel_scope.cancel()
 
 
 @pytest.mark.parametrize("status", [200, 418, 599])
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -93,7 +93,7 @@
 @_each_odd_value
 @pytest.mark.parametrize("kind", _DECODERS)
 async def test_an_odd_value_is_refused_or_read(kind, odd, autojump_clock):
-    """Guards against decoders that fail as nobody who calls them expects."""
+    """Guards against decoders that raise an undocumented error."""
     decode, values = _DECODERS[kind]
     for data in odd_values.list_variants(values, odd_values.VALUES[odd]):
         with contextlib.suppress(errors.ProtocolError, orjson.JSONDecodeError):
@@ -144,13 +144,10 @@
         head = stubs.OK.replace(b"200", status)
         await stream.send_all(stubs.make_answer(current[0], head))
 
-    async with trio.open_nursery() as nursery:
-        stub = stubs.StubTarget(script)
-        await nursery.start(stub.listen)
+    async with stubs.open_target(script) as url:
         for answer in answers:
             current[0] = answer
-            await _call_engine(f"http://{stub.address}")
-        nursery.cancel_scope.cancel()
+            await _call_engine(url)
 
 
 async def test_a_long_keep_alive_time_ends_no_request():
--- a/tests/test_http_pools.py
+++ b/tests/test_http_pools.py
@@ -1,14 +1,11 @@
 """Targets and the store break off answers to long requests.
 
-httpcore reads on when a request cannot be sent, and an answer without a length
-seems to end in order then: a part is passed on as whole, and an order that was
-only begun counts as done.
+When a request cannot be sent, httpcore reads on, and an end of file ends an
+answer without a length: a part of it is forwarded as the whole answer, and an
+order that has only begun counts as done.
 """
 
-import contextlib
-
 import pytest
-import trio
 
 from magnoliacove import errors
 from magnoliacove.platform.client import HttpObjectApi
@@ -25,19 +22,14 @@
 _each_break = pytest.mark.parametrize("end", broken_ends.BREAKS)
 
 
-@contextlib.asynccontextmanager
-async def _open_stub(data, end, *, early=True):
-    """Provide the URL of a stand-in that answers before it has read all."""
+def _open_stub(data, end, *, early=True):
+    """Provide the URL of a stub that answers before it has read all."""
 
     async def script(_, stream):
         await stream.send_all(data)
         await end(stream)
 
-    async with trio.open_nursery() as nursery:
-        stub = stubs.StubTarget(script, early=early)
-        await nursery.start(stub.listen)
-        yield f"http://{stub.address}"
-        nursery.cancel_scope.cancel()
+    return stubs.open_target(script, early=early)
 
 
 async def _call(url):
