--- a/magnoliacove/gateway/caller_listeners.py
+++ b/magnoliacove/gateway/caller_listeners.py
@@ -16,7 +16,7 @@
 from magnoliacove.gateway.draining import Drain
 from magnoliacove.gateway.state import GatewayState
 from magnoliacove.limits.caller_memory import CallerMemory
-from magnoliacove.limits.caller_memory import divide_limits
+from magnoliacove.limits.memory_limits import divide_limits
 from magnoliacove.platform.settings import NodeSettings
 from magnoliacove.sockets import bind_socket
 from magnoliacove.timeline import Recorder
--- a/magnoliacove/limits/caller_memory.py
+++ b/magnoliacove/limits/caller_memory.py
@@ -16,7 +16,6 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
-from dataclasses import dataclass
 import enum
 import math
 import types
@@ -25,6 +24,8 @@
 
 from magnoliacove import defaults
 from magnoliacove import errors
+from magnoliacove.limits.memory_limits import MemoryLimits
+from magnoliacove.limits.memory_limits import divide_limits
 
 __all__ = [
     "ACTIVE_CONNECTION_BYTES",
@@ -34,9 +35,7 @@
     "CallerMemory",
     "Content",
     "EvictableBlock",
-    "MemoryLimits",
     "Use",
-    "divide_limits",
     "hold_part",
     "make_caller_memory",
     "make_no_memory",
@@ -44,27 +43,6 @@
 ]
 
 _MB = 1024 * 1024
-# Bytes of a process without callers, with room for the state of a large
-# fleet; and the share that callers get of the rest.  What is left is for what
-# is freed and not reused at once.
-_PROCESS_BYTES = 96 * _MB
-_CALLERS_SHARE = 0.8
-# Share of a small process's memory that callers get in any case.
-_MIN_CALLERS_SHARE = 0.25
-# Descriptors for files, as the platform reserves them, and share of the others
-# for callers' connections: each request also needs one to a target.
-_FILE_DESCRIPTORS = 200
-_MIN_SOCKETS_SHARE = 0.5
-_CALLERS_SOCKETS_SHARE = 0.5
-# Bytes and connections for the balancer's probes, which must not wait for
-# callers.
-_PROBES_BYTES = 4 * _MB
-_PROBE_CONNECTIONS = 32
-# Share of the memory for received bytes that wait in the kernel, and bounds of
-# these bytes for one connection.
-_UNREAD_SHARE = 0.1
-_MIN_RECEIVE_BUFFER = 8 * 1024
-_MAX_RECEIVE_BUFFER = 64 * 1024
 # Bytes that an idle connection holds: its task, parser and socket.
 IDLE_CONNECTION_BYTES = 16 * 1024
 # Bytes of one that is used: also a head or a short body, requests that follow,
@@ -125,52 +103,6 @@
 _ORDER_FOR_MESSAGES = (Use.CLOSING, *_STALE_USES, Use.IDLE)
 
 
-@dataclass(frozen=True)
-class MemoryLimits:
-    """Limits of what is held for callers.
-
-    :param memory: in bytes.
-    :param connections: number of open connections.
-    :param receive_buffer: bytes that wait in the kernel for each of them.
-    """
-
-    memory: int = 32 * _MB
-    connections: int = 1000
-    receive_buffer: int = _MAX_RECEIVE_BUFFER
-
-
-def divide_limits(
-    memory: int, descriptors: int
-) -> tuple[MemoryLimits, MemoryLimits]:
-    """Return the limits for callers and for the balancer's probes.
-
-    :param memory: bytes that the process may use.
-    :param descriptors: descriptors that it may have open.
-    """
-    share = int(
-        max(
-            (memory - _PROCESS_BYTES) * _CALLERS_SHARE,
-            memory * _MIN_CALLERS_SHARE,
-        )
-    )
-    sockets = max(
-        descriptors - _FILE_DESCRIPTORS, descriptors * _MIN_SOCKETS_SHARE
-    )
-    connections = int(sockets * _CALLERS_SOCKETS_SHARE)
-    probes = MemoryLimits(
-        min(_PROBES_BYTES, share // 8),
-        min(_PROBE_CONNECTIONS, connections // 8 + 1),
-    )
-    connections = max(1, connections - probes.connections)
-    buffer = int(memory * _UNREAD_SHARE) // connections
-    callers = MemoryLimits(
-        share - probes.memory,
-        connections,
-        min(max(buffer, _MIN_RECEIVE_BUFFER), _MAX_RECEIVE_BUFFER),
-    )
-    return callers, probes
-
-
 def make_caller_memory(
     memory_mb: int = defaults.PROCESS_MEMORY_MB,
 ) -> "CallerMemory":
--- a/magnoliacove/targets/engine.py
+++ b/magnoliacove/targets/engine.py
@@ -20,7 +20,7 @@
 from magnoliacove.limits.answer_memory import AnswerMemory
 from magnoliacove.limits.answer_memory import AnswerTooLongError
 from magnoliacove.limits.caller_memory import CallerMemory
-from magnoliacove.limits.caller_memory import MemoryLimits
+from magnoliacove.limits.memory_limits import MemoryLimits
 
 __all__ = [
     "Engine",
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -10,7 +10,7 @@
 from magnoliacove.entry.exchange import Exchange
 from magnoliacove.limits.caller_memory import CallerMemory
 from magnoliacove.limits.caller_memory import Content
-from magnoliacove.limits.caller_memory import MemoryLimits
+from magnoliacove.limits.memory_limits import MemoryLimits
 
 _MB = 1024 * 1024
 
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -19,7 +19,7 @@
 from magnoliacove.limits.answer_memory import AnswerMemory
 from magnoliacove.limits.answer_memory import AnswerTooLongError
 from magnoliacove.limits.caller_memory import CallerMemory
-from magnoliacove.limits.caller_memory import MemoryLimits
+from magnoliacove.limits.memory_limits import MemoryLimits
 from magnoliacove.platform.client import HttpObjectApi
 from magnoliacove.routing.paths import Path
 from magnoliacove.routing.paths import PathStage
--- a/tests/gateway/test_misbehaving_callers.py
+++ b/tests/gateway/test_misbehaving_callers.py
@@ -8,7 +8,7 @@
 from magnoliacove.limits.caller_memory import Allocation
 from magnoliacove.limits.caller_memory import CallerMemory
 from magnoliacove.limits.caller_memory import Content
-from magnoliacove.limits.caller_memory import MemoryLimits
+from magnoliacove.limits.memory_limits import MemoryLimits
 from tests.gateway import stubs
 
 _MB = 1024 * 1024
--- a/tests/limits/test_caller_memory.py
+++ b/tests/limits/test_caller_memory.py
@@ -9,9 +9,9 @@
 from magnoliacove.limits.caller_memory import ACTIVE_CONNECTION_BYTES
 from magnoliacove.limits.caller_memory import CallerMemory
 from magnoliacove.limits.caller_memory import Content
-from magnoliacove.limits.caller_memory import MemoryLimits
 from magnoliacove.limits.caller_memory import Use
-from magnoliacove.limits.caller_memory import divide_limits
+from magnoliacove.limits.memory_limits import MemoryLimits
+from magnoliacove.limits.memory_limits import divide_limits
 
 _MB = 1024 * 1024
 
