Let the stand-in fleet give each change an id of its own

What was seen: test_targets_are_removed failed in a run of the tests ('deadline' in place of 'no_stage').

Cause: the fleet made a new clock for each change and named the change by its first reading, which is the millisecond. Two changes in one millisecond had the same id; the second one counted as a repetition and was not written, so the second target was never removed.

Change: one clock for all changes, whose readings differ.

--- a/magnoliacove/standins/fleet.py
+++ b/magnoliacove/standins/fleet.py
@@ -95,6 +95,8 @@
     seeds: tuple[wire.Address, ...] = ()
     clock_offsets: dict[str, float] = field(default_factory=dict)
     chooser: Callable[[], routing.ChainChooser] = routing.ExpectedDelay
+    # One for all changes, as their ids are its readings.
+    operators_clock: timeline.Clock = field(default_factory=timeline.Clock)
 
     def read_time(self) -> float:
         """Return the time of a fleet in memory, in seconds since the epoch."""
@@ -144,9 +146,9 @@
         """Commit a change as an operator does, and return its version."""
         journal = configuration.Journal(self.store)
         document = await journal.load()
-        clock = timeline.Clock()
+        read_clock = self.operators_clock.now
         result = await journal.commit(
-            document, f"change-{clock.now()}", "test", clock.now, operations
+            document, f"change-{read_clock()}", "test", read_clock, operations
         )
         return result.unwrap().version
 
