--- a/tests/test_http_pools.py
+++ b/tests/test_http_pools.py
@@ -5,6 +5,7 @@
 order that has only begun counts as done.
 """
 
+import httpcore
 import pytest
 
 from magnoliacove import errors
@@ -85,3 +86,14 @@
             with pytest.raises(errors.PlatformError) as caught:
                 await HttpObjectApi(url).put("kind/n", _LONG)
             assert caught.value.outcome is errors.Outcome.MAY_HAVE_RUN
+
+
+async def test_a_target_behind_tls_is_called(monkeypatch):
+    """Guards against connections that cannot be encrypted."""
+    answer = stubs.make_answer(b"whole")
+
+    async def connect(*_, **options):
+        return httpcore.AsyncMockStream([answer])
+
+    monkeypatch.setattr(httpcore.TrioBackend, "connect_tcp", connect)
+    assert await _call("https://target:1") == b"whole"
