--- a/magnoliacove/connection_ends.py
+++ b/magnoliacove/connection_ends.py
@@ -1,8 +1,8 @@
-"""How a connection over TCP ended: in order, or broken off.
+"""How a TCP connection ended: closed in order by the peer, or reset.
 
-An answer without a length ends with its connection.  The kernel reports that
-a connection broke only once, to whichever call comes next; if that is a
-write, the next read returns a plain end, as if the peer had closed in order.
+An answer without a length ends with its connection.  The kernel reports a
+reset only once, to whichever call comes next.  If that is a write, the next
+read returns an end of file, as if the peer had closed in order.
 """
 
 import errno
@@ -24,11 +24,12 @@
 
 
 async def ended_in_order(connection: trio.socket.SocketType) -> bool:
-    """Return whether a peer that sent its end has closed in order.
+    """Return whether a connection has ended without a reset.
 
-    Bytes that the peer has not acknowledged may still be answered with a
-    reset, as when it closed or its process was lost before it read them.  So
-    this waits until the peer has them all, or the connection is broken.
+    It is called after an end of file.  The peer may still answer bytes that
+    it has not acknowledged with a reset, as when its process ended before it
+    read them.  So this waits until all are acknowledged, or the connection
+    is reset.
     """
     while _count_unacknowledged(connection):
         if not _is_connected(connection):
@@ -40,9 +41,9 @@
 def reset_on_close(
     connection: trio.socket.SocketType, *, enabled: bool
 ) -> None:
-    """Choose whether the end of a connection looks broken off to its peer.
+    """Choose whether closing a connection resets it.
 
-    It applies to each end, also to that of this process.
+    The kernel does the same with the connections of a process that ends.
     """
     connection.setsockopt(
         socket.SOL_SOCKET,
