--- a/review/stand_ins_2/gateways.py
+++ b/review/stand_ins_2/gateways.py
@@ -145,6 +145,12 @@
         }
         self._settings.write_text(json.dumps(settings), encoding="utf-8")
 
+    def reload(self, store: Store) -> None:
+        """Change the settings file, and tell the process so."""
+        self.store_address = f"{store.host}:{store.port}"
+        self._write_settings()
+        self.signal(signal.SIGHUP)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         if self._process is not None and self._process.poll() is None:
--- a/review/stand_ins_2/store.py
+++ b/review/stand_ins_2/store.py
@@ -31,12 +31,22 @@
         self._events: list[tuple[int, str, bool, dict[str, Any]]] = []
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, self.host, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    async def move(self) -> None:
+        """Listen on another port, and on the present one no more."""
+        server, writers = self._server, tuple(self._writers)
+        await self.start()
+        if server is not None:
+            server.close()
+        for writer in writers:
+            writer.transport.abort()
+
     # What the operator and the targets do.
 
     def put(self, kind: str, name: str, spec: Any) -> None:
@@ -79,6 +89,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         with contextlib.suppress(OSError, asyncio.CancelledError):
             while (request := await read_message(reader)) is not None:
                 await asyncio.sleep(_DELAY)
@@ -91,6 +102,7 @@
                 writer.write(write_head(f"HTTP/1.1 {status} X", headers))
                 writer.write(body)
                 await writer.drain()
+        self._writers.discard(writer)
         writer.close()
 
     async def _answer(self, request: Message) -> tuple[int, Any]:
