Show followers that learn of a version too late

Case 7, CONFIG: all open channels to the store go silent; over contact_ms later the leading gateway is killed right after the ack of a version. The others run requests by the old service up to 0.25 s after config_apply_ms.

--- a/review/stand_ins_2/gateways.py
+++ b/review/stand_ins_2/gateways.py
@@ -85,6 +85,7 @@
         self.host = hosts[number]
         self.callers_port = _CALLERS_PORT
         self.first_start = True
+        # Read at each start, so that a case may put a proxy in front.
         self.store_address = f"{store.host}:{store.port}"
         self._hosts = hosts
         self._record = record
@@ -190,6 +191,12 @@
         writer.close()
         return answer is not None and answer.status == 200
 
+    async def call_get(self, path: str, name: str) -> float:
+        """Send one GET request; return when it was sent."""
+        sent_at = self._record.now()
+        await self.call("GET", path, name)
+        return sent_at
+
     async def call(
         self,
         method: str,
--- a/review/stand_ins_2/store.py
+++ b/review/stand_ins_2/store.py
@@ -70,6 +70,11 @@
         self._objects[kind][name] = item
         self._note(kind, False, item)
 
+    def read(self, kind: str, name: str) -> Any:
+        """Return what an object holds, None if there is none."""
+        item = self._objects.get(kind, {}).get(name)
+        return item["spec"] if item is not None else None
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         item = self._objects.get(kind, {}).pop(name, None)
@@ -131,21 +136,18 @@
         if name not in items:
             return 404, {"error": "none"}
         wanted = data["metadata"].get("revision")
-        if wanted is not None and wanted != self._read(items[name]):
+        if wanted is not None and wanted != _read_revision(items[name]):
             return 409, items[name]
         self.put(kind, name, data["spec"])
         return 200, items[name]
 
-    def _read(self, item: dict[str, Any]) -> int:
-        return int(item["metadata"]["revision"])
-
     def _delete(
         self, kind: str, name: str, wanted: str | None
     ) -> tuple[int, Any]:
         item = self._objects[kind].get(name)
         if item is None:
             return 404, {"error": "none"}
-        if wanted is not None and int(wanted) != self._read(item):
+        if wanted is not None and int(wanted) != _read_revision(item):
             return 409, item
         self.remove(kind, name)
         return 200, {}
@@ -175,3 +177,7 @@
                 return 200, {"events": events, "as_of": self.revision}
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), left)
+
+
+def _read_revision(item: dict[str, Any]) -> int:
+    return int(item["metadata"]["revision"])
