--- a/review/stand_ins_2/targets.py
+++ b/review/stand_ins_2/targets.py
@@ -53,6 +53,7 @@
         self.fields = fields or {}
         self.state = "ready"
         self.ended = False
+        self._withdrawn = False
         self.runs: list[tuple[float, str]] = []
         self.arrivals: list[tuple[float, str]] = []
         self._born = int(read_clock() * 1000)
@@ -82,7 +83,9 @@
             self.register()
 
     def register(self) -> None:
-        """Write the entry."""
+        """Write the entry, unless it is withdrawn for good."""
+        if self._withdrawn:
+            return
         self._store.put("servers", self.name, self.describe())
 
     def describe(self) -> dict[str, Any]:
@@ -108,6 +111,7 @@
 
     def remove_entry(self) -> float:
         """Remove the entry; return the time of the store's ack."""
+        self._withdrawn = True
         self._store.remove("servers", self.name)
         return self._record.write(f"the entry of {self.name} is removed")
 
