--- a/review/stand_ins_2/engines.py
+++ b/review/stand_ins_2/engines.py
@@ -126,7 +126,7 @@
             return
         expected = request.headers.get("x-target-instance")
         order = json.loads(request.body)
-        self._record.write(
+        self.record.write(
             f"engine {self.name} is ordered {order}, for instance {expected}"
         )
         if expected not in (None, self.name):
@@ -149,7 +149,7 @@
         self._sequence += 1
         if (wanted[1] - wanted[0]) * self._layer_mb > self.memory_mb:
             self.overloads.append(wanted)
-            self._record.write(
+            self.record.write(
                 f"engine {self.name} has {self.memory_mb:.0f} MB and is "
                 f"ordered to hold layers {wanted[0]} to {wanted[1]} of "
                 f"{self._layer_mb:.0f} MB each"
@@ -174,7 +174,7 @@
         self, request: Message, name: str, writer: asyncio.StreamWriter
     ) -> None:
         """Stream the events of one request."""
-        self.runs.append((self._record.now(), name))
+        self.runs.append((self.record.now(), name))
         head = {
             "X-Response-Stamp": f"{self.name}.s",
             "X-Request-Id": name,
@@ -190,4 +190,4 @@
             await writer.drain()
         writer.write(b"0\r\n\r\n")
         await writer.drain()
-        self._record.write(f"engine {self.name} has streamed {name}")
+        self.record.write(f"engine {self.name} has streamed {name}")
--- a/review/stand_ins_2/targets.py
+++ b/review/stand_ins_2/targets.py
@@ -58,7 +58,7 @@
         self.arrivals: list[tuple[float, str]] = []
         self._born = int(read_clock() * 1000)
         self._store = store
-        self._record = record
+        self.record = record
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -75,7 +75,7 @@
         self._server = await asyncio.start_server(
             self._serve, self.host, self.port, reuse_address=True
         )
-        self._record.write(
+        self.record.write(
             f"target {self.name} starts at port {self.port}, born {self._born}"
         )
         await asyncio.sleep(lag)
@@ -107,17 +107,17 @@
         """Report that it leaves; return the time of the store's ack."""
         self.state = "draining"
         self.register()
-        return self._record.write(f"target {self.name} is draining, acked")
+        return self.record.write(f"target {self.name} is draining, acked")
 
     def remove_entry(self) -> float:
         """Remove the entry; return the time of the store's ack."""
         self._withdrawn = True
         self._store.remove("servers", self.name)
-        return self._record.write(f"the entry of {self.name} is removed")
+        return self.record.write(f"the entry of {self.name} is removed")
 
     def end(self, why: str) -> None:
         """End as a killed process does: its connections break."""
-        self._record.write(f"target {self.name} ends: {why}")
+        self.record.write(f"target {self.name} ends: {why}")
         self.ended = True
         if self._server is not None:
             self._server.close()
@@ -159,7 +159,7 @@
             await self.send(writer, 409, {}, b"{}")
             return
         name = request.headers.get("x-request-id", "")
-        now = self._record.write(f"target {self.name} receives {name}")
+        now = self.record.write(f"target {self.name} receives {name}")
         self.arrivals.append((now, name))
         if request.headers.get("x-target-instance") != self.name:
             await self.send(writer, 421, {"X-Instance-Id": self.name}, b"")
@@ -170,11 +170,11 @@
         self, request: Message, name: str, writer: asyncio.StreamWriter
     ) -> None:
         """Run one request and answer it."""
-        self.runs.append((self._record.now(), name))
+        self.runs.append((self.record.now(), name))
         await asyncio.sleep(self.seconds)
         headers = {"X-Response-Stamp": f"{self.name}.s", "X-Request-Id": name}
         await self.send(writer, 200, headers, f"answer {name}".encode())
-        self._record.write(f"target {self.name} has answered {name}")
+        self.record.write(f"target {self.name} has answered {name}")
 
     def report(self) -> dict[str, Any]:
         """Return what an engine reports of itself."""
