--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,103 +1,133 @@
-"""A target is restarted under its id after its clock went back, and leaves.
+"""An engine fails requests that it has run, and answers them with 503.
 
-The clock of one machine is ahead and is set right.  The target there crashes
-soon after its start and starts again under the id that it had, so `born` is
-earlier than before.  Later it leaves as planned.  No request may reach it
-later than `drain_ms` after the store accepted that it is draining.
+The route's streams may not be resumed, so they are non-idempotent.  One
+engine begins to run each request and then answers some of them with a 503
+that lacks `X-Not-Executed`.  A caller that gets 503, 429, 408 or 421 for such
+a request takes it as a promise that it has not run, and sends it once more.
 """
 
 import asyncio
-import itertools
-import time
+import random
 
 from stand_ins_2.configs import make_config
 from stand_ins_2.configs import make_route
+from stand_ins_2.engines import ModelEngine
+from stand_ins_2.engines import make_model_service
 from stand_ins_2.gateways import Gateway
+from stand_ins_2.messages import Message
+from stand_ins_2.messages import write_head
 from stand_ins_2.runner import Deployment
 from stand_ins_2.runner import UnfitError
 from stand_ins_2.runner import run_case
-from stand_ins_2.targets import Target
 
-# Seconds by which the clock is ahead before it is set right.
-_STEP = 2.0
-# Seconds from the first start to the crash, and from it to the second start.
-_UPTIME = 0.7
-_DOWNTIME = 0.4
-# Seconds for which the gateways must be without impairment to be in touch.
-_CONTACT = 3.0
-# Seconds within which a target that leaves must be known to leave.
-_DRAIN = 2.0
-# Seconds for which it serves longer than that.
-_EXTRA = 1.5
-_WORK = 0.3
-_CALLERS = 3
+_LAYERS = 16
+_KIND, _MEMORY_MB = "h100", 72_000
+# The statuses that promise that a request has not run.
+_PROMISES = (408, 421, 429, 503)
+# Share of the requests that the faulty engine fails.
+_FAILED_SHARE = 0.4
+_ENGINES = 7
+_WARM_UP = 6
+_REQUESTS = 60
+_HEADERS = {
+    "X-Model": "m",
+    "X-Token-Usage": "760,170",
+    "X-Prefix-Hash": "a1:40,b2:720",
+}
 
 
-async def _press(
-    gateway: Gateway, caller: int, stop: asyncio.Event, failed: list[str]
-) -> None:
-    """Send non-idempotent requests one after the other."""
-    for count in itertools.count(1):
-        if stop.is_set():
+class _GreyEngine(ModelEngine):
+    """An engine whose health is good and which fails some requests.
+
+    :param failing: whether it does.
+    """
+
+    failing = False
+    rng = random.Random(66)
+
+    async def run_request(
+        self, request: Message, name: str, writer: asyncio.StreamWriter
+    ) -> None:
+        """Run a request, and fail some when they have begun."""
+        if not self.failing or self.rng.random() >= _FAILED_SHARE:
+            await super().run_request(request, name, writer)
             return
-        name = f"{gateway.name}-{caller}-{count}"
-        answer = await gateway.call("POST", "/bid/x", name, body=b"bid")
-        if answer is None or answer.status != 200:
-            failed.append(name)
-        await asyncio.sleep(0.02)
+        now = self.record.write(f"engine {self.name} runs {name} and fails it")
+        self.runs.append((now, name))
+        await asyncio.sleep(0.1)
+        head = {
+            "X-Response-Stamp": f"{self.name}.s",
+            "X-Request-Id": name,
+            "Content-Length": "5",
+        }
+        writer.write(write_head("HTTP/1.1 503 X", head) + b"error")
+        await writer.drain()
+
+
+async def _call(gateways: list[Gateway], number: int) -> list[str]:
+    """Send a request, and once more after a promise; return the refused."""
+    refused = []
+    for attempt in range(2):
+        name = f"note-{number}-{attempt}"
+        gateway = gateways[(number + attempt) % len(gateways)]
+        answer = await gateway.call(
+            "POST",
+            "/note/x",
+            name,
+            deadline_ms=8000,
+            headers=_HEADERS,
+            body=f"note {number}".encode(),
+        )
+        if answer is None or answer.status not in _PROMISES:
+            break
+        refused.append(name)
+        await asyncio.sleep(float(answer.headers.get("retry-after", "0.1")))
+    return refused
 
 
 async def _play(deployment: Deployment) -> list[str]:
     store, record = deployment.store, deployment.record
-    route = make_route("bid", "/bid/", "non_idempotent", "desk")
-    store.put("config", "main", make_config(7, [route]))
-    for name in ("i-1", "i-2"):
-        await Target(name, "desk", store, record, seconds=2 * _WORK).start()
-    await deployment.start_gateways()
-    ahead = _STEP if deployment.trouble else 0.0
-    first = Target(
-        "i-3",
-        "desk",
-        store,
-        record,
-        seconds=_WORK,
-        read_clock=lambda: time.time() + ahead,
-    )
-    await first.start()
-    await asyncio.sleep(_UPTIME)
-    if deployment.trouble:
-        record.write(f"the clock of i-3 goes back by {_STEP} s")
-    first.end("it crashes")
-    await asyncio.sleep(_DOWNTIME)
-    second = Target(
-        "i-3", "desk", store, record, port=first.port, seconds=_WORK
+    route = make_route(
+        "note",
+        "/note/",
+        "streaming",
+        "small",
+        timeout_ms=8000,
+        resumable=False,
     )
-    await second.start()
-    await asyncio.sleep(_CONTACT + 0.5)
-    stop, failed = asyncio.Event(), list[str]()
-    callers = [
-        asyncio.create_task(_press(gateway, caller, stop, failed))
-        for gateway in deployment.gateways
-        for caller in range(_CALLERS)
+    service = make_model_service("small", _LAYERS, {_KIND: _MEMORY_MB})
+    store.put("config", "main", make_config(7, [route], [service]))
+    engines = [
+        _GreyEngine(
+            f"i-{number}",
+            "small",
+            store,
+            record,
+            kind=_KIND,
+            memory_mb=_MEMORY_MB,
+        )
+        for number in range(_ENGINES)
     ]
-    await asyncio.sleep(3.0)
-    if not second.runs:
-        raise UnfitError("i-3 got no request before it left")
-    acked = second.drain()
-    await asyncio.sleep(_DRAIN + _EXTRA)
-    second.end("it has left")
-    second.remove_entry()
-    await asyncio.sleep(1.5)
-    stop.set()
-    await asyncio.gather(*callers)
-    late = [name for at, name in second.arrivals if at > acked + _DRAIN]
-    record.write(
-        f"{len(late)} requests reached i-3 over {_DRAIN} s after the ack; "
-        f"{len(failed)} requests had no success: {failed}"
-    )
+    for engine in engines:
+        await engine.start()
+    await deployment.start_gateways()
+    await asyncio.sleep(6.0)
+    for number in range(-_WARM_UP, 0):
+        if await _call(deployment.gateways, number):
+            raise UnfitError("a request was refused before the fault")
+    # The engine that is used most; nothing else is chosen for it.
+    grey = max(engines, key=lambda engine: len(engine.runs))
+    grey.failing = deployment.trouble
+    refused: list[str] = []
+    for number in range(_REQUESTS):
+        refused += await _call(deployment.gateways, number)
+    await asyncio.sleep(1.0)
+    ran = {name for engine in engines for _, name in engine.runs}
+    record.write(f"{len(refused)} attempts were refused: {refused}")
     return [
-        f"DRAIN: {name} reached i-3 over {_DRAIN} s after the ack"
-        for name in late
+        f"REFUSED: {name} was refused as not run, and an engine ran it"
+        for name in refused
+        if name in ran
     ]
 
 
