--- a/review/stand_ins_2/runner.py
+++ b/review/stand_ins_2/runner.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import traceback
@@ -60,7 +61,7 @@
     record.write(f"the disruption takes place: {trouble}")
     try:
         breaches = asyncio.run(_run(record, trouble, gateways, play))
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         record.write(f"the case could not be run: {traceback.format_exc()}")
         status = _NOT_RUN
     else:
@@ -75,6 +76,11 @@
 async def _run(
     record: Record, trouble: bool, count: int, play: Play
 ) -> list[str]:
+    task = asyncio.current_task()
+    if task is not None:
+        # Whoever ends the script early must not leave gateways behind.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
     store = Store()
     await store.start()
     hosts = choose_hosts(count)
