Tell callers of a failed stream nothing that its engine did not say

Callers saw a 503 for a stream that may not be resumed and that its engine had run and failed with this status. 503, like 408, 421 and 429, is a promise that the request has not run, so they sent it again and the work was done twice (REFUSED).

Cause: a stream's last answer was forwarded if it carried a stamp, whatever its status. Calls had the check, streams did not; each decided by itself.

Ruled out: 421 and a true refusal, which a header proves, are still answered as not run; refusals before or after a run were held for calls.

Change: `gateway/target_answers.py` decides for calls and streams. An answer is forwarded if it has the stamp and its status promises nothing; else callers get 502 without the stamp. It is enough since both end there and nowhere else is a target's status sent to a caller. The line of an answered stream has its status now, which was missing.

--- a/magnoliacove/errors.py
+++ b/magnoliacove/errors.py
@@ -11,6 +11,7 @@
     "ConflictError",
     "EndedBy",
     "Error",
+    "NOT_RUN_STATUSES",
     "NotFoundError",
     "Outcome",
     "PeerError",
@@ -22,6 +23,11 @@
 ]
 
 
+# Callers take these to mean that the request did not run and never will, and
+# send it again, also one that may run only once.
+NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
+
+
 class Outcome(enum.StrEnum):
     """Whether a request took effect on its target, as far as is known."""
 
--- a/magnoliacove/gateway/callers.py
+++ b/magnoliacove/gateway/callers.py
@@ -66,6 +66,7 @@
     :param reset_on_close: chooses whether the connection is reset when it
         closes.
     :param started: whether the answer has been started.
+    :param status: the status of the answer, 0 before it has been started.
     :param ended: whether the whole answer has been sent.
     :param caller_left: whether the caller closed the connection, or stopped
         reading, before that.
@@ -86,6 +87,7 @@
         self.request = request
         self.late = late
         self.started = False
+        self.status = 0
         self.ended = False
         self.caller_left = False
         self._parser = parser
@@ -157,6 +159,7 @@
             raise CallerLeftError from exc
 
     def _write_head(self, status: int, headers: Headers) -> bytes:
+        self.status = status
         extra = [(b"connection", b"close")] if self._must_close() else []
         response = h11.Response(
             status_code=status,
--- a/magnoliacove/gateway/calls.py
+++ b/magnoliacove/gateway/calls.py
@@ -2,15 +2,12 @@
 
 import contextlib
 from dataclasses import dataclass
-from dataclasses import field
 
 import trio
 
 from magnoliacove import errors
-from magnoliacove.bodies import Body
 from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.gateway.callers import Exchange
-from magnoliacove.gateway.channels import Answer
 from magnoliacove.gateway.channels import Channel
 from magnoliacove.gateway.channels import TargetError
 from magnoliacove.gateway.crashes import CrashWatch
@@ -25,7 +22,9 @@
 from magnoliacove.gateway.requests import make_targets_limited
 from magnoliacove.gateway.requests import make_timeout
 from magnoliacove.gateway.state import GatewayState
-from magnoliacove.platform import headers
+from magnoliacove.gateway.target_answers import TargetAnswer
+from magnoliacove.gateway.target_answers import forward_answer
+from magnoliacove.gateway.target_answers import require_answer
 
 __all__ = ["PlainCall"]
 
@@ -42,8 +41,6 @@
 # of the latency objective.
 _HEDGE_FACTOR = 4.0
 _HEDGE_OBJECTIVE_FRACTION = 0.4
-# Statuses that callers take to mean that the request did not run.
-_NOT_RUN_STATUSES = (408, 421, 429, 503)
 # The lowest status of an answer that reports a failure.
 _FIRST_ERROR_STATUS = 400
 
@@ -53,9 +50,7 @@
     """The result of one attempt at a target: a whole answer or an error."""
 
     target: ListedTarget
-    answer: Answer | None = None
-    body: Body = field(default_factory=Body)
-    decoded: headers.AnswerHeaders | None = None
+    answer: TargetAnswer | None = None
     error: TargetError | None = None
 
     @property
@@ -63,15 +58,21 @@
         """Whether the target certainly did not run the request."""
         if self.error is not None:
             return self.error.outcome is errors.Outcome.NOT_RUN
-        return self.decoded is not None and self.decoded.not_run
+        return self.answer is not None and self.answer.decoded.not_run
 
     @property
     def final(self) -> bool:
         """Whether the answer is forwarded without trying another target."""
-        answer, decoded = self.answer, self.decoded
-        if answer is None or decoded is None or decoded.not_run:
+        answer = self.answer
+        if answer is None or answer.decoded.not_run:
             return False
-        return decoded.stamped and answer.status < 500
+        return answer.decoded.stamped and answer.status < 500
+
+    def describe(self) -> str:
+        """Return what the target did."""
+        if self.answer is not None:
+            return f"it answered {self.answer.status}"
+        return str(self.error)
 
 
 class PlainCall:
@@ -299,14 +300,10 @@
                 "the answer is not one of the service's targets",
                 errors.Outcome.MAY_HAVE_RUN,
             )
-        return _Result(target, answer, body, decoded)
+        return _Result(target, TargetAnswer(answer, decoded, body))
 
     def _record_failure(self, result: _Result) -> None:
-        state, why = self._state, ""
-        if result.error is not None:
-            why = str(result.error)
-        elif result.answer is not None:
-            why = f"it answered {result.answer.status}"
+        state, why = self._state, result.describe()
         state.recorder.record(
             "call-failed",
             request=self._routed.caller_headers.request,
@@ -327,25 +324,13 @@
         :raises magnoliacove.errors.RequestError: when the result is an error
             or an answer that must not be forwarded.
         """
-        answer, decoded = result.answer, result.decoded
-        if result.not_run and not self._ran:
-            raise errors.RequestError(
-                "refused",
-                "every target that was asked refused; the request did not run",
-                retry_after=REFUSED_RETRY,
-            )
-        unproven = answer is None or decoded is None or not decoded.stamped
-        # Callers would conclude that the request did not run, but it may have.
-        implies_not_run = (
-            answer is not None and answer.status in _NOT_RUN_STATUSES
+        answer = require_answer(
+            result.answer,
+            ran=bool(self._ran),
+            code="target_failed",
+            message=f"no target served the request; the last one, "
+            f"{result.target.name}: {result.describe()}",
         )
-        if answer is None or unproven or implies_not_run or result.not_run:
-            raise errors.RequestError(
-                "target_failed",
-                "the target gave no whole answer; the request may have run",
-                status=502,
-                outcome=errors.Outcome.MAY_HAVE_RUN,
-            )
         self._state.recorder.record(
             "request-answered",
             request=self._routed.caller_headers.request,
@@ -359,5 +344,4 @@
             seconds = trio.current_time() - self._routed.request.arrived
             attribution = self._crash_watch.attribution
             attribution.note_lasting(self._routed.parts, seconds)
-        copied = headers.copy_answer(answer.headers)
-        await self._exchange.answer(answer.status, copied, result.body)
+        await forward_answer(self._exchange, answer)
--- a/magnoliacove/gateway/delivery.py
+++ b/magnoliacove/gateway/delivery.py
@@ -14,6 +14,7 @@
 from magnoliacove.gateway.channels import Answer
 from magnoliacove.gateway.events import EventSplitter
 from magnoliacove.gateway.events import read_number
+from magnoliacove.gateway.target_answers import TargetAnswer
 from magnoliacove.platform import headers
 
 __all__ = ["BrokenRunError", "EventDelivery"]
@@ -33,8 +34,7 @@
         self,
         reason: str,
         ran: bool,
-        answer: Answer | None = None,
-        body: bytes = b"",
+        answer: TargetAnswer | None = None,
         *,
         left: bool = False,
     ) -> None:
@@ -42,7 +42,6 @@
         self.reason = reason
         self.ran = ran
         self.answer = answer
-        self.body = body
         self.left = left
 
 
--- a/magnoliacove/gateway/path_runs.py
+++ b/magnoliacove/gateway/path_runs.py
@@ -25,12 +25,15 @@
 from magnoliacove.gateway.path_reservations import ReservedPath
 from magnoliacove.gateway.requests import RoutedRequest
 from magnoliacove.gateway.state import GatewayState
+from magnoliacove.gateway.target_answers import TargetAnswer
 from magnoliacove.limits.saturation import is_nearly_full
 from magnoliacove.platform import headers
 
 __all__ = ["PathRun"]
 
 _UNAVAILABLE = 503
+# The lowest status of an answer that reports a failure.
+_FIRST_ERROR_STATUS = 400
 
 
 class PathRun:
@@ -169,10 +172,11 @@
                 False,
             )
         self._avoid_engine(self.first)
-        passed = answer if decoded.stamped and answer.status >= 400 else None
-        raise BrokenRunError(
-            f"the engine answered {answer.status}", True, passed, body
-        )
+        reason = f"the engine answered {answer.status}"
+        if answer.status < _FIRST_ERROR_STATUS or not decoded.stamped:
+            raise BrokenRunError(reason, True)
+        failure = TargetAnswer(answer, decoded, body)
+        raise BrokenRunError(reason, True, failure)
 
     def _avoid_engine(self, target: ListedTarget) -> None:
         """Avoid an engine for this stream, and for a while for new ones."""
--- a/magnoliacove/gateway/stream_failures.py
+++ b/magnoliacove/gateway/stream_failures.py
@@ -4,14 +4,13 @@
 
 import trio
 
-from magnoliacove import errors
 from magnoliacove.gateway.callers import Exchange
 from magnoliacove.gateway.delivery import BrokenRunError
-from magnoliacove.gateway.requests import REFUSED_RETRY
 from magnoliacove.gateway.requests import make_may_have_run
 from magnoliacove.gateway.requests import make_quarantined
+from magnoliacove.gateway.target_answers import forward_answer
+from magnoliacove.gateway.target_answers import require_answer
 from magnoliacove.limits.quarantine import Quarantine
-from magnoliacove.platform import headers
 
 __all__ = ["answer_failure", "check_quarantines"]
 
@@ -41,16 +40,15 @@
 
     :param runs: the number of runs that failed.
     :raises magnoliacove.errors.RequestError: when there is no answer of an
-        engine, or the answer to the caller has already started.
+        engine that may be forwarded, or the answer to the caller has already
+        started.
     """
-    answer = failure.answer
-    if answer is not None and not exchange.started:
-        copied = headers.copy_answer(answer.headers)
-        await exchange.answer(answer.status, copied, failure.body)
-        return
-    message = (
-        f"no path of engines brought the stream to its end: {failure.reason}"
+    answer = require_answer(
+        # An answer that has begun can only be cut.
+        None if exchange.started else failure.answer,
+        ran=runs > 0,
+        code="stream_failed",
+        message="no path of engines brought the stream to its end: "
+        f"{failure.reason}",
     )
-    if runs:
-        raise make_may_have_run("stream_failed", message, 502)
-    raise errors.RequestError("refused", message, retry_after=REFUSED_RETRY)
+    await forward_answer(exchange, answer)
--- a/magnoliacove/gateway/stream_log.py
+++ b/magnoliacove/gateway/stream_log.py
@@ -134,9 +134,13 @@
             **_describe_facts(facts),
         )
 
-    def record_answer(self, runs: int, slowness: float, now: float) -> float:
+    def record_answer(
+        self, status: int, runs: int, slowness: float, now: float
+    ) -> float:
         """Record that the answer is complete.
 
+        :param status: what the caller was told; an engine's failure may be
+            forwarded.
         :param runs: the number of runs.
         :param slowness: the slowness of the last path's slowest engine.
         :returns: the seconds from the request to its first event.
@@ -145,6 +149,7 @@
         self._recorder.record(
             "request-answered",
             request=self._request,
+            status=status,
             events=self._delivery.count,
             first_event=round(first, 3),
             longest_gap=round(self._delivery.longest_gap, 3),
--- a/magnoliacove/gateway/streams.py
+++ b/magnoliacove/gateway/streams.py
@@ -138,7 +138,10 @@
             if self._exchange.started and not self._exchange.ended:
                 self._record_cut()
         first = self._log.record_answer(
-            self._runs + 1, self._slowness, trio.current_time()
+            self._exchange.status,
+            self._runs + 1,
+            self._slowness,
+            trio.current_time(),
         )
         self._state.meters.observe("first_event_seconds", first)
 
