Give no error a status that promises more than its outcome

Callers of a model whose answer is not streamed saw 503 with Retry-After, and `x-outcome: may_have_run` beside it, when all targets of a range ended after steps had run. Whoever goes by the status sends the request once more.

All places that make an error were read: the gateways' ones with another outcome name 502 or 504; `no_stage` of entries, in two places, did not.

Change: an error without a status gets 503 if the request did not run and 502 if it may have. A status that means "not run" becomes 502 unless the outcome says the same, also in a refusal that another process sent. It is enough, as both interfaces answer failures with these errors only.

--- a/magnoliacove/errors.py
+++ b/magnoliacove/errors.py
@@ -26,6 +26,8 @@
 # Callers take these to mean that the request did not run and never will, and
 # send it again, also one that may run only once.
 NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
+_UNAVAILABLE = 503
+_BAD_GATEWAY = 502
 
 
 class Outcome(enum.StrEnum):
@@ -89,7 +91,9 @@
 
     :param code: a short, stable, machine-readable code, for example
         ``overloaded``.
-    :param status: the HTTP status code for the caller.
+    :param status: the HTTP status code for the caller; if None, 503 for a
+        request that did not run and 502 for any other.  A status that means
+        "not run" becomes 502 too unless that is certain.
     :param outcome: whether the request ran.
     :param retry_after: seconds to wait before a retry, or None when a
         retry is useless.
@@ -100,12 +104,21 @@
         code: str,
         message: str,
         *,
-        status: int = 503,
+        status: int | None = None,
         outcome: Outcome = Outcome.NOT_RUN,
         retry_after: float | None = None,
     ) -> None:
         super().__init__(message)
         self.code = code
-        self.status = status
+        self.status = _choose_status(status, outcome)
         self.outcome = outcome
         self.retry_after = retry_after
+
+
+def _choose_status(status: int | None, outcome: Outcome) -> int:
+    """Return the status of an error, which agrees with its outcome."""
+    if outcome is Outcome.NOT_RUN:
+        return status or _UNAVAILABLE
+    if status is None or status in NOT_RUN_STATUSES:
+        return _BAD_GATEWAY
+    return status
