Do not pass on a service's 503 for a call that may run once

Callers of a plain service through an entry saw the service's own 503 (408, 421, 429 likewise) for a call that may not be repeated and that it had run. The page for callers says that 503 means "did not run", so they sent it again; with a key they took a new one after it.

Evidence: the new tests failed before, for each of the four statuses, without a key, with one and when the key's answer is replayed (8 cases). Held and kept: an idempotent call gets what its service says, as it may run again.

Change: `entry/calls.py`, where an entry takes an answer, gives 502 `target_failed` with `may_have_run` in its place. No header of a plain service says that a request did not run, so each of the four statuses is withheld. The key's owner keeps the answer, so that the key still runs once.

--- a/magnoliacove/entry/calls.py
+++ b/magnoliacove/entry/calls.py
@@ -218,6 +218,7 @@
                 if isinstance(message, messages.Refused):
                     raise read_refusal(message)
                 if isinstance(message, messages.Answer):
+                    self._check_status(message.status)
                     self._answer_started = True
                     await send(message)
                     if not message.more:
@@ -231,6 +232,24 @@
                 outcome=errors.Outcome.MAY_HAVE_RUN,
             )
 
+    def _check_status(self, status: int) -> None:
+        """Withhold an answer whose caller would repeat what may run once.
+
+        The call was sent to the service, whose status may come after a run.
+
+        :param status: 0 for a further part of an answer.
+        :raises magnoliacove.errors.RequestError: in its place.
+        """
+        if self._call.idempotent or status not in errors.NOT_RUN_STATUSES:
+            return
+        self._cancel()
+        raise errors.RequestError(
+            "target_failed",
+            f"{self._call.service} answered {status}; the request may have "
+            "run, look its result up before you send it again",
+            outcome=errors.Outcome.MAY_HAVE_RUN,
+        )
+
     def _describe_loss(self, change: PeerChanged) -> errors.RequestError:
         return errors.RequestError(
             "target_lost",
--- a/magnoliacove/standins/plain.py
+++ b/magnoliacove/standins/plain.py
@@ -21,10 +21,12 @@
 
     :param delay: seconds before each answer.
     :param lost_answers: number of requests that run without an answer.
+    :param status: the status of the answers to requests that run.
     """
 
     delay: float = 0.0
     lost_answers: int = 0
+    status: int = 200
 
 
 class StandInPlain:
@@ -49,7 +51,7 @@
             "body": request.body.decode("utf-8", "replace"),
             "run": count,
         }
-        return web.Response(200, json.dumps(body).encode())
+        return web.Response(self.faults.status, json.dumps(body).encode())
 
 
 class DirectPlainTarget:
--- a/tests/entry/test_statuses.py
+++ b/tests/entry/test_statuses.py
@@ -11,8 +11,12 @@
 from magnoliacove.standins import callers
 from tests import fakes
 
+_BIDS = "/services/bid-desk/bids"
+_LOTS = "/services/bid-desk/lots"
 _FAILURES = sorted(errors.NOT_RUN_STATUSES)
 
+_each_status = pytest.mark.parametrize("status", _FAILURES)
+
 
 def _check_may_have_run(answer):
     assert answer.status == 502
@@ -20,6 +24,15 @@
     assert answer.json["error"]["outcome"] == "may_have_run"
 
 
+def _fail_runs(fleet, status):
+    for service in fleet.plains.values():
+        service.faults.status = status
+
+
+def _list_runs(fleet):
+    return [run for service in fleet.plains.values() for run in service.runs]
+
+
 @pytest.mark.parametrize("outcome", errors.Outcome)
 @pytest.mark.parametrize("status", [None, *_FAILURES, 404, 409, 502, 504])
 def test_no_error_promises_more_than_its_outcome(status, outcome):
@@ -61,3 +74,41 @@
         answer = await fakes.ask(fleet, "POST", "/v1/completions", body)
     assert answer.json["error"]["code"] == "no_stage"
     _check_may_have_run(answer)
+
+
+@_each_status
+async def test_a_failed_run_is_not_answered_as_not_run(status, autojump_clock):
+    """Guards against callers that send a bid again that has run."""
+    async with fakes.open_memory_fleet() as fleet:
+        _fail_runs(fleet, status)
+        answer = await fakes.ask(fleet, "POST", _BIDS, b"bid")
+        assert len(_list_runs(fleet)) == 1
+    _check_may_have_run(answer)
+
+
+@_each_status
+async def test_a_replayed_failure_is_not_answered_as_not_run(
+    status, autojump_clock
+):
+    """Guards against a key whose callers take a new one after a failed run."""
+    async with fakes.open_memory_fleet(entries=2) as fleet:
+        _fail_runs(fleet, status)
+        key = {"idempotency-key": "k1"}
+        for entry in ("entry-0", "entry-1"):
+            answer = await fakes.ask(
+                fleet, "POST", _BIDS, b"bid", key, entry=entry
+            )
+            _check_may_have_run(answer)
+        assert len(_list_runs(fleet)) == 1
+
+
+@pytest.mark.parametrize("status", [*_FAILURES, 404, 500])
+async def test_an_idempotent_calls_failure_is_forwarded(
+    status, autojump_clock
+):
+    """Guards against hiding what a service says to a call that may repeat."""
+    async with fakes.open_memory_fleet() as fleet:
+        _fail_runs(fleet, status)
+        answer = await fakes.ask(fleet, "GET", _LOTS)
+    assert answer.status == status
+    assert answer.json["path"] == "/lots"
