Remember that an earlier attempt of a call may have run

Callers of an idempotent call through an entry saw 503 with `not_run` when its first attempt had run without an answer and a target refused the next one.

Cause: the error of the last attempt was told as that of the request.

Evidence: the new test failed before: the only target runs a call, its answer is lost, and the target refuses the second attempt; one run, 503.

Change: `errors.note_earlier_run` makes the error of the whole request from that of its last part, and a call uses it once an attempt may have run.

--- a/magnoliacove/entry/calls.py
+++ b/magnoliacove/entry/calls.py
@@ -59,6 +59,8 @@
         self._target = ""
         self._request_id = b""
         self._answer_started = False
+        # Whether an earlier attempt may have run.
+        self._may_have_run = False
         self._tried_targets: set[str] = set()
 
     # Called by the pool.
@@ -128,7 +130,8 @@
             or attempt >= defaults.MAX_ATTEMPTS
             or not self._budget.try_spend()
         ):
-            raise exc
+            raise errors.note_earlier_run(exc) if self._may_have_run else exc
+        self._may_have_run |= exc.outcome is not errors.Outcome.NOT_RUN
         self._recorder.record(
             "call-retried",
             request=self._call.request,
--- a/magnoliacove/errors.py
+++ b/magnoliacove/errors.py
@@ -20,6 +20,7 @@
     "RequestError",
     "StaleOrderError",
     "UserError",
+    "note_earlier_run",
 ]
 
 
@@ -115,6 +116,23 @@
         self.retry_after = retry_after
 
 
+def note_earlier_run(error: RequestError) -> RequestError:
+    """Return the error of a request of which an earlier part may have run.
+
+    :param error: what the last attempt or step failed with; that it did not
+        run says nothing of those before it.
+    """
+    if error.outcome is not Outcome.NOT_RUN:
+        return error
+    return RequestError(
+        error.code,
+        f"{error}; an earlier attempt or step may have run",
+        status=error.status,
+        outcome=Outcome.MAY_HAVE_RUN,
+        retry_after=error.retry_after,
+    )
+
+
 def _choose_status(status: int | None, outcome: Outcome) -> int:
     """Return the status of an error, which agrees with its outcome."""
     if outcome is Outcome.NOT_RUN:
--- a/tests/entry/test_statuses.py
+++ b/tests/entry/test_statuses.py
@@ -112,3 +112,29 @@
         answer = await fakes.ask(fleet, "GET", _LOTS)
     assert answer.status == status
     assert answer.json["path"] == "/lots"
+
+
+async def test_a_refusal_after_a_failed_run_is_not_answered_as_not_run(
+    autojump_clock,
+):
+    """Guards against a refusal that stands for the run that came before it.
+
+    The only target runs a call, its answer is lost, and the target refuses
+    the next attempt.
+    """
+    async with fakes.open_memory_fleet(replicas=1) as fleet:
+        [service] = fleet.plains.values()
+        service.faults.lost_answers = 1
+        agent = fleet.agents[service.name].server
+        calls = agent.calls
+
+        async def leave():
+            while not service.runs:
+                await trio.sleep(0.001)
+            calls._max_calls = 0
+
+        async with trio.open_nursery() as tasks:
+            tasks.start_soon(leave)
+            answer = await fakes.ask(fleet, "GET", _LOTS)
+        assert len(_list_runs(fleet)) == 1
+    _check_may_have_run(answer)
