Do not answer a pipeline as not run once a step has run

Callers of a pipeline saw 503 (429 where an account's rate was reached) with `not_run` when its first steps had run and a later one was refused.

Cause: the error of the step was told as that of the pipeline.

Evidence: the new test failed before: the model step has run, and no target serves the plain step that follows; 503 `no_target`. A pipeline of which nothing has run is still answered as not run.

Change: from the second step on, the error goes through `errors.note_earlier_run`.

--- a/magnoliacove/entry/pipelines.py
+++ b/magnoliacove/entry/pipelines.py
@@ -62,9 +62,14 @@
             for index, service in enumerate(services):
                 # Each step has its own request ID in the event log.
                 step_id = exchange.request_id[:-2] + bytes([index + 1, 0])
-                value = await self._run_step(
-                    step_id, exchange, account, service, value, allocation
-                )
+                try:
+                    value = await self._run_step(
+                        step_id, exchange, account, service, value, allocation
+                    )
+                except errors.RequestError as exc:
+                    if index == 0:
+                        raise
+                    raise errors.note_earlier_run(exc) from exc
 
         with exchange.open_answer() as allocation:
             await run_while_connected(exchange, run)
--- a/tests/entry/test_statuses.py
+++ b/tests/entry/test_statuses.py
@@ -10,6 +10,7 @@
 from magnoliacove import errors
 from magnoliacove.standins import callers
 from tests import fakes
+from tests.entry.test_pipelines import make_pipeline
 
 _BIDS = "/services/bid-desk/bids"
 _LOTS = "/services/bid-desk/lots"
@@ -138,3 +139,36 @@
             answer = await fakes.ask(fleet, "GET", _LOTS)
         assert len(_list_runs(fleet)) == 1
     _check_may_have_run(answer)
+
+
+async def test_a_pipeline_that_has_begun_is_not_answered_as_not_run(
+    autojump_clock,
+):
+    """Guards against callers that repeat steps that have run.
+
+    The first step has run when no target serves the second one.
+    """
+    async with fakes.open_memory_fleet() as fleet:
+        await make_pipeline(fleet)
+        for name in fleet.list_plain():
+            fleet.kill(fleet.agents[name])
+        await trio.sleep(1)
+        answer = await fakes.ask(fleet, "POST", "/pipelines/describe", b"lot")
+        assert any(engine.steps_run for engine in fleet.engines.values())
+    assert answer.json["error"]["code"] == "no_target"
+    _check_may_have_run(answer)
+
+
+async def test_a_pipeline_that_has_not_begun_is_answered_as_not_run(
+    autojump_clock,
+):
+    """Guards against callers that give up what they may send again."""
+    async with fakes.open_memory_fleet() as fleet:
+        await make_pipeline(fleet)
+        for name in fleet.agents:
+            fleet.kill(fleet.agents[name])
+        await trio.sleep(1)
+        answer = await fakes.ask(fleet, "POST", "/pipelines/describe", b"lot")
+    assert answer.status == 503
+    assert answer.headers["x-outcome"] == "not_run"
+    assert "retry-after" in answer.headers
