Tell operators that a call may have run whose answer was cut

An entry that ends inside its answer's head (or resets, or cuts the body) left the operators' client with the outcome "not run", for an order too. Whoever goes by it gives the order again.

Cause: the library gives the code of an unavailable service to each connection that fails, also after the call was sent; the client took that code for the service's own word.

Change: the library's cause tells them apart. Without one the service itself has answered, and a connection error means that nothing was sent; any other cause may come after a run.

Found by the report of an engine that stops inside its answer's head, by a test of each reader of answers.

--- a/magnoliacove/operators/client.py
+++ b/magnoliacove/operators/client.py
@@ -92,12 +92,21 @@
         if error.code == Code.NOT_FOUND:
             return errors.NotFoundError(text)
         if error.code in _NO_ANSWER_CODES:
-            may_have_run = error.code != Code.UNAVAILABLE
             return errors.PlatformError(
                 f"{text or 'no answer'} (from {self._url}; check --server, "
                 "or try another entry)",
-                errors.Outcome.MAY_HAVE_RUN
-                if may_have_run
-                else errors.Outcome.NOT_RUN,
+                _read_outcome(error),
             )
         return errors.UserError(text)
+
+
+def _read_outcome(error: ConnectError) -> errors.Outcome:
+    """Return whether a call that got no answer may have been executed."""
+    if error.code != Code.UNAVAILABLE:
+        return errors.Outcome.MAY_HAVE_RUN
+    # The service answers so what it has not executed.  The library uses the
+    # same code for a connection that fails, also after the call was sent.
+    failure = error.__cause__
+    if failure is None or isinstance(failure, ConnectionError):
+        return errors.Outcome.NOT_RUN
+    return errors.Outcome.MAY_HAVE_RUN
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -384,6 +384,16 @@
     return begin_then(break_off)
 
 
+def stop_inside(data):
+    """Provide the URL of a target that sends a part of a head and closes."""
+
+    async def script(_, stream):
+        await stream.send_all(data)
+        await stream.aclose()
+
+    return open_target(script)
+
+
 async def pause_for_ever(_):
     """Never go on."""
     await trio.sleep_forever()
