--- a/tests/peers/test_datagram.py
+++ b/tests/peers/test_datagram.py
@@ -25,6 +25,14 @@
         peers.Heartbeat.decode(data)
 
 
+def test_a_datagram_that_is_cut_anywhere_is_refused():
+    """Guards against a heartbeat of which a part is believed."""
+    data = make_heartbeat(named=["10.0.0.1:7340"]).encode()
+    for size in range(len(data)):
+        with pytest.raises(errors.ProtocolError):
+            peers.Heartbeat.decode(data[:size])
+
+
 def test_columns_of_unequal_length_are_refused():
     """A datagram has the names of two engines but the load of only one.
 
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -65,6 +65,23 @@
         connection.post(messages.Ping(1))
 
 
+async def test_a_frame_that_is_cut_anywhere_is_no_message(autojump_clock):
+    """Guards against acting on a part of what a lost process sent."""
+    answer = _frame(codec.encode(messages.Answer(b"r", 200, (), b"part"), 1))
+    for size in range(1, len(answer)):
+        near, far = trio.testing.memory_stream_pair()
+        await far.send_all(_GOOD + answer[:size])
+        await far.send_eof()
+        received = []
+
+        async def receive(_, message, received=received):
+            received.append(message)
+
+        with pytest.raises(errors.PeerError):
+            await _connect(near).run(receive)
+        assert not received
+
+
 class _Broken(trio.abc.Stream):
     """Sends a hello, then fails reading and writing at the same moment."""
 
