Restart an engine in a test only once the stream passes through it

Traced: the test restarts the engine 0.1 s after it asks, and on a busy machine the stream has no path by then. It is then placed on the other engine at once, and the stand-in, which waits for an order to leave, never ends.

Change: the restart waits until the first engine has begun the stream, and then as long as before. What is checked is the same.

--- a/tests/gateway/test_stale_engine_status.py
+++ b/tests/gateway/test_stale_engine_status.py
@@ -113,11 +113,12 @@
         else:
             event = stubs.chunk(stubs.make_events(1, 1))
             await stream.send_all(stubs.STREAM + event)
+            begun.set()
             await moved.wait()
             event = stubs.chunk(stubs.make_events(2, 3))
             await stream.send_all(event + stubs.END)
 
-    moved = trio.Event()
+    begun, moved = trio.Event(), trio.Event()
     async with stubs.open_harness() as harness:
         await harness.add("i-1", first, layers=(0, 40))
         second = await harness.add(
@@ -126,13 +127,15 @@
         third = await harness.add(
             "i-3", stubs.stay_silent, layers=(40, 80), accelerator="l4"
         )
-        harness.nursery.start_soon(_restart, harness)
+        harness.nursery.start_soon(_restart, harness, begun)
         (answer,) = await _ask(harness, 1)
         assert answer.endswith(stubs.END)
         assert str(third.address) in orders[0]["path"]
         assert harness.state.health.is_usable("i-2@2000")
 
 
-async def _restart(harness):
+async def _restart(harness, begun):
+    """Restart the second engine once the stream passes through it."""
+    await begun.wait()
     await trio.sleep(0.1)
     harness.state.targets.note_incarnation("i-2", 2000)
