Name statuses by the standard library

They are members of http.HTTPStatus now; errors and what cannot be read hold plain numbers as before, since these are encoded for peers.

--- a/magnoliacove/errors.py
+++ b/magnoliacove/errors.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from http import HTTPStatus
 
 __all__ = [
     "ConflictError",
@@ -26,9 +27,14 @@
 
 # Callers take these to mean that the request did not run and never will, and
 # send it again, also one that may run only once.
-NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
-_UNAVAILABLE = 503
-_BAD_GATEWAY = 502
+NOT_RUN_STATUSES = frozenset(
+    [
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    ]
+)
 
 
 class Outcome(enum.StrEnum):
@@ -111,7 +117,7 @@
     ) -> None:
         super().__init__(message)
         self.code = code
-        self.status = _choose_status(status, outcome)
+        self.status = int(_choose_status(status, outcome))
         self.outcome = outcome
         self.retry_after = retry_after
 
@@ -136,7 +142,7 @@
 def _choose_status(status: int | None, outcome: Outcome) -> int:
     """Return the status of an error, which agrees with its outcome."""
     if outcome is Outcome.NOT_RUN:
-        return status or _UNAVAILABLE
+        return status or HTTPStatus.SERVICE_UNAVAILABLE
     if status is None or status in NOT_RUN_STATUSES:
-        return _BAD_GATEWAY
+        return HTTPStatus.BAD_GATEWAY
     return status
--- a/magnoliacove/gateway/calls.py
+++ b/magnoliacove/gateway/calls.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import trio
 
@@ -41,8 +42,6 @@
 # of the latency objective.
 _HEDGE_FACTOR = 4.0
 _HEDGE_OBJECTIVE_FRACTION = 0.4
-# The lowest status of an answer that reports a failure.
-_FIRST_ERROR_STATUS = 400
 
 
 @dataclass(frozen=True)
@@ -314,7 +313,10 @@
             else errors.Outcome.MAY_HAVE_RUN,
         )
         unreachable = result.error is not None and result.not_run
-        misdirected = result.answer is not None and result.answer.status == 421
+        misdirected = (
+            result.answer is not None
+            and result.answer.status == HTTPStatus.MISDIRECTED_REQUEST
+        )
         if unreachable or misdirected:
             state.health.suspect(result.target.name, why)
 
@@ -340,7 +342,7 @@
                 trio.current_time() - self._routed.request.arrived, 3
             ),
         )
-        if answer.status < _FIRST_ERROR_STATUS:
+        if not answer.reports_failure:
             seconds = trio.current_time() - self._routed.request.arrived
             attribution = self._crash_watch.attribution
             attribution.note_lasting(self._routed.parts, seconds)
--- a/magnoliacove/gateway/engine_checks.py
+++ b/magnoliacove/gateway/engine_checks.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from http import HTTPStatus
 
 import trio
 
@@ -31,9 +32,6 @@
 _MIN_CHECK_INTERVAL = 0.4
 # Seconds until a health check times out.
 _HEALTH_TIMEOUT = 0.35
-# The status of an engine that is another incarnation than expected, or has not
-# loaded the layers that it was to run.
-_MISDIRECTED = 421
 
 
 class EngineChecks:
@@ -170,7 +168,9 @@
         report = await self.read_report(target, f"it refused with {status}")
         if report is None:
             return
-        if status == _MISDIRECTED:
+        # It is another incarnation than expected, or has not loaded the layers
+        # that it was to run.
+        if status == HTTPStatus.MISDIRECTED_REQUEST:
             self._correct_status(target, report)
             return
         full = self._state.saturation.is_full(target.service)
--- a/magnoliacove/gateway/engines.py
+++ b/magnoliacove/gateway/engines.py
@@ -1,5 +1,7 @@
 """Calls of the gateway itself to model engines: reports and orders."""
 
+from http import HTTPStatus
+
 import trio
 
 from magnoliacove import errors
@@ -15,7 +17,6 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
-_OK = 200
 # Bytes and short parts of an answer to the gateway itself.  A report takes a
 # few kilobytes; one without end would come again twice a second.
 _MAX_BODY = 256 * 1024
@@ -72,7 +73,7 @@
         status, _, body = await self._call(
             target, b"GET", engines.REPORT_PATH, b"", fresh
         )
-        if status != _OK:
+        if status != HTTPStatus.OK:
             raise TargetError(
                 f"a report was answered with {status}", errors.Outcome.NOT_RUN
             )
--- a/magnoliacove/gateway/notices.py
+++ b/magnoliacove/gateway/notices.py
@@ -1,6 +1,7 @@
 """Handling of the notices that targets attach to their answers."""
 
 from dataclasses import replace
+from http import HTTPStatus
 
 from magnoliacove.directory.health import Health
 from magnoliacove.gateway.channels import Answer
@@ -10,9 +11,6 @@
 
 __all__ = ["make_notice_handler"]
 
-# The status of a target that is not the addressed one.  Another target may
-# have the address by now, and its answer does not concern this one.
-_MISDIRECTED = 421
 _MAYBE_LEAVING = "a target at its address says that it leaves"
 
 
@@ -26,7 +24,9 @@
 
     def handle(target: str, answer: Answer, path: str, request: str) -> None:
         notice = read_notice(answer.status, answer.headers)
-        own = answer.status != _MISDIRECTED
+        # Another target may have the address by now, and its answer does not
+        # concern this one.
+        own = answer.status != HTTPStatus.MISDIRECTED_REQUEST
         if not own:
             notice = replace(notice, staying=False)
         ends_limit = bool(request) and own
--- a/magnoliacove/gateway/path_runs.py
+++ b/magnoliacove/gateway/path_runs.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+from http import HTTPStatus
 
 import trio
 
@@ -31,10 +32,6 @@
 
 __all__ = ["PathRun"]
 
-_UNAVAILABLE = 503
-# The lowest status of an answer that reports a failure.
-_FIRST_ERROR_STATUS = 400
-
 
 class PathRun:
     """Sends one stream along one path and forwards the events.
@@ -135,7 +132,7 @@
             channel, self.first, self._routed, last_event, self.path
         )
         answer, decoded = await read_answer(channel, self._request)
-        if answer.status != 200:
+        if answer.status != HTTPStatus.OK:
             await self._handle_failure(channel, answer, decoded)
         if not is_genuine(answer, decoded):
             # It would send the same again on the next run.
@@ -173,9 +170,9 @@
             )
         self._avoid_engine(self.first)
         reason = f"the engine answered {answer.status}"
-        if answer.status < _FIRST_ERROR_STATUS or not decoded.stamped:
-            raise BrokenRunError(reason, True)
         failure = TargetAnswer(answer, decoded, body)
+        if not failure.reports_failure or not decoded.stamped:
+            raise BrokenRunError(reason, True)
         raise BrokenRunError(reason, True, failure)
 
     def _avoid_engine(self, target: ListedTarget) -> None:
@@ -194,7 +191,10 @@
         if not faulty:
             refusing = [self.first]
         for target in refusing:
-            full = status == _UNAVAILABLE and self._lacks_room(target)
+            full = (
+                status == HTTPStatus.SERVICE_UNAVAILABLE
+                and self._lacks_room(target)
+            )
             if full:
                 self._note_no_room(target)
             else:
--- a/magnoliacove/gateway/request_reader.py
+++ b/magnoliacove/gateway/request_reader.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
+from http import HTTPStatus
 import re
 
 import h11
@@ -44,9 +45,6 @@
 _HEAD_TAIL_LENGTH = 2
 # A whole chunked body for h11, in place of the one that is decoded here.
 _EMPTY_CHUNKED_BODY = b"0\r\n\r\n"
-_INVALID_STATUS = 400
-_TOO_LARGE_STATUS = 413
-_NO_MEMORY_STATUS = 503
 
 
 class ReadError(Exception):
@@ -57,7 +55,7 @@
 
     def __init__(self, status: int, why: str) -> None:
         super().__init__(why)
-        self.status = status
+        self.status = int(status)
 
 
 @dataclass(frozen=True)
@@ -162,7 +160,9 @@
             return None
         # Without waiting, in which more would arrive than is counted.
         if not allocation.try_resize(ACTIVE_CONNECTION_BYTES):
-            raise ReadError(_NO_MEMORY_STATUS, "no memory for a request")
+            raise ReadError(
+                HTTPStatus.SERVICE_UNAVAILABLE, "no memory for a request"
+            )
         head = await self._read_head(limits.header_timeout)
         if head is None:
             return None
@@ -195,7 +195,8 @@
                     event = self._parser.next_event()
             if block.evicted:
                 raise ReadError(
-                    _NO_MEMORY_STATUS, "others need the head's memory"
+                    HTTPStatus.SERVICE_UNAVAILABLE,
+                    "others need the head's memory",
                 )
         return event if isinstance(event, h11.Request) else None
 
@@ -312,7 +313,7 @@
         data, self._unread = self._unread, b""
         data = data or await self._receive()
         if not data:
-            raise ReadError(_INVALID_STATUS, "the body is not complete")
+            raise ReadError(HTTPStatus.BAD_REQUEST, "the body is not complete")
         return data
 
     async def _receive(self) -> bytes:
@@ -325,7 +326,8 @@
 
 def _make_too_large(limits: CallerLimits) -> ReadError:
     return ReadError(
-        _TOO_LARGE_STATUS, f"the body is over {limits.body_bytes} bytes"
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        f"the body is over {limits.body_bytes} bytes",
     )
 
 
@@ -333,4 +335,4 @@
     try:
         return decoder.decode(data)
     except ChunkError as exc:
-        raise ReadError(_INVALID_STATUS, str(exc)) from exc
+        raise ReadError(HTTPStatus.BAD_REQUEST, str(exc)) from exc
--- a/magnoliacove/gateway/target_answers.py
+++ b/magnoliacove/gateway/target_answers.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from magnoliacove import errors
 from magnoliacove.bodies import Body
@@ -31,6 +32,11 @@
         """The status that the target gave."""
         return self.head.status
 
+    @property
+    def reports_failure(self) -> bool:
+        """Whether its status is one of an error."""
+        return self.status >= HTTPStatus.BAD_REQUEST
+
     @property
     def forwardable(self) -> bool:
         """Whether the caller may get it as it is."""
@@ -60,9 +66,8 @@
             retry_after=REFUSED_RETRY,
         )
     if last is None or not last.forwardable:
-        raise make_may_have_run(
-            code, f"{message}; the request may have run", 502
-        )
+        text = f"{message}; the request may have run"
+        raise make_may_have_run(code, text, HTTPStatus.BAD_GATEWAY)
     return last
 
 
--- a/magnoliacove/platform/engines.py
+++ b/magnoliacove/platform/engines.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 import enum
+from http import HTTPStatus
 
 import orjson
 
@@ -27,7 +28,6 @@
     "write_place_order",
 ]
 
-_UNAVAILABLE = 503
 REPORT_PATH = "/v1/report"
 ORDER_PATH = "/v1/order"
 
@@ -150,7 +150,7 @@
         another engine in the meantime.
     """
     instance = dict(headers).get(b"x-instance-id", b"").decode("latin-1")
-    return status == _UNAVAILABLE and instance in ("", name)
+    return status == HTTPStatus.SERVICE_UNAVAILABLE and instance in ("", name)
 
 
 def read_order_result(status: int) -> OrderResult:
--- a/magnoliacove/platform/headers.py
+++ b/magnoliacove/platform/headers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from magnoliacove.directory.listed import ListedTarget
 from magnoliacove.routing.paths import Path
@@ -164,7 +165,7 @@
     return AnswerHeaders(
         request=read_request_id(headers),
         stamped=_STAMP in values,
-        not_run=_NOT_RUN in values or status == 421,
+        not_run=_NOT_RUN in values or status == HTTPStatus.MISDIRECTED_REQUEST,
         faulty=values.get(_FAULTY, b"").decode("latin-1"),
         running=load[0] if valid else None,
         waiting=load[1] or 0 if valid else 0,
--- a/magnoliacove/platform/notices.py
+++ b/magnoliacove/platform/notices.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
+from http import HTTPStatus
 import math
 
 from magnoliacove.limits.backpressure import TargetNotice
@@ -14,7 +15,6 @@
 _RETRY_AFTER = b"retry-after"
 _YES = b"1"
 _NO = b"0"
-_UNAVAILABLE = 503
 
 
 def read_notice(
@@ -28,7 +28,7 @@
     unreadable: list[str] = []
     rate_limit = _read_number(values, _RATE_LIMIT, unreadable)
     back_off = None
-    if status == _UNAVAILABLE:
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
         back_off = _read_number(values, _RETRY_AFTER, unreadable)
     leaving = values.get(_LEAVING, b"").strip()
     return TargetNotice(
--- a/tests/entry/test_statuses.py
+++ b/tests/entry/test_statuses.py
@@ -14,7 +14,7 @@
 
 _BIDS = "/services/bid-desk/bids"
 _LOTS = "/services/bid-desk/lots"
-_FAILURES = sorted(errors.NOT_RUN_STATUSES)
+_FAILURES = sorted(map(int, errors.NOT_RUN_STATUSES))
 
 _each_status = pytest.mark.parametrize("status", _FAILURES)
 
