--- a/magnoliacove/errors.py
+++ b/magnoliacove/errors.py
@@ -24,7 +24,6 @@
     "note_earlier_run",
 ]
 
-
 # Callers take these to mean that the request did not run and never will, and
 # send it again, also one that may run only once.
 NOT_RUN_STATUSES = frozenset(
@@ -143,6 +142,6 @@
     """Return the status of an error, which agrees with its outcome."""
     if outcome is Outcome.NOT_RUN:
         return status or HTTPStatus.SERVICE_UNAVAILABLE
-    if status is None or status in NOT_RUN_STATUSES:
+    if not status or status in NOT_RUN_STATUSES:
         return HTTPStatus.BAD_GATEWAY
     return status
