Derive whether an answer has been started from its status

An exchange kept both. The failure of a stream's run is made in one place again, and a status that no peer gets is not converted. Behaviour stays.

--- a/magnoliacove/gateway/callers.py
+++ b/magnoliacove/gateway/callers.py
@@ -65,7 +65,6 @@
 
     :param reset_on_close: chooses whether the connection is reset when it
         closes.
-    :param started: whether the answer has been started.
     :param status: the status of the answer, 0 before it has been started.
     :param ended: whether the whole answer has been sent.
     :param caller_left: whether the caller closed the connection, or stopped
@@ -86,7 +85,6 @@
     ) -> None:
         self.request = request
         self.late = late
-        self.started = False
         self.status = 0
         self.ended = False
         self.caller_left = False
@@ -106,6 +104,11 @@
         version = self._parser.their_http_version or b""
         return version < _FIRST_CHUNKED_VERSION
 
+    @property
+    def started(self) -> bool:
+        """Whether the answer has been started."""
+        return self.status > 0
+
     def read_silence(self) -> float:
         """Return the seconds since a part of the body was last sent.
 
@@ -119,7 +122,6 @@
         This and the other methods that send raise :class:`CallerLeftError`
         when the caller can no longer be reached.
         """
-        self.started = True
         head = self._write_head(status, headers)
         if self._ends_by_close:
             self._reset_on_close(True)
@@ -141,7 +143,6 @@
         self, status: int, headers: Headers, body: bytes | Body
     ) -> None:
         """Send a whole answer."""
-        self.started = True
         kept = [(n, v) for n, v in headers if n != b"content-length"]
         length = (b"content-length", b"%d" % len(body))
         parts: list[Buffer] = [self._write_head(status, [*kept, length])]
--- a/magnoliacove/gateway/path_runs.py
+++ b/magnoliacove/gateway/path_runs.py
@@ -169,11 +169,13 @@
                 False,
             )
         self._avoid_engine(self.first)
-        reason = f"the engine answered {answer.status}"
         failure = TargetAnswer(answer, decoded, body)
-        if not failure.reports_failure or not decoded.stamped:
-            raise BrokenRunError(reason, True)
-        raise BrokenRunError(reason, True, failure)
+        genuine = decoded.stamped and failure.reports_failure
+        raise BrokenRunError(
+            f"the engine answered {answer.status}",
+            True,
+            failure if genuine else None,
+        )
 
     def _avoid_engine(self, target: ListedTarget) -> None:
         """Avoid an engine for this stream, and for a while for new ones."""
--- a/magnoliacove/gateway/request_reader.py
+++ b/magnoliacove/gateway/request_reader.py
@@ -55,7 +55,7 @@
 
     def __init__(self, status: int, why: str) -> None:
         super().__init__(why)
-        self.status = int(status)
+        self.status = status
 
 
 @dataclass(frozen=True)
--- a/magnoliacove/gateway/target_answers.py
+++ b/magnoliacove/gateway/target_answers.py
@@ -1,8 +1,8 @@
-"""What a caller is told when its request ends with an answer of a target.
+"""Whether a target's answer is forwarded or replaced by an error.
 
-A target's answer is forwarded as it is, unless its caller would learn from it
-what is not known: that it is the target's own answer, or that the request did
-not run.  This is decided here for calls and for streams.
+It is forwarded unchanged, unless that would tell the caller something that is
+not known: that the answer is the target's own, or that the request did not
+run.  This is decided here for calls and for streams.
 """
 
 from dataclasses import dataclass
