--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,10 +3,13 @@
 import contextlib
 import json
 
+import trio
+
 from magnoliacove.standins import callers
 from magnoliacove.standins import engine
 from magnoliacove.standins import fleet as fleets
 from magnoliacove.standins import network
+from magnoliacove.wire import Address
 
 
 @contextlib.asynccontextmanager
@@ -45,6 +48,18 @@
     return texts, None
 
 
+def count_runs(fleet):
+    """Return how many requests the plain services have run."""
+    return sum(len(service.runs) for service in fleet.plains.values())
+
+
+async def connect(fleet):
+    """Connect to the callers' port of an entry of a fleet with sockets."""
+    url = fleet.entries["entry-0"].server.callers_url
+    address = Address.parse(url.removeprefix("http://"))
+    return await trio.open_tcp_stream(address.host, address.port)
+
+
 def compute_expected_text(prompt, tokens, layers=8):
     """Return the text that the model generates without any failure."""
     return b"".join(
